--- a/backend/client_load.go
+++ b/backend/client_load.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // maxReportBytes bounds a load report.
@@ -21,7 +21,7 @@
 type loadReport struct {
 	ID          string         `json:"id"`
 	Incarnation string         `json:"incarnation"`
-	State       platform.State `json:"state"`
+	State       registry.State `json:"state"`
 	Models      []string       `json:"models"`
 	Capacity    int            `json:"capacity_tokens"`
 	Used        int            `json:"used_tokens"`
--- a/backend/group_test.go
+++ b/backend/group_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 func TestSplitCost(t *testing.T) {
@@ -197,8 +197,8 @@
 	l := NewLedger("entry-0")
 	c.Assert(l.Ask(now, want), qt.HasLen, 1)
 	c.Assert(l.Release(now, want.owner, "", "1", OutcomeFinished), qt.HasLen, 0)
-	place := platform.NewPlace("scl", "scl-a")
-	instance := platform.NewServer("engine-0", platform.KindEngine, place, platform.StateLive, "", "strip")
+	place := registry.NewPlace("scl", "scl-a")
+	instance := registry.NewServer("engine-0", registry.KindEngine, place, registry.StateLive, "", "strip")
 	l.Keep(now, NewServer(instance, NewBearing(NewLoad(2, 100_000), NewLoad(16, 400_000), 3)))
 	out := l.Ask(now, want)
 	denied, ok := out[0].(Denied)
--- a/backend/ledger_book.go
+++ b/backend/ledger_book.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 const (
@@ -157,7 +157,7 @@
 
 // need returns the load that a cost takes of the server.
 func (b *book) need(cost Cost) Load {
-	if b.server.kind == platform.KindService {
+	if b.server.kind == registry.KindService {
 		return Load{requests: 1}
 	}
 	return Load{requests: 1, tokens: cost.Tokens()}
@@ -238,7 +238,7 @@
 
 // orphans returns the cancels that are due; a plain service takes none.
 func (b *book) orphans(now time.Time) []Decision {
-	if b.server.kind == platform.KindService {
+	if b.server.kind == registry.KindService {
 		return nil
 	}
 	var out []Decision
--- a/backend/ledger_faults_test.go
+++ b/backend/ledger_faults_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // crash kills an owner; what it sent before may still reach its server.
@@ -189,7 +189,7 @@
 // service takes no cancel, and its calls end by themselves.
 func (m *machine) endCalls() {
 	for _, s := range m.servers {
-		if s.facts.kind != platform.KindService {
+		if s.facts.kind != registry.KindService {
 			continue
 		}
 		for id := range s.streams {
--- a/backend/ledger_oracle_test.go
+++ b/backend/ledger_oracle_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // keeping is what the oracle drives: a Ledger or a mutation of one.
@@ -107,9 +107,9 @@
 
 // record keeps the server's state for reports with a lag.
 func (s *trueServer) record(now time.Time) {
-	state := platform.StateLive
+	state := registry.StateLive
 	if s.leaving {
-		state = platform.StateLeaving
+		state = registry.StateLeaving
 	}
 	var held []Held
 	for _, id := range slices.Sorted(maps.Keys(s.streams)) {
@@ -161,7 +161,7 @@
 	s := &trueServer{streams: map[string]Cost{}, keeper: i % oracleKeepers, trust: TrustNone, moved: testStart}
 	s.facts = testServer(fmt.Sprintf("s%d", i), NewBearing(NewLoad(2, 12_000), NewLoad(9, 100_000), 2))
 	if i == 3 {
-		s.facts.kind, s.facts.service = platform.KindService, "repair-record"
+		s.facts.kind, s.facts.service = registry.KindService, "repair-record"
 		s.facts.bearing = NewBearing(NewLoad(1, 0), NewLoad(3, 0), 2)
 	}
 	return s
@@ -270,7 +270,7 @@
 
 func (o *oracle) takeOrphan(d Orphan, lost func() bool) error {
 	a, s := o.attempts[d.stream], o.server(d.server)
-	if s.facts.kind == platform.KindService {
+	if s.facts.kind == registry.KindService {
 		return fmt.Errorf("cancel sent to the plain service %s, which would run it", d.server)
 	}
 	live := a != nil && a.phase == phaseRunning && o.alive(a.want.owner)
--- a/backend/ledger_report.go
+++ b/backend/ledger_report.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // Report takes in what a kept server said of its own load. The report's lag
@@ -87,9 +87,9 @@
 	clear(b.unclaimed)
 }
 
-func (b *book) noteState(now, taken time.Time, state platform.State) {
+func (b *book) noteState(now, taken time.Time, state registry.State) {
 	switch {
-	case state == platform.StateLeaving:
+	case state == registry.StateLeaving:
 		b.leaving = now
 	case taken.After(b.leaving.Add(reportMargin)):
 		b.leaving = time.Time{}
@@ -116,7 +116,7 @@
 		}
 		elsewhere := e.slot.incarnation != b.incarnation && taken.After(e.granted.Add(reportMargin))
 		gone := e.disproved(taken)
-		if b.server.kind == platform.KindService && gone {
+		if b.server.kind == registry.KindService && gone {
 			gone = ended > 0
 			ended--
 		}
@@ -152,7 +152,7 @@
 // callsBeside returns how many requests a plain service works on beside the
 // entries, and those released since the report was taken.
 func (b *book) callsBeside(taken time.Time, report Report) int {
-	if b.server.kind != platform.KindService {
+	if b.server.kind != registry.KindService {
 		return 0
 	}
 	explained := len(b.entries) + len(b.unclaimed)
--- a/backend/ledger_summary.go
+++ b/backend/ledger_summary.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // Summary is what a ledger has free for one work.
@@ -52,7 +52,7 @@
 func (l *Ledger) works() []Work {
 	var works []Work
 	for _, b := range l.books {
-		if b.server.kind == platform.KindService {
+		if b.server.kind == registry.KindService {
 			works = append(works, Work{service: b.server.service})
 		}
 		for _, model := range b.models {
--- a/backend/ledger_test.go
+++ b/backend/ledger_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 const (
@@ -22,8 +22,8 @@
 )
 
 func testServer(id string, bearing Bearing) Server {
-	place := platform.NewPlace("ne-north", "ne-north-a")
-	instance := platform.NewServer(id, platform.KindEngine, place, platform.StateLive, id+":80", testService)
+	place := registry.NewPlace("ne-north", "ne-north-a")
+	instance := registry.NewServer(id, registry.KindEngine, place, registry.StateLive, id+":80", testService)
 	return NewServer(instance, bearing)
 }
 
@@ -36,7 +36,7 @@
 	for _, h := range held {
 		used += h.tokens
 	}
-	report := NewReport(server, incarnation, platform.StateLive, 400_000, used)
+	report := NewReport(server, incarnation, registry.StateLive, 400_000, used)
 	return report.WithModels(testModel).WithHeld(0, held...)
 }
 
@@ -234,14 +234,14 @@
 func TestLedgerLeavesPlainServicesUncancelled(t *testing.T) {
 	c := qt.New(t)
 	now := testStart
-	place := platform.NewPlace("scl", "scl-a")
-	instance := platform.NewServer("licence-1", platform.KindService, place, platform.StateLive, "127.0.0.1:1", "licensing")
+	place := registry.NewPlace("scl", "scl-a")
+	instance := registry.NewServer("licence-1", registry.KindService, place, registry.StateLive, "127.0.0.1:1", "licensing")
 	l := NewLedger("entry-1")
 	l.Keep(now, NewServer(instance, NewBearing(NewLoad(1, 0), NewLoad(4, 0), 3)))
 	l.SetTrust("licence-1", TrustFull)
 	report := func(running int) []Decision {
 		now = now.Add(time.Second)
-		return l.Report(now, NewReport("licence-1", "a", platform.StateLive, 0, 0).WithRunning(running))
+		return l.Report(now, NewReport("licence-1", "a", registry.StateLive, 0, 0).WithRunning(running))
 	}
 	report(0)
 	want := NewWant("1", testOwner, "account-1", NewWork("licensing", ""), Cost{}, now.Add(time.Minute))
--- a/backend/report.go
+++ b/backend/report.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // Held is one stream or export that a server says it holds memory for.
@@ -25,7 +25,7 @@
 type Report struct {
 	server      string
 	incarnation string
-	state       platform.State
+	state       registry.State
 	models      []string
 	capacity    int
 	used        int
@@ -36,7 +36,7 @@
 
 // NewReport returns the report of one incarnation of a server that has
 // capacity tokens of KV memory, used of them taken.
-func NewReport(server, incarnation string, state platform.State, capacity, used int) Report {
+func NewReport(server, incarnation string, state registry.State, capacity, used int) Report {
 	return Report{server: server, incarnation: incarnation, state: state, capacity: capacity, used: used}
 }
 
@@ -67,7 +67,7 @@
 func (r Report) Incarnation() string { return r.incarnation }
 
 // State returns whether the server says that it is live or leaving.
-func (r Report) State() platform.State { return r.state }
+func (r Report) State() registry.State { return r.state }
 
 // Models returns the models that the server carries.
 func (r Report) Models() []string { return r.models }
--- a/backend/server.go
+++ b/backend/server.go
@@ -1,6 +1,6 @@
 package backend
 
-import "greengagedock.example/platform"
+import "greengagedock.example/registry"
 
 // Load is an amount of concurrent work on one backend server.
 type Load struct {
@@ -62,7 +62,7 @@
 // Server is a backend server as published, with the bearing of its service.
 type Server struct {
 	id      string
-	kind    platform.Kind
+	kind    registry.Kind
 	service string
 	domain  string
 	address string
@@ -70,7 +70,7 @@
 }
 
 // NewServer returns the server that a published instance is.
-func NewServer(instance platform.Instance, bearing Bearing) Server {
+func NewServer(instance registry.Instance, bearing Bearing) Server {
 	return Server{
 		id:      instance.ID(),
 		kind:    instance.Kind(),
@@ -85,7 +85,7 @@
 func (s Server) ID() string { return s.id }
 
 // Kind returns whether the server is an engine or a plain service.
-func (s Server) Kind() platform.Kind { return s.kind }
+func (s Server) Kind() registry.Kind { return s.kind }
 
 // Service returns the service that the server belongs to.
 func (s Server) Service() string { return s.service }
--- a/backend/stream_test.go
+++ b/backend/stream_test.go
@@ -13,12 +13,12 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 func testSlot(id, address string, startBy time.Time) Slot {
-	place := platform.NewPlace("scl", "scl-a")
-	server := NewServer(platform.NewServer("engine-1", platform.KindEngine, place, platform.StateLive, address, "strip"), Bearing{})
+	place := registry.NewPlace("scl", "scl-a")
+	server := NewServer(registry.NewServer("engine-1", registry.KindEngine, place, registry.StateLive, address, "strip"), Bearing{})
 	want := NewWant(id, NewOwner("e1", 7), "agency", NewWork("strip", "strip-1"), NewCost(10, 10), startBy)
 	return NewSlot(want, "e1", server, "b81f", startBy)
 }
--- a/caller/account.go
+++ b/caller/account.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 const (
@@ -81,7 +81,7 @@
 }
 
 // open admits a request of the account, which close must end, or refuses it.
-func (u *usages) open(now time.Time, key accountKey, account platform.Account, tokens int) *Failure {
+func (u *usages) open(now time.Time, key accountKey, account registry.Account, tokens int) *Failure {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	use := u.of(key)
--- a/caller/auth.go
+++ b/caller/auth.go
@@ -7,7 +7,7 @@
 	"strings"
 	"sync/atomic"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // identity is the client account that a key belongs to.
@@ -18,12 +18,12 @@
 
 // access is an account's leave to call one service.
 type access struct {
-	document *platform.Document
-	account  platform.Account
+	document *registry.Document
+	account  registry.Account
 }
 
 // model returns the first service of the account that has the model.
-func (i *identity) model(name string) (access, platform.Model, bool) {
+func (i *identity) model(name string) (access, registry.Model, bool) {
 	for _, a := range i.accesses {
 		for _, m := range a.document.Models() {
 			if m.Name() == name {
@@ -31,7 +31,7 @@
 			}
 		}
 	}
-	return access{}, platform.Model{}, false
+	return access{}, registry.Model{}, false
 }
 
 func (i *identity) service(name string) (access, bool) {
@@ -60,13 +60,13 @@
 }
 
 type keys struct {
-	documents  []*platform.Document
+	documents  []*registry.Document
 	identities map[[sha256.Size]byte]*identity
 }
 
 // find returns the identity of the request's bearer key, nil if there is none;
 // known and unknown keys take the same steps.
-func (k *keyring) find(documents []*platform.Document, r *http.Request) *identity {
+func (k *keyring) find(documents []*registry.Document, r *http.Request) *identity {
 	key, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	hash := sha256.Sum256([]byte(key))
 	found := k.keys(documents).identities[hash]
@@ -76,7 +76,7 @@
 	return found
 }
 
-func (k *keyring) keys(documents []*platform.Document) *keys {
+func (k *keyring) keys(documents []*registry.Document) *keys {
 	current := k.current.Load()
 	if current != nil && slices.Equal(current.documents, documents) {
 		return current
@@ -86,7 +86,7 @@
 	return fresh
 }
 
-func newKeys(documents []*platform.Document) *keys {
+func newKeys(documents []*registry.Document) *keys {
 	fresh := &keys{
 		documents:  slices.Clone(documents),
 		identities: make(map[[sha256.Size]byte]*identity),
@@ -99,7 +99,7 @@
 	return fresh
 }
 
-func (k *keys) add(document *platform.Document, account platform.Account) {
+func (k *keys) add(document *registry.Document, account registry.Account) {
 	who := k.identities[account.KeyHash()]
 	if who == nil {
 		who = &identity{name: account.Name()}
--- a/caller/bench_peer_test.go
+++ b/caller/bench_peer_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // peerEnv makes the test binary an engine with callers, so that what the
@@ -164,8 +164,8 @@
 		in.Close()
 		command.Wait()
 	})
-	place := platform.NewPlace("scl", "scl-a")
-	engine := platform.NewServer("engine-1", platform.KindEngine, place, platform.StateLive, peer.line(t), "strip")
+	place := registry.NewPlace("scl", "scl-a")
+	engine := registry.NewServer("engine-1", registry.KindEngine, place, registry.StateLive, peer.line(t), "strip")
 	return peer, newTestEntry(t, Limits{}, backend.NewServer(engine, backend.Bearing{}))
 }
 
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // completions answers completions whose prompt stands in the named field.
@@ -66,7 +66,7 @@
 
 // execute runs the request until its deadline, answers the caller and returns
 // nil if the answer was whole.
-func (q *request) execute(asked completion, model platform.Model, cost backend.Cost, body []byte) *Failure {
+func (q *request) execute(asked completion, model registry.Model, cost backend.Cost, body []byte) *Failure {
 	deadline := q.deadline(model.Deadline())
 	ctx, cancel := context.WithDeadline(q.r.Context(), deadline)
 	defer cancel()
@@ -98,7 +98,7 @@
 }
 
 // modelCost returns what the request may take of a server, within the model's bounds.
-func modelCost(asked completion, model platform.Model) (backend.Cost, *Failure) {
+func modelCost(asked completion, model registry.Model) (backend.Cost, *Failure) {
 	prompt := asked.promptTokens()
 	if prompt > model.PromptTokens() {
 		return backend.Cost{}, newFailure(http.StatusRequestEntityTooLarge, OutcomeNotRun, ReasonTooLarge,
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -22,7 +22,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/timer"
 )
 
@@ -32,7 +32,7 @@
 )
 
 // testDocuments is a model service and a plain service; paper may use the model service only.
-func testDocuments(c testing.TB) []*platform.Document {
+func testDocuments(c testing.TB) []*registry.Document {
 	texts := []string{`{
 		"service": "strip", "team": "vineta", "version": 3, "priority": 5,
 		"accounts": [
@@ -50,9 +50,9 @@
 		],
 		"backend_servers": {"cold": {"requests": 1, "tokens": 0}, "warm": {"requests": 9, "tokens": 0}, "warm_after": 2},
 	}`}
-	var documents []*platform.Document
+	var documents []*registry.Document
 	for _, text := range texts {
-		document, err := platform.ParseDocument("test", []byte(text))
+		document, err := registry.ParseDocument("test", []byte(text))
 		if err != nil {
 			c.Fatal(err)
 		}
@@ -69,8 +69,8 @@
 // fakeView is a directory that stays as it is.
 type fakeView struct {
 	self      backend.Owner
-	documents []*platform.Document
-	entries   []platform.Instance
+	documents []*registry.Document
+	entries   []registry.Instance
 	silent    atomic.Bool
 }
 
@@ -78,14 +78,14 @@
 
 func (v *fakeView) Directory() Directory            { return v }
 func (v *fakeView) Self() backend.Owner             { return v.self }
-func (v *fakeView) Documents() []*platform.Document { return v.documents }
+func (v *fakeView) Documents() []*registry.Document { return v.documents }
 
-func (v *fakeView) Addresses(string) ([]platform.Instance, time.Duration) {
+func (v *fakeView) Addresses(string) ([]registry.Instance, time.Duration) {
 	return v.entries, 30 * time.Second
 }
 
-func (v *fakeView) Entry(id string) (platform.Instance, bool) {
-	return platform.NewList(1, v.entries...).Find(id)
+func (v *fakeView) Entry(id string) (registry.Instance, bool) {
+	return registry.NewList(1, v.entries...).Find(id)
 }
 
 // fakeSlots grants the first server that the want does not avoid.
@@ -155,7 +155,7 @@
 		c.Fatal(err)
 	}
 	address := listener.Addr().String()
-	view.entries = []platform.Instance{platform.NewEntry("entry-1", platform.NewPlace("scl", "scl-a"), platform.StateLive, address, "")}
+	view.entries = []registry.Instance{registry.NewEntry("entry-1", registry.NewPlace("scl", "scl-a"), registry.StateLive, address, "")}
 	e.url = "http://" + address
 	go e.Serve(listener)
 	c.Cleanup(func() { e.http.Close() })
@@ -166,12 +166,12 @@
 func newFakeServer(c testing.TB, id, service string, handler http.HandlerFunc) backend.Server {
 	server := httptest.NewServer(handler)
 	c.Cleanup(server.Close)
-	kind := platform.KindEngine
+	kind := registry.KindEngine
 	if service == "repairs" {
-		kind = platform.KindService
+		kind = registry.KindService
 	}
-	place := platform.NewPlace("scl", "scl-a")
-	instance := platform.NewServer(id, kind, place, platform.StateLive, server.Listener.Addr().String(), service)
+	place := registry.NewPlace("scl", "scl-a")
+	instance := registry.NewServer(id, kind, place, registry.StateLive, server.Listener.Addr().String(), service)
 	return backend.NewServer(instance, backend.Bearing{})
 }
 
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 const (
@@ -30,7 +30,7 @@
 
 // forward passes a non-repeatable call on to its home once. If the home gives
 // no answer the outcome is unknown, because an earlier try may have reached it.
-func (s *Server) forward(q *request, home platform.Instance, call plainCall) {
+func (s *Server) forward(q *request, home registry.Instance, call plainCall) {
 	answer, failure := s.tryForward(q, home, call)
 	if failure != nil {
 		q.end(failure)
@@ -39,7 +39,7 @@
 	q.reply(answer)
 }
 
-func (s *Server) tryForward(q *request, home platform.Instance, call plainCall) (*plainAnswer, *Failure) {
+func (s *Server) tryForward(q *request, home registry.Instance, call plainCall) (*plainAnswer, *Failure) {
 	s.open.hold()
 	defer s.open.letGo()
 	body, release, failure := q.readBody(s.limits.Body())
--- a/caller/group_test.go
+++ b/caller/group_test.go
@@ -13,7 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/standin"
 )
 
@@ -99,13 +99,13 @@
 	}
 	f.entry = newTestEntry(c, Limits{}, f.slots.servers...)
 	f.entry.Server.slots = f.slots
-	f.entry.view.documents = []*platform.Document{groupDocument(c)}
+	f.entry.view.documents = []*registry.Document{groupDocument(c)}
 	return f
 }
 
 // groupDocument lets one account ask for prompts of more than one engine's memory.
-func groupDocument(c testing.TB) *platform.Document {
-	document, err := platform.ParseDocument("test", []byte(`{
+func groupDocument(c testing.TB) *registry.Document {
+	document, err := registry.ParseDocument("test", []byte(`{
 		"service": "strip", "team": "vineta", "version": 3, "priority": 5,
 		"accounts": [{"name": "agency", "key_sha256": "`+hashOf(agencyKey)+`"}],
 		"models": [{"name": "strip-1", "prompt_tokens": 4000, "answer_tokens": 100, "deadline": "20s"}],
--- a/caller/plain.go
+++ b/caller/plain.go
@@ -8,14 +8,14 @@
 	"strings"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 const servicePath = "/v1/services/"
 
 // plainCall is a caller's call of a plain service.
 type plainCall struct {
-	call   platform.Call
+	call   registry.Call
 	listed bool
 	// path is the path below the service, with the query.
 	path string
@@ -38,7 +38,7 @@
 }
 
 // findCall finds the call in the service's document.
-func findCall(document *platform.Document, r *http.Request) plainCall {
+func findCall(document *registry.Document, r *http.Request) plainCall {
 	_, below, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicePath), "/")
 	found := plainCall{path: "/" + below}
 	for _, call := range document.Calls() {
--- a/caller/plain_test.go
+++ b/caller/plain_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 const (
@@ -56,9 +56,9 @@
 func newPeer(t *testing.T, home string) *testEntry {
 	peer := newTestEntry(t, Limits{})
 	peer.view.self = backend.NewOwner("entry-2", 0xcd)
-	place := platform.NewPlace("scl", "scl-b")
-	peer.view.entries = append(peer.view.entries, platform.NewEntry("entry-1", place, platform.StateLive, home, ""))
-	peer.view.entries[0] = platform.NewEntry("entry-2", place, platform.StateLive, strings.TrimPrefix(peer.url, "http://"), "")
+	place := registry.NewPlace("scl", "scl-b")
+	peer.view.entries = append(peer.view.entries, registry.NewEntry("entry-1", place, registry.StateLive, home, ""))
+	peer.view.entries[0] = registry.NewEntry("entry-2", place, registry.StateLive, strings.TrimPrefix(peer.url, "http://"), "")
 	return peer
 }
 
@@ -146,8 +146,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	listener.Close()
-	place := platform.NewPlace("scl", "scl-a")
-	deaf := platform.NewServer("service-1", platform.KindService, place, platform.StateLive, listener.Addr().String(), "repairs")
+	place := registry.NewPlace("scl", "scl-a")
+	deaf := registry.NewServer("service-1", registry.KindService, place, registry.StateLive, listener.Addr().String(), "repairs")
 	good := &fakeService{}
 	e := newTestEntry(t, Limits{}, backend.NewServer(deaf, backend.Bearing{}), newFakeServer(t, "service-2", "repairs", good.serve))
 	_, text := e.ask(t, "POST", recordsPath, agencyKey, "stove", "X-Request-Id", homeID)
--- a/caller/ports.go
+++ b/caller/ports.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // Slots grants leave to send an attempt to a backend server. Acquire waits
@@ -21,12 +21,12 @@
 	// Self returns this entry's incarnation.
 	Self() backend.Owner
 	// Documents returns the service documents in force.
-	Documents() []*platform.Document
+	Documents() []*registry.Document
 	// Addresses returns the entries that a caller in the failure domain
 	// should use, best first, and how long it may keep the answer.
-	Addresses(domain string) (entries []platform.Instance, keepFor time.Duration)
+	Addresses(domain string) (entries []registry.Instance, keepFor time.Duration)
 	// Entry returns the listed entry of that name.
-	Entry(id string) (platform.Instance, bool)
+	Entry(id string) (registry.Instance, bool)
 	// Silent reports whether the listed entry of that name was not heard lately.
 	Silent(id string) bool
 }
--- a/cmd/greengagedock/check.go
+++ b/cmd/greengagedock/check.go
@@ -12,7 +12,7 @@
 
 	"greengagedock.example/jsonc"
 	"greengagedock.example/operator"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // fromInput stands for the standard input among file names.
@@ -103,7 +103,7 @@
 		if f.document == nil {
 			continue
 		}
-		item, found := versions[platform.ServicePrefix+f.document.Service()]
+		item, found := versions[registry.ServicePrefix+f.document.Service()]
 		if found && f.document.Version() <= item.Version() {
 			f.report("version", "is %d, want more than the %d in force since %s",
 				f.document.Version(), item.Version(), formatTime(item.Since()))
--- a/cmd/greengagedock/check_conflict.go
+++ b/cmd/greengagedock/check_conflict.go
@@ -1,6 +1,6 @@
 package main
 
-import "greengagedock.example/platform"
+import "greengagedock.example/registry"
 
 // reportConflicts reports files that are sound but can't stand beside each other.
 func reportConflicts(files []*checkedFile) {
@@ -62,7 +62,7 @@
 
 // addAccount reports a key that two documents give to accounts of unlike
 // names, or with which a model's name means two services.
-func (c conflicts) addAccount(f *checkedFile, account platform.Account) {
+func (c conflicts) addAccount(f *checkedFile, account registry.Account) {
 	first, found := c.accounts[account.KeyHash()]
 	if found && first.account != account.Name() {
 		f.report("accounts", "%q has the key of %q in %s", account.Name(), first.account, first.path)
--- a/cmd/greengagedock/check_file.go
+++ b/cmd/greengagedock/check_file.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"greengagedock.example/jsonc"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/settings"
 )
 
@@ -33,7 +33,7 @@
 type checkedFile struct {
 	path     string
 	kind     fileKind
-	document *platform.Document
+	document *registry.Document
 	settings settings.Settings
 	problems []checkedProblem
 }
@@ -52,7 +52,7 @@
 	case kindSettings:
 		f.settings, err = settings.Parse(path, text)
 	case kindDocument:
-		f.document, err = platform.ParseDocument(path, text)
+		f.document, err = registry.ParseDocument(path, text)
 	}
 	f.problems = problemsOf(err)
 	return f, nil
@@ -62,7 +62,7 @@
 	if refused, ok := errors.AsType[*settings.Error](err); ok {
 		return checkedProblems(refused.Problems())
 	}
-	if refused, ok := errors.AsType[*platform.DocumentError](err); ok {
+	if refused, ok := errors.AsType[*registry.DocumentError](err); ok {
 		return checkedProblems(refused.Problems())
 	}
 	return nil
--- a/cmd/greengagedock/check_fit.go
+++ b/cmd/greengagedock/check_fit.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"greengagedock.example/jsonc"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // bytesPerToken is the length of a token in a prompt, in bytes.
@@ -37,7 +37,7 @@
 	}
 }
 
-func longestDeadline(document *platform.Document) time.Duration {
+func longestDeadline(document *registry.Document) time.Duration {
 	var longest time.Duration
 	for _, model := range document.Models() {
 		longest = max(longest, model.Deadline())
@@ -49,7 +49,7 @@
 }
 
 // longestPrompt returns the length of the longest prompt in tokens.
-func longestPrompt(document *platform.Document) int64 {
+func longestPrompt(document *registry.Document) int64 {
 	longest := 0
 	for _, model := range document.Models() {
 		longest = max(longest, model.PromptTokens())
--- a/cmd/greengagedock/command_test.go
+++ b/cmd/greengagedock/command_test.go
@@ -17,7 +17,7 @@
 
 	"greengagedock.example/backend"
 	"greengagedock.example/operator"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 var noon = time.Date(2026, 1, 2, 12, 0, 0, 0, time.UTC)
@@ -35,14 +35,14 @@
 func (f *fakeEntry) Drain()         { f.onDrain() }
 
 func (f *fakeEntry) Status() operator.Status {
-	peer := platform.NewEntry("entry-2", platform.NewPlace("scl", "scl-b"), platform.StateLive, "10.0.0.2:1", "10.0.0.2:2")
-	return operator.NewStatus("entry-1", "b81f", platform.NewPlace("scl", "scl-a"), noon).
+	peer := registry.NewEntry("entry-2", registry.NewPlace("scl", "scl-b"), registry.StateLive, "10.0.0.2:1", "10.0.0.2:2")
+	return operator.NewStatus("entry-1", "b81f", registry.NewPlace("scl", "scl-a"), noon).
 		WithProcess("v1", noon.Add(-time.Hour)).
 		WithReadiness(f.notReady).
 		WithWork(3, false).
 		WithPlatform(noon.Add(-time.Second), true, 41).
 		WithEntries(operator.NewEntry(peer).WithWord(noon.Add(-time.Minute), 2, true, 40).WithSilent(true)).
-		WithDomains(operator.NewDomain("scl-a", platform.StateIn), operator.NewDomain("scl-b", platform.StateOut))
+		WithDomains(operator.NewDomain("scl-a", registry.StateIn), operator.NewDomain("scl-b", registry.StateOut))
 }
 
 func (f *fakeEntry) Config() operator.Config {
--- a/cmd/greengagedockd/fault_test.go
+++ b/cmd/greengagedockd/fault_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/standin"
 )
 
@@ -20,7 +20,7 @@
 		replace func(s *system)
 	}{
 		{"taken from the list", func(s *system) {
-			s.publishEntries(map[string]platform.State{s.daemons[0].id: ""})
+			s.publishEntries(map[string]registry.State{s.daemons[0].id: ""})
 			s.daemons = s.daemons[1:]
 		}},
 		{"restarted while the platform is down", func(s *system) {
@@ -56,7 +56,7 @@
 		name  string
 		begin func(s *system)
 	}{
-		{"taken from the list", func(s *system) { s.publishEntries(map[string]platform.State{s.daemons[0].id: ""}) }},
+		{"taken from the list", func(s *system) { s.publishEntries(map[string]registry.State{s.daemons[0].id: ""}) }},
 		{"platform down", func(s *system) { s.platform.Inject(standin.Down()) }},
 	}
 	for _, test := range tests {
--- a/cmd/greengagedockd/shutdown_test.go
+++ b/cmd/greengagedockd/shutdown_test.go
@@ -15,7 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagedock.example/operator"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/standin"
 )
 
@@ -74,7 +74,7 @@
 			}
 			leaver := s.daemons[0]
 			if test.announce {
-				s.publishEntries(map[string]platform.State{leaver.id: platform.StateLeaving})
+				s.publishEntries(map[string]registry.State{leaver.id: registry.StateLeaving})
 			}
 			leaver.send(syscall.SIGTERM)
 			s.c.Check(leaver.exit(), qt.Equals, 0, qt.Commentf("%s", leaver.tail()))
--- a/cmd/greengagedockd/system_test.go
+++ b/cmd/greengagedockd/system_test.go
@@ -15,7 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagedock.example/operator"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/standin"
 )
 
@@ -35,7 +35,7 @@
 	address  string
 	engines  []*standin.Engine
 	services []*standin.Service
-	servers  map[string][]platform.Instance
+	servers  map[string][]registry.Instance
 	daemons  []*daemon
 	before   int64             // the platform's revision before the second version of the document
 	models   bool              // whether there is no plain service
@@ -54,7 +54,7 @@
 func prepareSystem(t *testing.T, options ...standin.Option) *system {
 	s := &system{
 		c: qt.New(t), platform: standin.NewPlatform(),
-		servers: make(map[string][]platform.Instance), listed: make(map[string]string),
+		servers: make(map[string][]registry.Instance), listed: make(map[string]string),
 	}
 	s.address = s.serve(s.platform)
 	s.addServers(options)
@@ -65,10 +65,10 @@
 func (s *system) start() {
 	s.document(1)
 	if !s.models {
-		s.platform.Set(platform.ServicePrefix+"licensing", document(1, "licensing", `"calls": [
+		s.platform.Set(registry.ServicePrefix+"licensing", document(1, "licensing", `"calls": [
 			{"method": "POST", "path": "/grants", "repeatable": false, "deadline": "10s"}]`, 0))
 	}
-	s.platform.Set(platform.DomainsKey, `{"scl-a": "in", "scl-b": "in", "scl-c": "in"}`)
+	s.platform.Set(registry.DomainsKey, `{"scl-a": "in", "scl-b": "in", "scl-c": "in"}`)
 	for i := range domains {
 		s.daemons = append(s.daemons, startDaemon(s.c, fmt.Sprintf("entry-%d", i), domains[i], s.address, [3]string{}, nil))
 	}
@@ -123,24 +123,24 @@
 		}, options...)
 		engine := standin.NewEngine(id, all...)
 		s.engines = append(s.engines, engine)
-		s.add(i, id, platform.KindEngine, "strip-model", engine)
+		s.add(i, id, registry.KindEngine, "strip-model", engine)
 	}
 	for i := range domains {
 		id := fmt.Sprintf("licence-%d", i)
 		service := standin.NewService(id, append([]standin.Option{standin.WithCold(standin.NewLoad(2, 0), 3)}, options...)...)
 		s.services = append(s.services, service)
-		s.add(i, id, platform.KindService, "licensing", service)
+		s.add(i, id, registry.KindService, "licensing", service)
 	}
 	for domain, list := range s.servers {
-		text, err := platform.FormatList(list...)
+		text, err := registry.FormatList(list...)
 		s.c.Assert(err, qt.IsNil)
-		s.platform.Set(platform.ServersPrefix+domain, text)
+		s.platform.Set(registry.ServersPrefix+domain, text)
 	}
 }
 
-func (s *system) add(i int, id string, kind platform.Kind, service string, handler http.Handler) {
+func (s *system) add(i int, id string, kind registry.Kind, service string, handler http.Handler) {
 	domain := domains[i%len(domains)]
-	instance := platform.NewServer(id, kind, platform.NewPlace(region, domain), platform.StateLive, s.serve(handler), service)
+	instance := registry.NewServer(id, kind, registry.NewPlace(region, domain), registry.StateLive, s.serve(handler), service)
 	s.servers[domain] = append(s.servers[domain], instance)
 }
 
@@ -156,7 +156,7 @@
 
 // document publishes a version of the engines' service document.
 func (s *system) document(version int) {
-	revision := s.platform.Set(platform.ServicePrefix+"strip-model", document(version, "strip-model", `"models": [
+	revision := s.platform.Set(registry.ServicePrefix+"strip-model", document(version, "strip-model", `"models": [
 		{"name": "strip-1", "prompt_tokens": 1000000, "answer_tokens": 4096, "deadline": "40s"}]`, 1_200_000))
 	s.before = revision - 1
 }
@@ -170,12 +170,12 @@
 
 // publishEntries publishes the daemons, those named in states in another
 // state than live; the empty state leaves one out.
-func (s *system) publishEntries(states map[string]platform.State) {
-	var list []platform.Instance
+func (s *system) publishEntries(states map[string]registry.State) {
+	var list []registry.Instance
 	for _, d := range s.daemons {
 		state, given := states[d.id]
 		if !given {
-			state = platform.StateLive
+			state = registry.StateLive
 		}
 		if state == "" {
 			continue
@@ -184,11 +184,11 @@
 		if other := s.listed[d.id]; other != "" {
 			address = other
 		}
-		list = append(list, platform.NewEntry(d.id, platform.NewPlace(region, d.domain), state, address, d.peers))
+		list = append(list, registry.NewEntry(d.id, registry.NewPlace(region, d.domain), state, address, d.peers))
 	}
-	text, err := platform.FormatList(list...)
+	text, err := registry.FormatList(list...)
 	s.c.Assert(err, qt.IsNil)
-	s.platform.Set(platform.EntriesPrefix+region, text)
+	s.platform.Set(registry.EntriesPrefix+region, text)
 }
 
 // allReady reports whether every daemon is ready.
--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -16,7 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"greengagedock.example/entry"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/settings"
 	"greengagedock.example/standin"
 )
@@ -130,11 +130,11 @@
 
 // startServers starts the backend servers and publishes them by failure domain.
 func (s *demo) startServers() error {
-	lists := make(map[string][]platform.Instance)
-	add := func(i int, id string, kind platform.Kind, handler http.Handler, service string) error {
+	lists := make(map[string][]registry.Instance)
+	add := func(i int, id string, kind registry.Kind, handler http.Handler, service string) error {
 		address, err := s.serve(handler)
 		domain := demoDomains[i%len(demoDomains)]
-		instance := platform.NewServer(id, kind, demoPlace(i), platform.StateLive, address, service)
+		instance := registry.NewServer(id, kind, demoPlace(i), registry.StateLive, address, service)
 		lists[domain] = append(lists[domain], instance)
 		return err
 	}
@@ -144,7 +144,7 @@
 		engine := standin.NewEngine(id, standin.WithTimeScale(demoTimeScale), standin.WithKVTokens(demoKVTokens),
 			standin.WithCold(cold, demoWarmAfter), standin.WithWarm(warm))
 		s.engines = append(s.engines, engine)
-		if err := add(i, id, platform.KindEngine, engine, demoModelService); err != nil {
+		if err := add(i, id, registry.KindEngine, engine, demoModelService); err != nil {
 			return err
 		}
 	}
@@ -152,24 +152,24 @@
 		id := fmt.Sprintf("licensing-%d", i+1)
 		service := standin.NewService(id, standin.WithCold(standin.NewLoad(demoColdRequests, 0), demoWarmAfter))
 		s.services = append(s.services, service)
-		if err := add(i, id, platform.KindService, service, demoPlainService); err != nil {
+		if err := add(i, id, registry.KindService, service, demoPlainService); err != nil {
 			return err
 		}
 	}
 	for domain, list := range lists {
-		if err := s.publish(platform.ServersPrefix+domain, list); err != nil {
+		if err := s.publish(registry.ServersPrefix+domain, list); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func demoPlace(i int) platform.Place {
-	return platform.NewPlace(demoRegion, demoDomains[i%len(demoDomains)])
+func demoPlace(i int) registry.Place {
+	return registry.NewPlace(demoRegion, demoDomains[i%len(demoDomains)])
 }
 
-func (s *demo) publish(key string, list []platform.Instance) error {
-	text, err := platform.FormatList(list...)
+func (s *demo) publish(key string, list []registry.Instance) error {
+	text, err := registry.FormatList(list...)
 	if err != nil {
 		return err
 	}
@@ -178,11 +178,11 @@
 }
 
 func (s *demo) publishDocuments() {
-	s.platform.Set(platform.ServicePrefix+demoModelService, demoDocument(demoModelService, demoColdTokens, demoKVTokens,
+	s.platform.Set(registry.ServicePrefix+demoModelService, demoDocument(demoModelService, demoColdTokens, demoKVTokens,
 		`"models": [{"name": "strip-1", "prompt_tokens": 1000000, "answer_tokens": 4096, "deadline": "60s"}]`))
-	s.platform.Set(platform.ServicePrefix+demoPlainService, demoDocument(demoPlainService, 0, 0,
+	s.platform.Set(registry.ServicePrefix+demoPlainService, demoDocument(demoPlainService, 0, 0,
 		`"calls": [{"method": "POST", "path": "`+demoPath+`", "repeatable": false, "deadline": "10s"}]`))
-	s.platform.Set(platform.DomainsKey, `{"scl-a": "in", "scl-b": "in", "scl-c": "in"}`)
+	s.platform.Set(registry.DomainsKey, `{"scl-a": "in", "scl-b": "in", "scl-c": "in"}`)
 }
 
 func demoDocument(service string, coldTokens, warmTokens int, work string) string {
@@ -200,7 +200,7 @@
 
 // startEntries starts an entry in each failure domain, then publishes them.
 func (s *demo) startEntries() error {
-	var list []platform.Instance
+	var list []registry.Instance
 	for i, domain := range demoDomains {
 		id := fmt.Sprintf("entry-%d", i+1)
 		parsed, err := settings.Parse(id, fmt.Appendf(nil, `{
@@ -214,9 +214,9 @@
 			return err
 		}
 		s.entries = append(s.entries, process)
-		list = append(list, platform.NewEntry(id, demoPlace(i), platform.StateLive, process.CallerAddress(), process.PeerAddress()))
+		list = append(list, registry.NewEntry(id, demoPlace(i), registry.StateLive, process.CallerAddress(), process.PeerAddress()))
 	}
-	return s.publish(platform.EntriesPrefix+demoRegion, list)
+	return s.publish(registry.EntriesPrefix+demoRegion, list)
 }
 
 // awaitReady sends each entry short prompts until it answers all of a short load whole.
--- a/entry/closed_test.go
+++ b/entry/closed_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/standin"
 )
 
@@ -44,10 +44,10 @@
 		{
 			name: "failure domain out",
 			close: func(f *fleet) {
-				f.platform.Set(platform.DomainsKey, `{"scl-a": "out", "scl-b": "in", "scl-c": "in"}`)
+				f.platform.Set(registry.DomainsKey, `{"scl-a": "out", "scl-b": "in", "scl-c": "in"}`)
 			},
 			open: func(f *fleet) {
-				f.platform.Set(platform.DomainsKey, `{"scl-a": "in", "scl-b": "in", "scl-c": "in"}`)
+				f.platform.Set(registry.DomainsKey, `{"scl-a": "in", "scl-b": "in", "scl-c": "in"}`)
 			},
 		},
 		{
--- a/entry/deadline.go
+++ b/entry/deadline.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // deadlineInterval is the time between two looks at the documents' deadlines.
@@ -31,7 +31,7 @@
 }
 
 // longestDeadline returns the longest deadline of all models and calls, and its service.
-func longestDeadline(documents []*platform.Document) (service string, longest time.Duration) {
+func longestDeadline(documents []*registry.Document) (service string, longest time.Duration) {
 	for _, document := range documents {
 		for _, model := range document.Models() {
 			if model.Deadline() > longest {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -17,7 +17,7 @@
 
 	"greengagedock.example/backend"
 	"greengagedock.example/peer"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/settings"
 	"greengagedock.example/standin"
 )
@@ -38,8 +38,8 @@
 
 // published is what the fleet's platform lists.
 type published struct {
-	entries []platform.Instance
-	servers []platform.Instance
+	entries []registry.Instance
+	servers []registry.Instance
 }
 
 const fleetRegion = "scl"
@@ -55,16 +55,16 @@
 		engine := standin.NewEngine(id, standin.WithTimeScale(20), standin.WithCold(standin.NewLoad(2, 100_000), 3),
 			standin.WithWarm(standin.NewLoad(16, 400_000)))
 		f.engines[id] = engine
-		f.publishServer(id, platform.KindEngine, i, f.serve(engine), "strip-model")
+		f.publishServer(id, registry.KindEngine, i, f.serve(engine), "strip-model")
 	}
 	f.service = standin.NewService("licence-0")
-	f.publishServer("licence-0", platform.KindService, 0, f.serve(f.service), "licensing")
-	f.platform.Set(platform.ServicePrefix+"strip-model", fleetDocument(1, "strip-model", `"models": [
+	f.publishServer("licence-0", registry.KindService, 0, f.serve(f.service), "licensing")
+	f.platform.Set(registry.ServicePrefix+"strip-model", fleetDocument(1, "strip-model", `"models": [
 		{"name": "strip-1", "prompt_tokens": 1000000, "answer_tokens": 4096, "deadline": "60s"}]`, 400_000))
-	f.platform.Set(platform.ServicePrefix+"licensing", fleetDocument(1, "licensing", `"calls": [
+	f.platform.Set(registry.ServicePrefix+"licensing", fleetDocument(1, "licensing", `"calls": [
 		{"method": "POST", "path": "/grants", "repeatable": false, "deadline": "10s"},
 		{"method": "GET", "path": "/grants", "repeatable": true, "deadline": "10s"}]`, 0))
-	f.platform.Set(platform.DomainsKey, `{"scl-a": "in", "scl-b": "in", "scl-c": "in"}`)
+	f.platform.Set(registry.DomainsKey, `{"scl-a": "in", "scl-b": "in", "scl-c": "in"}`)
 	return f
 }
 
@@ -92,24 +92,24 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-func (f *fleet) publishServer(id string, kind platform.Kind, place int, address, service string) {
+func (f *fleet) publishServer(id string, kind registry.Kind, place int, address, service string) {
 	domain := fleetDomains[place%len(fleetDomains)]
-	f.servers = append(f.servers, platform.NewServer(id, kind, platform.NewPlace(fleetRegion, domain), platform.StateLive, address, service))
+	f.servers = append(f.servers, registry.NewServer(id, kind, registry.NewPlace(fleetRegion, domain), registry.StateLive, address, service))
 	f.publishServers()
 }
 
 // publishServers publishes the servers of every domain.
 func (f *fleet) publishServers() {
 	for _, domain := range fleetDomains {
-		var in []platform.Instance
+		var in []registry.Instance
 		for _, server := range f.servers {
 			if server.Place().Domain() == domain {
 				in = append(in, server)
 			}
 		}
-		text, err := platform.FormatList(in...)
+		text, err := registry.FormatList(in...)
 		f.c.Assert(err, qt.IsNil)
-		f.platform.Set(platform.ServersPrefix+domain, text)
+		f.platform.Set(registry.ServersPrefix+domain, text)
 	}
 }
 
@@ -120,12 +120,12 @@
 		domain := fleetDomains[i%len(fleetDomains)]
 		process := f.startEntry(id, domain)
 		f.entries = append(f.entries, process)
-		f.published.entries = append(f.published.entries, platform.NewEntry(id, platform.NewPlace(fleetRegion, domain),
-			platform.StateLive, process.CallerAddress(), process.PeerAddress()))
+		f.published.entries = append(f.published.entries, registry.NewEntry(id, registry.NewPlace(fleetRegion, domain),
+			registry.StateLive, process.CallerAddress(), process.PeerAddress()))
 	}
-	text, err := platform.FormatList(f.published.entries...)
+	text, err := registry.FormatList(f.published.entries...)
 	f.c.Assert(err, qt.IsNil)
-	f.platform.Set(platform.EntriesPrefix+fleetRegion, text)
+	f.platform.Set(registry.EntriesPrefix+fleetRegion, text)
 	for _, process := range f.entries {
 		f.eventually("entry ready", func() bool {
 			return f.ready(process.control.Snapshot())
--- a/entry/group_test.go
+++ b/entry/group_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/standin"
 )
 
@@ -83,7 +83,7 @@
 		f.c.Assert(engine.Truth().Overloads(), qt.Equals, 0, qt.Commentf("%s", id))
 	}
 	// With a domain out the rest can't hold it now, but could again.
-	f.platform.Set(platform.DomainsKey, `{"scl-a": "in", "scl-b": "out", "scl-c": "in"}`)
+	f.platform.Set(registry.DomainsKey, `{"scl-a": "in", "scl-b": "out", "scl-c": "in"}`)
 	f.eventually("refused while a domain is out", func() bool {
 		status, body, err = f.complete(context.Background(), f.entries[0], prompt, 16)
 		f.c.Assert(err, qt.IsNil)
@@ -201,7 +201,7 @@
 	f.start(3)
 	dead := backend.NewOwner("entry-0", 1)
 	for i, server := range f.servers {
-		if server.Kind() != platform.KindEngine {
+		if server.Kind() != registry.KindEngine {
 			continue
 		}
 		body := strings.NewReader(`{"tokens": 50000, "expires": "1h"}`)
--- a/entry/process.go
+++ b/entry/process.go
@@ -16,7 +16,7 @@
 	"greengagedock.example/caller"
 	"greengagedock.example/operator"
 	"greengagedock.example/peer"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/settings"
 	"greengagedock.example/timer"
 )
@@ -57,7 +57,7 @@
 	p.started = p.timers.Now()
 	p.recorder.self = s.ID()
 	p.recorder.timers = &p.timers
-	self := platform.NewEntry(s.ID(), s.Place(), platform.StateLive, p.CallerAddress(), p.PeerAddress())
+	self := registry.NewEntry(s.ID(), s.Place(), registry.StateLive, p.CallerAddress(), p.PeerAddress())
 	peers := recordingLogger{Logger: log.Named("peer"), record: p.recorder.peerLine}
 	control, err := peer.Start(self, newIncarnation(), open.peers, s.Peers(), &p.client, peers, &p.timers)
 	if err != nil {
@@ -100,7 +100,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	p.end = end
 	poll := &poller{control: p.control, client: &p.client, timers: &p.timers, reading: make(map[string]bool)}
-	watch := &watcher{control: p.control, client: platform.NewClient(p.settings.PlatformAddresses()...), log: p.log.Named("platform")}
+	watch := &watcher{control: p.control, client: registry.NewClient(p.settings.PlatformAddresses()...), log: p.log.Named("platform")}
 	p.running.Go(func() { poll.run(ctx) })
 	p.running.Go(func() { watch.run(ctx) })
 	p.running.Go(func() { p.count(ctx) })
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"greengagedock.example/peer"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 const (
@@ -67,7 +67,7 @@
 }
 
 // hasNonRepeatable reports whether a document has a call that runs at most once.
-func hasNonRepeatable(documents []*platform.Document) bool {
+func hasNonRepeatable(documents []*registry.Document) bool {
 	for _, document := range documents {
 		for _, call := range document.Calls() {
 			if !call.Repeatable() {
--- a/entry/watcher.go
+++ b/entry/watcher.go
@@ -8,7 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"greengagedock.example/peer"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 const (
@@ -26,7 +26,7 @@
 // watcher reads what the platform publishes.
 type watcher struct {
 	control *peer.Control
-	client  *platform.Client
+	client  *registry.Client
 	log     hclog.Logger
 	after   int64
 	reads   int
--- a/operator/entry.go
+++ b/operator/entry.go
@@ -4,14 +4,14 @@
 	"encoding/json"
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // Entry is a listed entry instance as another one sees it.
 type Entry struct {
 	id       string
 	domain   string
-	state    platform.State
+	state    registry.State
 	requests int
 	silent   bool
 	draining bool
@@ -20,7 +20,7 @@
 }
 
 // NewEntry returns a listed entry instance.
-func NewEntry(instance platform.Instance) Entry {
+func NewEntry(instance registry.Instance) Entry {
 	return Entry{id: instance.ID(), domain: instance.Place().Domain(), state: instance.State()}
 }
 
@@ -47,7 +47,7 @@
 func (e Entry) Domain() string { return e.domain }
 
 // State returns the published state.
-func (e Entry) State() platform.State { return e.state }
+func (e Entry) State() registry.State { return e.state }
 
 // Requests returns the number of requests that the entry last said to have open.
 func (e Entry) Requests() int { return e.requests }
@@ -67,7 +67,7 @@
 type entryValue struct {
 	ID       string         `json:"id"`
 	Domain   string         `json:"failure_domain"`
-	State    platform.State `json:"state"`
+	State    registry.State `json:"state"`
 	Requests int            `json:"requests"`
 	Silent   bool           `json:"silent"`
 	Draining bool           `json:"draining"`
@@ -99,21 +99,21 @@
 // Domain is a failure domain with its published state.
 type Domain struct {
 	name  string
-	state platform.State
+	state registry.State
 }
 
 // NewDomain returns a failure domain that is in or out.
-func NewDomain(name string, state platform.State) Domain { return Domain{name: name, state: state} }
+func NewDomain(name string, state registry.State) Domain { return Domain{name: name, state: state} }
 
 // Name returns the failure domain's name.
 func (d Domain) Name() string { return d.name }
 
 // State returns whether the failure domain is in or out.
-func (d Domain) State() platform.State { return d.state }
+func (d Domain) State() registry.State { return d.state }
 
 type domainValue struct {
 	Name  string         `json:"name"`
-	State platform.State `json:"state"`
+	State registry.State `json:"state"`
 }
 
 // MarshalJSON returns the domain as the admin address answers it.
--- a/operator/process_test.go
+++ b/operator/process_test.go
@@ -16,13 +16,13 @@
 	"github.com/hashicorp/go-hclog"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 var noon = time.Date(2026, 1, 2, 12, 0, 0, 0, time.UTC)
 
 var cmpState = cmp.AllowUnexported(
-	Status{}, Entry{}, Domain{}, platform.Place{}, Config{}, Item{}, RefusedItem{},
+	Status{}, Entry{}, Domain{}, registry.Place{}, Config{}, Item{}, RefusedItem{},
 	BackendServer{}, backend.Load{}, Decision{}, RunnerUp{})
 
 // fakeEntry is an entry whose state a test sets.
@@ -37,15 +37,15 @@
 func (f *fakeEntry) Drain()         { f.drains.Add(1) }
 
 func (f *fakeEntry) Status() Status {
-	peer := platform.NewEntry("entry-2", platform.NewPlace("scl", "scl-b"), platform.StateLive, "10.0.0.2:1", "10.0.0.2:2")
-	return NewStatus("entry-1", "b81f", platform.NewPlace("scl", "scl-a"), noon).
+	peer := registry.NewEntry("entry-2", registry.NewPlace("scl", "scl-b"), registry.StateLive, "10.0.0.2:1", "10.0.0.2:2")
+	return NewStatus("entry-1", "b81f", registry.NewPlace("scl", "scl-a"), noon).
 		WithProcess("v1", noon.Add(-time.Hour)).
 		WithReadiness(f.notReady).
 		WithWork(3, f.drains.Load() > 0).
 		WithAuthority(true).
 		WithPlatform(noon.Add(-time.Second), true, 41).
 		WithEntries(NewEntry(peer).WithWord(noon.Add(-time.Minute), 2, true, 40).WithSilent(true)).
-		WithDomains(NewDomain("scl-a", platform.StateIn), NewDomain("scl-b", platform.StateOut))
+		WithDomains(NewDomain("scl-a", registry.StateIn), NewDomain("scl-b", registry.StateOut))
 }
 
 func (f *fakeEntry) Config() Config {
--- a/operator/status.go
+++ b/operator/status.go
@@ -4,14 +4,14 @@
 	"encoding/json"
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // Status is the state of an entry instance at one moment.
 type Status struct {
 	id          string
 	incarnation string
-	place       platform.Place
+	place       registry.Place
 	version     string
 	started     time.Time
 	taken       time.Time
@@ -27,7 +27,7 @@
 }
 
 // NewStatus returns the status of an entry's incarnation, taken at a time.
-func NewStatus(id, incarnation string, place platform.Place, taken time.Time) Status {
+func NewStatus(id, incarnation string, place registry.Place, taken time.Time) Status {
 	return Status{id: id, incarnation: incarnation, place: place, taken: taken}
 }
 
@@ -88,7 +88,7 @@
 func (s Status) Incarnation() string { return s.incarnation }
 
 // Place returns the entry's region and failure domain.
-func (s Status) Place() platform.Place { return s.place }
+func (s Status) Place() registry.Place { return s.place }
 
 // Version returns the program's version.
 func (s Status) Version() string { return s.version }
@@ -167,7 +167,7 @@
 		return err
 	}
 	*s = Status{
-		id: v.ID, incarnation: v.Incarnation, place: platform.NewPlace(v.Region, v.Domain),
+		id: v.ID, incarnation: v.Incarnation, place: registry.NewPlace(v.Region, v.Domain),
 		version: v.Version, started: v.Started, taken: v.Taken,
 		notReady: v.NotReady, draining: v.Draining, requests: v.Requests,
 		authority: v.Authority, watches: v.Watches, contact: v.Contact, listVersion: v.ListVersion,
--- a/peer/capacity_test.go
+++ b/peer/capacity_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // The benchmarks of this file measure the slopes that docs/CAPACITY.md works
@@ -26,9 +26,9 @@
 // holds so many documents.
 func capacityNode(entries, servers, documents int) (*Node, time.Time) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	self := platform.NewEntry("entry-0", worldPlace(0), platform.StateLive, "10.0.0.1:80", "10.0.0.1:81")
+	self := registry.NewEntry("entry-0", worldPlace(0), registry.StateLive, "10.0.0.1:80", "10.0.0.1:81")
 	n := NewNode(now, self, 1<<32)
-	var published []platform.Item
+	var published []registry.Item
 	for d := range max(documents, 1) {
 		published = append(published, capacityDocument(d))
 	}
@@ -37,13 +37,13 @@
 	return n, now
 }
 
-func capacityDocument(i int) platform.Item {
+func capacityDocument(i int) registry.Item {
 	service := fmt.Sprintf("service-%d", i)
 	accounts := ""
 	for a := range 20 {
 		accounts += fmt.Sprintf(`{"name": "account-%d", "key_sha256": "%x", "share": 1},`, a, sha256.Sum256(fmt.Append(nil, i, a)))
 	}
-	return platform.NewItem(platform.ServicePrefix+service, 1, fmt.Sprintf(`{
+	return registry.NewItem(registry.ServicePrefix+service, 1, fmt.Sprintf(`{
 		"service": %q, "team": "team", "version": 1, "priority": 1, "accounts": [%s],
 		"models": [{"name": "model-%d", "prompt_tokens": 1000000, "answer_tokens": 4096, "deadline": "600s"}],
 		"backend_servers": {"cold": {"requests": 2, "tokens": 60000}, "warm": {"requests": 32, "tokens": 400000}, "warm_after": 3}
@@ -52,33 +52,33 @@
 
 // capacityEntries lists the entries, each in a failure domain of its own, so
 // that the first keeps exactly the servers of its domain.
-func capacityEntries(count int) platform.Item {
-	var instances []platform.Instance
+func capacityEntries(count int) registry.Item {
+	var instances []registry.Instance
 	for i := range count {
-		place := platform.NewPlace(worldRegion, fmt.Sprintf("domain-%d", i))
+		place := registry.NewPlace(worldRegion, fmt.Sprintf("domain-%d", i))
 		if i == 0 {
 			place = worldPlace(0)
 		}
-		instances = append(instances, platform.NewEntry(fmt.Sprintf("entry-%d", i), place, platform.StateLive, "10.0.0.1:80", "10.0.0.1:81"))
+		instances = append(instances, registry.NewEntry(fmt.Sprintf("entry-%d", i), place, registry.StateLive, "10.0.0.1:80", "10.0.0.1:81"))
 	}
-	text, err := platform.FormatList(instances...)
+	text, err := registry.FormatList(instances...)
 	if err != nil {
 		panic(err)
 	}
-	return platform.NewItem(platform.EntriesPrefix+worldRegion, 1, text)
+	return registry.NewItem(registry.EntriesPrefix+worldRegion, 1, text)
 }
 
-func capacityServers(count int) platform.Item {
-	var instances []platform.Instance
+func capacityServers(count int) registry.Item {
+	var instances []registry.Instance
 	for i := range count {
-		instances = append(instances, platform.NewServer(fmt.Sprintf("engine-%d", i), platform.KindEngine,
-			worldPlace(0), platform.StateLive, "10.0.0.2:90", "service-0"))
+		instances = append(instances, registry.NewServer(fmt.Sprintf("engine-%d", i), registry.KindEngine,
+			worldPlace(0), registry.StateLive, "10.0.0.2:90", "service-0"))
 	}
-	text, err := platform.FormatList(instances...)
+	text, err := registry.FormatList(instances...)
 	if err != nil {
 		panic(err)
 	}
-	return platform.NewItem(platform.ServersPrefix+worldDomains[0], 2, text)
+	return registry.NewItem(registry.ServersPrefix+worldDomains[0], 2, text)
 }
 
 // frameBytes returns the bytes of a message on the wire, without TCP's own.
@@ -164,7 +164,7 @@
 						continue
 					}
 					for i := range servers {
-						report := backend.NewReport(fmt.Sprintf("engine-%d", i), "a", platform.StateLive, 400_000, 0)
+						report := backend.NewReport(fmt.Sprintf("engine-%d", i), "a", registry.StateLive, 400_000, 0)
 						n.Step(now, Reported{report: report.WithModels("model-0")})
 					}
 				}
@@ -188,9 +188,9 @@
 				version++
 				now = now.Add(time.Second)
 				text := fmt.Sprintf("// %d\n%s", version, changed.Value())
-				item := platform.NewItem(changed.Key(), version, text)
-				n.Step(now, Published{items: []platform.Item{item}})
-				bytes = frameBytes(b, newItems([]platform.Item{item}))
+				item := registry.NewItem(changed.Key(), version, text)
+				n.Step(now, Published{items: []registry.Item{item}})
+				bytes = frameBytes(b, newItems([]registry.Item{item}))
 			}
 			b.ReportMetric(float64(held)/float64(documents), "held_B/document")
 			b.ReportMetric(float64(bytes), "sent_B/change")
@@ -269,7 +269,7 @@
 // capacityReports gives the node a fresh report of every server it keeps.
 func capacityReports(n *Node, now time.Time) {
 	for _, id := range sortedKeys(n.keeping.kept) {
-		report := backend.NewReport(id, "a", platform.StateLive, 400_000, 0).WithModels("model-0")
+		report := backend.NewReport(id, "a", registry.StateLive, 400_000, 0).WithModels("model-0")
 		var held []backend.Held
 		for _, slot := range n.keeping.ledger.Slots(backend.NewOwner("entry-1", 1<<32)) {
 			if slot.Server() == id {
--- a/peer/event.go
+++ b/peer/event.go
@@ -2,7 +2,7 @@
 
 import (
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // Event is something that the control state of an entry reacts to: one of
@@ -23,10 +23,10 @@
 type linkUp struct{ entry string }
 
 // Published is what a read of the platform brought.
-type Published struct{ items []platform.Item }
+type Published struct{ items []registry.Item }
 
 // NewPublished returns the event of a read that brought the items, perhaps none.
-func NewPublished(items ...platform.Item) Published { return Published{items: items} }
+func NewPublished(items ...registry.Item) Published { return Published{items: items} }
 
 // Wanted is a want of this entry's own traffic.
 type Wanted struct{ want backend.Want }
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // TestMain fixes the seed of the stateful fuzzing unless one is given, so that
@@ -222,7 +222,7 @@
 	if _, listed := w.platform.entries[n.id]; !listed {
 		return
 	}
-	held := n.node.relay.items[platform.ServicePrefix+worldService]
+	held := n.node.relay.items[registry.ServicePrefix+worldService]
 	if held.item.Version() != w.platform.document {
 		w.fault("%s has version %d in force, published is %d", n.id, held.item.Version(), w.platform.document)
 	}
--- a/peer/group.go
+++ b/peer/group.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // fleetComeBack is when to come back for a request that the listed fleet can't hold.
@@ -57,7 +57,7 @@
 func (n *Node) engines(service string) (listed, open int) {
 	for _, list := range n.servers {
 		for _, server := range list.All() {
-			if server.Service() != service || server.Kind() != platform.KindEngine || server.Place().Region() != n.self.Place().Region() {
+			if server.Service() != service || server.Kind() != registry.KindEngine || server.Place().Region() != n.self.Place().Region() {
 				continue
 			}
 			listed++
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 const (
@@ -28,13 +28,13 @@
 )
 
 // heartbeatInterval returns the time between two heartbeats under a list.
-func heartbeatInterval(list platform.List) time.Duration {
+func heartbeatInterval(list registry.List) time.Duration {
 	return max(minHeartbeat, time.Duration(list.Len())*heartbeatPerEntry)
 }
 
 // vouchValidity returns for how long a vouch counts after the heartbeat that
 // it answers was sent.
-func vouchValidity(list platform.List) time.Duration {
+func vouchValidity(list registry.List) time.Duration {
 	return max(minVouch, vouchHeartbeats*heartbeatInterval(list))
 }
 
@@ -62,7 +62,7 @@
 type membership struct {
 	owner     backend.Owner
 	started   time.Time
-	list      platform.List
+	list      registry.List
 	listSince time.Time
 	members   map[string]*member
 	seq       uint64
@@ -83,7 +83,7 @@
 }
 
 // setList takes a newer list into force and reports whether it was newer.
-func (m *membership) setList(now time.Time, list platform.List) bool {
+func (m *membership) setList(now time.Time, list registry.List) bool {
 	if list.Version() <= m.list.Version() {
 		return false
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // The kinds of message; short, for they stand in every frame.
@@ -234,7 +234,7 @@
 }
 
 // newItems returns the message that carries published items.
-func newItems(published []platform.Item) *items {
+func newItems(published []registry.Item) *items {
 	m := new(items)
 	for _, item := range published {
 		sent := publishedItem{Key: item.Key(), Version: item.Version(), Packed: pack(item.Value())}
@@ -248,8 +248,8 @@
 
 // published returns the items that the message carries; one that can't be
 // unpacked is left out, and asked for again while the digests differ.
-func (m *items) published() []platform.Item {
-	out := make([]platform.Item, 0, len(m.Items))
+func (m *items) published() []registry.Item {
+	out := make([]registry.Item, 0, len(m.Items))
 	for _, item := range m.Items {
 		value := item.Value
 		if item.Packed != nil {
@@ -259,7 +259,7 @@
 			}
 			value = unpacked
 		}
-		out = append(out, platform.NewItem(item.Key, item.Version, value))
+		out = append(out, registry.NewItem(item.Key, item.Version, value))
 	}
 	return out
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // Node is the control state of one entry instance. It is driven by Step
 // alone, does no I/O, reads no clock, and is owned by one goroutine.
 type Node struct {
-	self    platform.Instance
+	self    registry.Instance
 	owner   backend.Owner
 	members membership
 	relay   relay
@@ -21,8 +21,8 @@
 	keeping keeping
 	asking  asking
 
-	servers map[string]platform.List
-	domains map[string]platform.State
+	servers map[string]registry.List
+	domains map[string]registry.State
 
 	placed    placement
 	trustedAt time.Time
@@ -38,7 +38,7 @@
 
 // NewNode returns the control state of an entry that starts now. Two nodes
 // with the same owner, events and times do the same.
-func NewNode(now time.Time, self platform.Instance, incarnation uint64) *Node {
+func NewNode(now time.Time, self registry.Instance, incarnation uint64) *Node {
 	owner := backend.NewOwner(self.ID(), incarnation)
 	random := rand.New(rand.NewPCG(incarnation, rank(self.ID(), "")))
 	return &Node{
@@ -49,8 +49,8 @@
 		sync:    newSyncState(now),
 		keeping: newKeeping(self.ID()),
 		asking:  newAsking(random),
-		servers: make(map[string]platform.List),
-		domains: make(map[string]platform.State),
+		servers: make(map[string]registry.List),
+		domains: make(map[string]registry.State),
 	}
 }
 
@@ -234,7 +234,7 @@
 }
 
 // offer takes published items into force, whoever brought them.
-func (n *Node) offer(now time.Time, source string, published []platform.Item) {
+func (n *Node) offer(now time.Time, source string, published []registry.Item) {
 	for _, item := range published {
 		accepted, err := n.relay.offer(now, item, source)
 		if err != nil {
@@ -248,17 +248,17 @@
 }
 
 // apply puts an accepted item to use; it was inspected, so it parses.
-func (n *Node) apply(now time.Time, item platform.Item) {
+func (n *Node) apply(now time.Time, item registry.Item) {
 	n.changed = true
 	switch {
-	case item.Key() == platform.EntriesPrefix+n.self.Place().Region():
-		list, _ := platform.ParseList(item)
+	case item.Key() == registry.EntriesPrefix+n.self.Place().Region():
+		list, _ := registry.ParseList(item)
 		n.members.setList(now, list)
-	case strings.HasPrefix(item.Key(), platform.ServersPrefix):
-		list, _ := platform.ParseList(item)
+	case strings.HasPrefix(item.Key(), registry.ServersPrefix):
+		list, _ := registry.ParseList(item)
 		n.servers[item.Key()] = list
-	case item.Key() == platform.DomainsKey:
-		domains, _ := platform.ParseDomains(item)
+	case item.Key() == registry.DomainsKey:
+		domains, _ := registry.ParseDomains(item)
 		n.domains = maps.Clone(domains)
 	}
 	n.place(now)
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -7,7 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // answers returns the answers among effects.
@@ -44,7 +44,7 @@
 	for _, a := range answers(n.node.Step(w.now, NewWanted(want))) {
 		c.Assert(a.Refusal() != nil, qt.IsTrue, qt.Commentf("granted %+v", a.Slot()))
 	}
-	c.Assert(n.node.domains["scl-a"], qt.Equals, platform.StateOut)
+	c.Assert(n.node.domains["scl-a"], qt.Equals, registry.StateOut)
 }
 
 // TestUnheardKeepersAreBusy checks that a want is refused as busy, not as one
--- a/peer/older.go
+++ b/peer/older.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // olderLists are the versions of the entry list that a keeper must know to be
@@ -46,7 +46,7 @@
 }
 
 // membersOf returns the members of a list as they are told to peers.
-func membersOf(list platform.List) []knownMember {
+func membersOf(list registry.List) []knownMember {
 	out := make([]knownMember, 0, list.Len())
 	for _, entry := range list.All() {
 		out = append(out, knownMember{Entry: entry.ID(), Control: entry.Control()})
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // adoptWait is how long a new keeper gives a server nothing, so that the
@@ -61,7 +61,7 @@
 
 // placeServer places one server. Its keeper by the list may be silent: then
 // the next entry in rank stands in for it, without the list's authority.
-func (n *Node) placeServer(now time.Time, table *keeperTable, keep map[string]bool, agreed map[string]bool, server platform.Instance) {
+func (n *Node) placeServer(now time.Time, table *keeperTable, keep map[string]bool, agreed map[string]bool, server registry.Instance) {
 	bearing, known := n.bearing(server.Service())
 	if !known {
 		return
@@ -72,7 +72,7 @@
 	keeper := keeperOf(n.members.list, id, domain, func(entry string) bool { return agreed[entry] && entry != n.self.ID() })
 	table.add(server.Service(), id, keeper)
 	table.address[id] = server.Address()
-	table.closed[id] = server.State() == platform.StateLeaving || n.domains[domain] == platform.StateOut
+	table.closed[id] = server.State() == registry.StateLeaving || n.domains[domain] == registry.StateOut
 	if keeper != n.self.ID() {
 		return
 	}
@@ -96,7 +96,7 @@
 
 // bearing returns the load that a service's servers bear, by its document in force.
 func (n *Node) bearing(service string) (backend.Bearing, bool) {
-	held, ok := n.relay.items[platform.ServicePrefix+service]
+	held, ok := n.relay.items[registry.ServicePrefix+service]
 	if !ok || held.document == nil {
 		return backend.Bearing{}, false
 	}
--- a/peer/process.go
+++ b/peer/process.go
@@ -11,7 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 	"greengagedock.example/timer"
 )
 
@@ -64,7 +64,7 @@
 
 // Start opens the control state of an entry that hears its peers on the
 // listener; seeds are peers' IPs and ports that are known before any list.
-func Start(self platform.Instance, incarnation uint64, listener net.Listener, seeds []string, cancels Canceller, log hclog.Logger, timers *timer.Service) (*Control, error) {
+func Start(self registry.Instance, incarnation uint64, listener net.Listener, seeds []string, cancels Canceller, log hclog.Logger, timers *timer.Service) (*Control, error) {
 	greeting, err := encodeFrame(&hello{
 		Protocol: protocolVersion, Region: self.Place().Region(), Entry: self.ID(), Incarnation: incarnation,
 	})
--- a/peer/publish.go
+++ b/peer/publish.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // Snapshot returns the state at now.
@@ -98,7 +98,7 @@
 }
 
 // entry returns what this entry sees of a listed one.
-func (n *Node) entry(now time.Time, instance platform.Instance) Entry {
+func (n *Node) entry(now time.Time, instance registry.Instance) Entry {
 	if instance.ID() == n.self.ID() {
 		return Entry{instance: instance, requests: n.requests, draining: n.draining, heard: now, version: n.members.list.Version()}
 	}
--- a/peer/publish_test.go
+++ b/peer/publish_test.go
@@ -6,7 +6,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/google/go-cmp/cmp"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 func TestSnapshotsShareWhatHasNotChanged(t *testing.T) {
@@ -18,11 +18,11 @@
 	c.Assert(&second.Documents()[0] == &first.Documents()[0], qt.IsTrue)
 	c.Assert(second.Polls(), qt.CmpEquals(cmp.AllowUnexported(Poll{})), first.Polls())
 
-	n.Step(now, Published{items: []platform.Item{capacityDocument(7)}})
+	n.Step(now, Published{items: []registry.Item{capacityDocument(7)}})
 	third := n.nextSnapshot(now, second)
 	c.Assert(third.Documents(), qt.HasLen, 6)
 	c.Assert(second.Documents(), qt.HasLen, 5)
-	n.offer(now, "platform", []platform.Item{platform.NewItem(platform.ServicePrefix+"broken", 9, "{")})
+	n.offer(now, "platform", []registry.Item{registry.NewItem(registry.ServicePrefix+"broken", 9, "{")})
 	c.Assert(n.nextSnapshot(now, third).Refused(), qt.HasLen, 1)
 }
 
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -5,20 +5,20 @@
 
 	"github.com/rotisserie/eris"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // inForce is an item that this entry has accepted.
 type inForce struct {
-	item     platform.Item
-	document *platform.Document
+	item     registry.Item
+	document *registry.Document
 	since    time.Time
 	source   string
 }
 
 // refusedItem is the newest item of its key that this entry refused.
 type refusedItem struct {
-	item  platform.Item
+	item  registry.Item
 	err   error
 	since time.Time
 }
@@ -38,7 +38,7 @@
 
 // offer takes an item into force if it is valid and newer than the one in
 // force, and reports whether it did; an invalid one is an error, once.
-func (r *relay) offer(now time.Time, item platform.Item, source string) (bool, error) {
+func (r *relay) offer(now time.Time, item registry.Item, source string) (bool, error) {
 	old, known := r.items[item.Key()]
 	if known && old.covers(item) {
 		return false, nil
@@ -68,7 +68,7 @@
 
 // covers reports whether an item is seen to bring nothing new without being
 // read: a document's text is the one in force, or a list's version no newer.
-func (f inForce) covers(item platform.Item) bool {
+func (f inForce) covers(item registry.Item) bool {
 	if item.IsDocument() {
 		return item.Value() == f.item.Value()
 	}
@@ -76,7 +76,7 @@
 }
 
 // contradicts reports whether a document has the version in force and another text.
-func (f inForce) contradicts(item platform.Item) bool {
+func (f inForce) contradicts(item registry.Item) bool {
 	return item.IsDocument() && item.Version() == f.item.Version() && item.Value() != f.item.Value()
 }
 
@@ -90,8 +90,8 @@
 }
 
 // newer returns the items that are newer than the given versions.
-func (r *relay) newer(versions map[string]int64) []platform.Item {
-	var out []platform.Item
+func (r *relay) newer(versions map[string]int64) []registry.Item {
+	var out []registry.Item
 	for key, held := range r.items {
 		if held.item.Version() > versions[key] {
 			out = append(out, held.item)
@@ -101,8 +101,8 @@
 }
 
 // documents returns the service documents in force, in the order of their keys.
-func (r *relay) documents() []*platform.Document {
-	var out []*platform.Document
+func (r *relay) documents() []*registry.Document {
+	var out []*registry.Document
 	for _, key := range sortedKeys(r.items) {
 		held := r.items[key]
 		if held.document != nil {
@@ -115,6 +115,6 @@
 // digestOf returns an item's share of the digest. The digest of a set is the
 // exclusive or of its members' hashes, as in RFC017 section 5.1.1: two
 // entries compare all they hold in eight bytes, and a change costs two hashes.
-func digestOf(item platform.Item) uint64 {
+func digestOf(item registry.Item) uint64 {
 	return mix(rank(item.Key(), "") + uint64(item.Version())*0x9e3779b97f4a7c15)
 }
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -7,12 +7,12 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // documentItem returns a published document of a version; note tells texts of one version apart.
-func documentItem(revision, version int64, note string) platform.Item {
-	return platform.NewItem("service/strip-model", revision, fmt.Sprintf(`{
+func documentItem(revision, version int64, note string) registry.Item {
+	return registry.NewItem("service/strip-model", revision, fmt.Sprintf(`{
 		// %s
 		"service": "strip-model", "team": "editorial", "version": %d, "priority": 1,
 		"accounts": [{"name": "norte", "key_sha256": "%064d", "share": 1}],
@@ -22,23 +22,23 @@
 }
 
 func TestRelayOffer(t *testing.T) {
-	broken := platform.NewItem("service/strip-model", 9, `{"service": 5}`)
+	broken := registry.NewItem("service/strip-model", 9, `{"service": 5}`)
 	tests := []struct {
 		name    string
-		offers  []platform.Item
+		offers  []registry.Item
 		taken   []bool
 		errors  []string
 		version int64
 		refused int
 	}{
-		{"newer", []platform.Item{documentItem(1, 1, ""), documentItem(2, 2, "")}, []bool{true, true}, []string{"", ""}, 2, 0},
-		{"older", []platform.Item{documentItem(1, 2, ""), documentItem(2, 1, "")}, []bool{true, false}, []string{"", ""}, 2, 0},
-		{"again under a new revision", []platform.Item{documentItem(1, 2, ""), documentItem(7, 2, "")}, []bool{true, false}, []string{"", ""}, 2, 0},
-		{"other text of one version", []platform.Item{documentItem(1, 2, "a"), documentItem(2, 2, "b"), documentItem(2, 2, "b")},
+		{"newer", []registry.Item{documentItem(1, 1, ""), documentItem(2, 2, "")}, []bool{true, true}, []string{"", ""}, 2, 0},
+		{"older", []registry.Item{documentItem(1, 2, ""), documentItem(2, 1, "")}, []bool{true, false}, []string{"", ""}, 2, 0},
+		{"again under a new revision", []registry.Item{documentItem(1, 2, ""), documentItem(7, 2, "")}, []bool{true, false}, []string{"", ""}, 2, 0},
+		{"other text of one version", []registry.Item{documentItem(1, 2, "a"), documentItem(2, 2, "b"), documentItem(2, 2, "b")},
 			[]bool{true, false, false}, []string{"", ".*version 2 is in force with other content.*", ""}, 2, 1},
-		{"invalid, then valid", []platform.Item{documentItem(1, 1, ""), broken, broken, documentItem(10, 2, "")},
+		{"invalid, then valid", []registry.Item{documentItem(1, 1, ""), broken, broken, documentItem(10, 2, "")},
 			[]bool{true, false, false, true}, []string{"", ".*service/strip-model.*", "", ""}, 2, 0},
-		{"invalid keeps the last good one", []platform.Item{documentItem(1, 1, ""), broken}, []bool{true, false}, []string{"", ".*"}, 1, 1},
+		{"invalid keeps the last good one", []registry.Item{documentItem(1, 1, ""), broken}, []bool{true, false}, []string{"", ".*"}, 1, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -64,13 +64,13 @@
 func TestRelayDigest(t *testing.T) {
 	c := qt.New(t)
 	a, b := newRelay(), newRelay()
-	offer := func(r *relay, items ...platform.Item) {
+	offer := func(r *relay, items ...registry.Item) {
 		for _, item := range items {
 			_, err := r.offer(time.Time{}, item, "platform")
 			c.Assert(err, qt.IsNil)
 		}
 	}
-	domains := platform.NewItem(platform.DomainsKey, 3, `{"scl-a": "in"}`)
+	domains := registry.NewItem(registry.DomainsKey, 3, `{"scl-a": "in"}`)
 	offer(&a, documentItem(1, 1, ""), domains, documentItem(2, 2, ""))
 	offer(&b, documentItem(2, 2, ""))
 	c.Assert(a.digest == b.digest, qt.IsFalse)
--- a/peer/rendezvous.go
+++ b/peer/rendezvous.go
@@ -3,7 +3,7 @@
 import (
 	"hash/fnv"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // rank returns the weight of an entry for a key under rendezvous hashing.
@@ -29,11 +29,11 @@
 // keeperOf returns the entry of the list that keeps a backend server: the
 // highest rank among live entries in the server's failure domain, else among
 // all live entries; empty if there is none. Entries in skip are passed over.
-func keeperOf(list platform.List, server, domain string, skip func(entry string) bool) string {
+func keeperOf(list registry.List, server, domain string, skip func(entry string) bool) string {
 	var best, local string
 	var bestRank, localRank uint64
 	for _, entry := range list.All() {
-		if entry.State() != platform.StateLive || skip(entry.ID()) {
+		if entry.State() != registry.StateLive || skip(entry.ID()) {
 			continue
 		}
 		r := rank(server, entry.ID())
--- a/peer/snapshot.go
+++ b/peer/snapshot.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 const (
@@ -18,10 +18,10 @@
 // Snapshot is the control state of one moment, for traffic and operators; it never changes.
 type Snapshot struct {
 	owner     backend.Owner
-	self      platform.Instance
+	self      registry.Instance
 	time      time.Time
-	list      platform.List
-	documents []*platform.Document
+	list      registry.List
+	documents []*registry.Document
 	entries   []Entry
 	servers   []backend.ServerState
 	polls     []Poll
@@ -32,14 +32,14 @@
 	authority bool
 	contact   time.Time
 	watches   bool
-	domains   map[string]platform.State
+	domains   map[string]registry.State
 	untrusted []string
 	trusted   time.Time
 }
 
 // Entry is a listed entry instance as this one sees it.
 type Entry struct {
-	instance platform.Instance
+	instance registry.Instance
 	requests int
 	silent   bool
 	draining bool
@@ -48,7 +48,7 @@
 }
 
 // Instance returns the entry as published.
-func (e Entry) Instance() platform.Instance { return e.instance }
+func (e Entry) Instance() registry.Instance { return e.instance }
 
 // Requests returns the number of requests that the entry last said to have open.
 func (e Entry) Requests() int { return e.requests }
@@ -125,7 +125,7 @@
 func (s *Snapshot) Self() backend.Owner { return s.owner }
 
 // Instance returns this entry as its settings describe it.
-func (s *Snapshot) Instance() platform.Instance { return s.self }
+func (s *Snapshot) Instance() registry.Instance { return s.self }
 
 // Time returns when the snapshot was taken.
 func (s *Snapshot) Time() time.Time { return s.time }
@@ -134,7 +134,7 @@
 func (s *Snapshot) ListVersion() int64 { return s.list.Version() }
 
 // Documents returns the service documents in force.
-func (s *Snapshot) Documents() []*platform.Document { return s.documents }
+func (s *Snapshot) Documents() []*registry.Document { return s.documents }
 
 // Entries returns the listed entries.
 func (s *Snapshot) Entries() []Entry { return s.entries }
@@ -167,7 +167,7 @@
 func (s *Snapshot) Watches() bool { return s.watches }
 
 // Domains returns the published state of each failure domain; the caller must not change the map.
-func (s *Snapshot) Domains() map[string]platform.State { return s.domains }
+func (s *Snapshot) Domains() map[string]registry.State { return s.domains }
 
 // Untrusted returns the backend servers that this entry keeps by the list,
 // but can't be sure yet to be the only keeper of.
@@ -178,7 +178,7 @@
 func (s *Snapshot) Trusted() time.Time { return s.trusted }
 
 // Entry returns the listed entry of that name.
-func (s *Snapshot) Entry(id string) (platform.Instance, bool) { return s.list.Find(id) }
+func (s *Snapshot) Entry(id string) (registry.Instance, bool) { return s.list.Find(id) }
 
 // Silent reports whether the listed entry of that name was not heard lately.
 func (s *Snapshot) Silent(id string) bool {
@@ -194,10 +194,10 @@
 // use, best first, and how long it may keep the answer: entries in the
 // caller's own domain before others, those with fewer open requests first,
 // and this one before others that are about as good.
-func (s *Snapshot) Addresses(domain string) ([]platform.Instance, time.Duration) {
+func (s *Snapshot) Addresses(domain string) ([]registry.Instance, time.Duration) {
 	usable := make([]Entry, 0, len(s.entries))
 	for _, e := range s.entries {
-		if !e.silent && !e.draining && e.instance.State() == platform.StateLive {
+		if !e.silent && !e.draining && e.instance.State() == registry.StateLive {
 			usable = append(usable, e)
 		}
 	}
@@ -211,7 +211,7 @@
 		return a.requests - b.requests
 	})
 	s.preferSelf(usable, domain)
-	var out []platform.Instance
+	var out []registry.Instance
 	for _, e := range usable[:min(len(usable), maxAlternates+1)] {
 		out = append(out, e.instance)
 	}
--- a/peer/world_platform_test.go
+++ b/peer/world_platform_test.go
@@ -5,43 +5,43 @@
 	"maps"
 	"strings"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // publish puts a value under a key with a new revision.
 func (w *world) publish(key, value string) {
 	w.platform.revision++
-	w.platform.items[key] = platform.NewItem(key, w.platform.revision, value)
+	w.platform.items[key] = registry.NewItem(key, w.platform.revision, value)
 }
 
 // publishEntries publishes the entries that the platform lists now.
 func (w *world) publishEntries() {
-	var instances []platform.Instance
+	var instances []registry.Instance
 	for _, id := range sortedKeys(w.platform.entries) {
 		instances = append(instances, w.platform.entries[id])
 	}
-	text, err := platform.FormatList(instances...)
+	text, err := registry.FormatList(instances...)
 	if err != nil {
 		w.fault("list not formatted: %v", err)
 	}
-	w.publish(platform.EntriesPrefix+worldRegion, text)
+	w.publish(registry.EntriesPrefix+worldRegion, text)
 }
 
 // publishServers publishes the servers of each domain.
 func (w *world) publishServers() {
 	for _, domain := range worldDomains {
-		var instances []platform.Instance
+		var instances []registry.Instance
 		for _, id := range sortedKeys(w.servers) {
 			if s := w.servers[id]; s.domain == domain {
-				instances = append(instances, platform.NewServer(id, platform.KindEngine,
-					platform.NewPlace(worldRegion, domain), platform.StateLive, id, worldService))
+				instances = append(instances, registry.NewServer(id, registry.KindEngine,
+					registry.NewPlace(worldRegion, domain), registry.StateLive, id, worldService))
 			}
 		}
-		text, err := platform.FormatList(instances...)
+		text, err := registry.FormatList(instances...)
 		if err != nil {
 			w.fault("list not formatted: %v", err)
 		}
-		w.publish(platform.ServersPrefix+domain, text)
+		w.publish(registry.ServersPrefix+domain, text)
 	}
 }
 
@@ -51,16 +51,16 @@
 	for _, domain := range worldDomains {
 		pairs = append(pairs, fmt.Sprintf("%q: %q", domain, w.domainState(domain)))
 	}
-	w.publish(platform.DomainsKey, "{"+strings.Join(pairs, ", ")+"}")
+	w.publish(registry.DomainsKey, "{"+strings.Join(pairs, ", ")+"}")
 }
 
-func (w *world) domainState(domain string) platform.State {
+func (w *world) domainState(domain string) registry.State {
 	for _, s := range w.servers {
 		if s.domain == domain && !s.closedAt.IsZero() {
-			return platform.StateOut
+			return registry.StateOut
 		}
 	}
-	return platform.StateIn
+	return registry.StateIn
 }
 
 // takeOut takes a failure domain out; bringBack brings it back.
@@ -85,7 +85,7 @@
 // publishDocument publishes the next version of the one service document.
 func (w *world) publishDocument() {
 	w.platform.document++
-	w.publish(platform.ServicePrefix+worldService, fmt.Sprintf(`{
+	w.publish(registry.ServicePrefix+worldService, fmt.Sprintf(`{
 		"service": %q, "team": "editorial", "version": %d, "priority": 1,
 		"accounts": [{"name": "norte", "key_sha256": "%064d", "share": 1}],
 		"models": [{"name": %q, "prompt_tokens": 50000, "answer_tokens": 4096, "deadline": "10s"}],
@@ -105,7 +105,7 @@
 	if w.platform.stale {
 		from = w.platform.older
 	}
-	var published []platform.Item
+	var published []registry.Item
 	for _, key := range sortedKeys(from) {
 		published = append(published, from[key])
 	}
--- a/peer/world_step_test.go
+++ b/peer/world_step_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // advance lets time pass.
@@ -109,7 +109,7 @@
 		used += s.streams[id].tokens
 		held = append(held, backend.NewHeld(id, s.streams[id].tokens))
 	}
-	report := backend.NewReport(s.id, s.name(), platform.StateLive, 100_000, used).WithModels(worldModel)
+	report := backend.NewReport(s.id, s.name(), registry.StateLive, 100_000, used).WithModels(worldModel)
 	s.history = append(s.history, report.WithHeld(0, held...))
 	s.taken = append(s.taken, w.now)
 	if len(s.history) > 100 {
@@ -264,7 +264,7 @@
 
 // checkNode holds a node's configuration and answers against the truth.
 func (w *world) checkNode(n *worldNode) {
-	held, ok := n.node.relay.items[platform.ServicePrefix+worldService]
+	held, ok := n.node.relay.items[registry.ServicePrefix+worldService]
 	if ok && held.item.Version() < n.inForce {
 		w.fault("%s went back from version %d to %d", n.id, n.inForce, held.item.Version())
 	}
--- a/peer/world_test.go
+++ b/peer/world_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"greengagedock.example/backend"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // world is many nodes, the platform and the backend servers under virtual
@@ -100,9 +100,9 @@
 // worldPlatform is what is published, and the older state that a stale read brings.
 type worldPlatform struct {
 	revision int64
-	items    map[string]platform.Item
-	older    map[string]platform.Item
-	entries  map[string]platform.Instance
+	items    map[string]registry.Item
+	older    map[string]registry.Item
+	entries  map[string]registry.Instance
 	document int64
 	stale    bool
 }
@@ -124,7 +124,7 @@
 		cuts:      make(map[[2]string]bool),
 		flights:   make(map[[2]string][]flight),
 		platform: worldPlatform{
-			items: make(map[string]platform.Item), entries: make(map[string]platform.Instance),
+			items: make(map[string]registry.Item), entries: make(map[string]registry.Instance),
 		},
 	}
 	for i := range servers {
@@ -145,8 +145,8 @@
 }
 
 // worldPlace returns the place of the i-th instance.
-func worldPlace(i int) platform.Place {
-	return platform.NewPlace(worldRegion, worldDomains[i%len(worldDomains)])
+func worldPlace(i int) registry.Place {
+	return registry.NewPlace(worldRegion, worldDomains[i%len(worldDomains)])
 }
 
 // startNode starts an entry's new incarnation.
@@ -155,7 +155,7 @@
 	if old := w.nodes[id]; old != nil {
 		incarnation = old.incarnation + 1
 	}
-	self := platform.NewEntry(id, worldPlace(place), platform.StateLive, id+":1", id+":2")
+	self := registry.NewEntry(id, worldPlace(place), registry.StateLive, id+":1", id+":2")
 	n := &worldNode{
 		node: NewNode(w.now, self, incarnation<<32|1), id: id, incarnation: incarnation,
 		waiting: make(map[string]time.Time), answered: make(map[string]int), running: make(map[string]*attempt),
--- a/platform/client.go
+++ b/registry/client.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 )
 
 // ErrUnavailable is the error that every failed read of the platform wraps.
-var ErrUnavailable = eris.New("platform: unavailable")
+var ErrUnavailable = eris.New("registry: unavailable")
 
 const (
 	// readTimeout bounds a read beyond the time that it may wait.
--- a/platform/list.go
+++ b/registry/list.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import (
 	"encoding/json"
@@ -8,7 +8,7 @@
 )
 
 // ErrList is the error that every unreadable list of instances or domains wraps.
-var ErrList = eris.New("platform: list refused")
+var ErrList = eris.New("registry: list refused")
 
 type instanceValue struct {
 	ID      string `json:"id"`
--- a/platform/list_test.go
+++ b/registry/list_test.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import (
 	"testing"
@@ -56,7 +56,7 @@
 			c := qt.New(t)
 			_, err := ParseList(NewItem("servers/scl-a", 9, test.value))
 			c.Assert(err, qt.ErrorIs, ErrList)
-			c.Assert(err, qt.ErrorMatches, test.want+": platform: list refused")
+			c.Assert(err, qt.ErrorMatches, test.want+": registry: list refused")
 		})
 	}
 	for _, value := range []string{`null`, `[]`, `{"scl-a": 1}`, `{} {}`} {
--- a/platform/name.go
+++ b/registry/name.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 // maxNameBytes is the length of the longest name, in bytes.
 const maxNameBytes = 64
--- a/platform/parse.go
+++ b/registry/parse.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import (
 	"errors"
@@ -10,7 +10,7 @@
 )
 
 // ErrDocument is the error that every refused service document wraps.
-var ErrDocument = eris.New("platform: service document refused")
+var ErrDocument = eris.New("registry: service document refused")
 
 // MaxValueBytes is the size of the largest value that the platform holds, in bytes.
 const MaxValueBytes = 1_000_000
@@ -42,7 +42,7 @@
 
 // Error returns all problems on one line.
 func (e *DocumentError) Error() string {
-	return "platform: service document refused: " + e.problems.Error()
+	return "registry: service document refused: " + e.problems.Error()
 }
 
 // Unwrap returns ErrDocument.
--- a/platform/parse_account.go
+++ b/registry/parse_account.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import (
 	"crypto/sha256"
--- a/platform/parse_fault_test.go
+++ b/registry/parse_fault_test.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import "github.com/google/go-cmp/cmp"
 
--- a/platform/parse_test.go
+++ b/registry/parse_test.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import (
 	"errors"
@@ -110,7 +110,7 @@
 func TestParseDocumentTooLarge(t *testing.T) {
 	c := qt.New(t)
 	_, err := ParseDocument("doc.json", []byte(callDocument+strings.Repeat(" ", MaxValueBytes)))
-	c.Assert(err, qt.ErrorMatches, `platform: service document refused: doc\.json:1: document has \d+ bytes, want at most 1000000`)
+	c.Assert(err, qt.ErrorMatches, `registry: service document refused: doc\.json:1: document has \d+ bytes, want at most 1000000`)
 }
 
 func TestParseDocumentExamples(t *testing.T) {
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"greengagedock.example/jsonc"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // Defaults of the keys that may be left out.
@@ -62,7 +62,7 @@
 func parse(o *jsonc.Object) Settings {
 	s := Settings{
 		id:               name(o.Required("id")),
-		place:            platform.NewPlace(name(o.Required("region")), name(o.Required("failure_domain"))),
+		place:            registry.NewPlace(name(o.Required("region")), name(o.Required("failure_domain"))),
 		shutdownDeadline: duration(o, "shutdown_deadline", minShutdownDeadline, maxShutdownDeadline, defaultShutdownDeadline),
 		logLevel:         logLevel(o.Optional("log_level")),
 		limits:           parseLimits(o.Optional("limits").Object()),
@@ -112,8 +112,8 @@
 
 func name(v jsonc.Value) string {
 	text, ok := v.Text()
-	if ok && !platform.IsName(text) {
-		v.Report("is %s, want %s", jsonc.Quote(text), platform.NameRule)
+	if ok && !registry.IsName(text) {
+		v.Report("is %s, want %s", jsonc.Quote(text), registry.NameRule)
 	}
 	return text
 }
--- a/settings/parse_fuzz_test.go
+++ b/settings/parse_fuzz_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"testing"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // FuzzParse checks that no text makes the parser panic, that refused settings
@@ -23,7 +23,7 @@
 			}
 			return
 		}
-		named := platform.IsName(s.ID()) && platform.IsName(s.Place().Region()) && platform.IsName(s.Place().Domain())
+		named := registry.IsName(s.ID()) && registry.IsName(s.Place().Region()) && registry.IsName(s.Place().Domain())
 		if !named || !slices.Contains(logLevels, s.LogLevel()) || s.ShutdownDeadline() < minShutdownDeadline {
 			t.Fatalf("accepted %+v", s)
 		}
--- a/settings/parse_test.go
+++ b/settings/parse_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 const whole = `{
@@ -28,7 +28,7 @@
 	s, err := Parse("entry.json", []byte(whole))
 	c.Assert(err, qt.IsNil)
 	c.Check(s.ID(), qt.Equals, "entry-1")
-	c.Check(s.Place(), qt.Equals, platform.NewPlace("scl", "scl-a"))
+	c.Check(s.Place(), qt.Equals, registry.NewPlace("scl", "scl-a"))
 	c.Check(s.CallerAddress(), qt.Equals, "127.0.0.1:8100")
 	c.Check(s.PeerAddress(), qt.Equals, "127.0.0.1:8101")
 	c.Check(s.AdminAddress(), qt.Equals, "127.0.0.1:8102")
@@ -101,8 +101,8 @@
 		{"repeated key", `"region"`, `"id": "entry-2", "region"`, []string{"entry.json:3: id: key repeated, first on line 2"}},
 		{"number for a string", `"entry-1"`, `1`, []string{"entry.json:2: id: is a number, want a string"}},
 		{"null", `"entry-1"`, `null`, []string{"entry.json:2: id: is null, want a string"}},
-		{"empty id", `"entry-1"`, `""`, []string{`entry.json:2: id: is "", want ` + platform.NameRule}},
-		{"spaced id", `"entry-1"`, `"entry 1"`, []string{`entry.json:2: id: is "entry 1", want ` + platform.NameRule}},
+		{"empty id", `"entry-1"`, `""`, []string{`entry.json:2: id: is "", want ` + registry.NameRule}},
+		{"spaced id", `"entry-1"`, `"entry 1"`, []string{`entry.json:2: id: is "entry 1", want ` + registry.NameRule}},
 		{"host name", `"127.0.0.1:8100"`, `"localhost:8100"`, []string{
 			`entry.json:5: caller_address: is "localhost:8100", want an IP and port such as 127.0.0.1:8100`}},
 		{"no port", `"127.0.0.1:8100"`, `"127.0.0.1"`, []string{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"greengagedock.example/jsonc"
-	"greengagedock.example/platform"
+	"greengagedock.example/registry"
 )
 
 // ErrSettings is the error that all refused settings wrap.
@@ -30,7 +30,7 @@
 // Settings is what one entry instance is told when it starts.
 type Settings struct {
 	id                string
-	place             platform.Place
+	place             registry.Place
 	callerAddress     string
 	peerAddress       string
 	adminAddress      string
@@ -45,7 +45,7 @@
 func (s Settings) ID() string { return s.id }
 
 // Place returns the region and failure domain of the entry instance.
-func (s Settings) Place() platform.Place { return s.place }
+func (s Settings) Place() registry.Place { return s.place }
 
 // CallerAddress returns the IP and port on which callers are heard.
 func (s Settings) CallerAddress() string { return s.callerAddress }
