--- a/cmd/greengagedockd/main.go
+++ b/cmd/greengagedockd/main.go
@@ -73,6 +73,7 @@
 	}
 	command.Flags().StringVar(&path, "settings", "", "settings file, JSON with comments")
 	_ = command.MarkFlagRequired("settings")
+	command.AddCommand(newGatewayCommand(status))
 	return command
 }
 
--- /dev/null
+++ b/dispatch/book.go
@@ -0,0 +1,353 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"greengagedock.example/routing"
+)
+
+const (
+	// undeclaredGrace is how long a grant may be missing from its owner's
+	// declarations: a round trip and two heartbeats.
+	undeclaredGrace = 1500 * time.Millisecond
+	// maxQueue bounds the wants that wait for one service.
+	maxQueue = 512
+)
+
+// Book holds the backend servers and the requests on them; NewBook makes one.
+type Book struct {
+	pools map[string]*pool
+	holds map[string]*hold
+}
+
+// pool is the servers of one service and the wants that wait for them.
+type pool struct {
+	service routing.Service
+	// share is the part of cold servers' bearing that this book may give out.
+	share   float64
+	servers map[string]*server
+	order   []*server
+	queue   []*waiting
+}
+
+type waiting struct {
+	owner Owner
+	want  Want
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{pools: make(map[string]*pool), holds: make(map[string]*hold)}
+}
+
+// SetShare states the part of the bearing of a service's cold servers that this book may give out, up to 1.
+func (b *Book) SetShare(service string, share float64) {
+	if p := b.pools[service]; p != nil {
+		p.share = share
+	}
+}
+
+// SetView takes what is published now.
+func (b *Book) SetView(now time.Time, view *routing.View) {
+	table := view.Table()
+	if table == nil {
+		return
+	}
+	for _, name := range table.Services() {
+		service, _ := table.Service(name)
+		p := b.pools[name]
+		if p == nil {
+			p = &pool{servers: make(map[string]*server), share: 1}
+			b.pools[name] = p
+		}
+		p.service = service
+	}
+	for _, p := range b.pools {
+		p.drop(view)
+	}
+	for id, info := range view.Servers() {
+		if p := b.pools[info.Service()]; p != nil {
+			p.set(now, info, view.Usable(id))
+		}
+	}
+	for _, p := range b.pools {
+		p.sort()
+	}
+}
+
+// drop marks the servers that are published no more, and forgets those without requests.
+func (p *pool) drop(view *routing.View) {
+	for id, s := range p.servers {
+		info, ok := view.Servers()[id]
+		if ok && info.Service() == p.service.Name() {
+			continue
+		}
+		s.usable = false
+		if len(s.holds) == 0 && s.helping == 0 {
+			delete(p.servers, id)
+		}
+	}
+}
+
+// set takes a server as it is published.
+func (p *pool) set(now time.Time, info routing.Server, usable bool) {
+	s := p.servers[info.ID()]
+	if s == nil || s.info.Born() != info.Born() {
+		s = &server{holds: make(map[string]*hold)}
+		p.servers[info.ID()] = s
+	}
+	if s.info.Revision() != info.Revision() && info.ColdFor() > 0 {
+		s.coldUntil = now.Add(info.ColdFor())
+	}
+	s.info = info
+	s.usable = usable
+	s.engine = p.service.Engine()
+	s.coldRate = p.service.ColdRate()
+}
+
+func (p *pool) sort() {
+	p.order = p.order[:0]
+	for _, s := range p.servers {
+		p.order = append(p.order, s)
+	}
+	slices.SortFunc(p.order, func(a, b *server) int {
+		if a.info.ID() < b.info.ID() {
+			return -1
+		}
+		return 1
+	})
+}
+
+// Ask decides on a want; it is asked again with the same id while it is queued.
+func (b *Book) Ask(now time.Time, owner Owner, want Want) Decision {
+	if h := b.holds[want.id]; h != nil {
+		return Granted{Owner: owner, Grant: b.grantOf(h)}
+	}
+	p := b.pools[want.service]
+	if p == nil {
+		return Refused{Owner: owner, ID: want.id, Reason: ReasonNoServer, ComeBack: comeBackNoServer}
+	}
+	if slices.ContainsFunc(p.queue, func(w *waiting) bool { return w.want.id == want.id }) {
+		return Queued{}
+	}
+	if decision := b.decide(now, p, owner, want); decision != nil {
+		return decision
+	}
+	if len(p.queue) >= maxQueue {
+		return Refused{Owner: owner, ID: want.id, Reason: ReasonBusy, ComeBack: p.comeBack(now)}
+	}
+	p.enqueue(&waiting{owner: owner, want: want})
+	return Queued{}
+}
+
+// Withdraw forgets a want that waits.
+func (b *Book) Withdraw(id string) {
+	for _, p := range b.pools {
+		p.queue = slices.DeleteFunc(p.queue, func(w *waiting) bool { return w.want.id == id })
+	}
+}
+
+// Tick decides on the wants that wait, as far as it can.
+func (b *Book) Tick(now time.Time) []Decision {
+	var out []Decision
+	for _, p := range b.pools {
+		if len(p.queue) == 0 {
+			continue
+		}
+		queue := p.queue
+		p.queue = nil
+		for _, w := range queue {
+			decision := b.decide(now, p, w.owner, w.want)
+			if decision == nil {
+				p.queue = append(p.queue, w)
+				continue
+			}
+			out = append(out, decision)
+		}
+	}
+	return out
+}
+
+// Started tells that the first event of a request came.
+func (b *Book) Started(now time.Time, id string) {
+	h := b.holds[id]
+	if h == nil || h.started {
+		return
+	}
+	b.start(now, h)
+}
+
+func (b *Book) start(now time.Time, h *hold) {
+	h.started = true
+	s := b.serverOf(h)
+	if s == nil {
+		return
+	}
+	s.writers++
+	s.context += h.prompt
+	for _, part := range h.parts {
+		// What was read sooner or later than expected moves all that waits behind it.
+		if !h.expect.IsZero() {
+			part.server.readyAt = part.server.readyAt.Add(now.Sub(h.expect) / 2)
+		}
+	}
+	b.unhelp(h)
+}
+
+// unhelp frees the helpers of a request whose prompt is read.
+func (b *Book) unhelp(h *hold) {
+	for _, part := range h.parts {
+		if part.server.info.ID() != h.server {
+			part.server.helping--
+		}
+	}
+	h.parts = nil
+}
+
+// Ended tells how a request ended.
+func (b *Book) Ended(now time.Time, id string, outcome Outcome) {
+	h := b.holds[id]
+	if h == nil {
+		return
+	}
+	if s := b.serverOf(h); s != nil {
+		s.ended(now, outcome)
+	}
+	b.release(now, h)
+}
+
+// Fault tells that a request at another server failed through the one at the address.
+func (b *Book) Fault(now time.Time, service, address string, outcome Outcome) {
+	p := b.pools[service]
+	if p == nil {
+		return
+	}
+	for _, s := range p.order {
+		if s.info.Address() == address {
+			s.ended(now, outcome)
+		}
+	}
+}
+
+// release takes a request off its servers.
+func (b *Book) release(now time.Time, h *hold) {
+	delete(b.holds, h.id)
+	s := b.serverOf(h)
+	if s == nil {
+		return
+	}
+	for _, part := range h.parts {
+		part.server.readyAt = later(now, part.server.readyAt.Add(-part.cost))
+	}
+	b.unhelp(h)
+	if s.holds[h.id] == nil {
+		return
+	}
+	delete(s.holds, h.id)
+	s.memory -= h.prompt + h.answer
+	if h.started {
+		s.writers--
+		s.context -= h.prompt
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func (b *Book) serverOf(h *hold) *server {
+	p := b.pools[h.service]
+	if p == nil {
+		return nil
+	}
+	return p.servers[h.server]
+}
+
+// Declare takes all requests that an owner has on the servers of some services;
+// what it was granted a while ago and does not declare is released.
+func (b *Book) Declare(now time.Time, owner Owner, services []string, holds []Hold) {
+	declared := make(map[string]bool, len(holds))
+	for _, d := range holds {
+		declared[d.id] = true
+		if h := b.holds[d.id]; h == nil {
+			b.Adopt(now, owner, d)
+		} else if d.started && !h.started {
+			b.start(now, h)
+		}
+	}
+	for id, h := range b.holds {
+		if h.owner == owner && !declared[id] && slices.Contains(services, h.service) && now.Sub(h.granted) > undeclaredGrace {
+			b.release(now, h)
+		}
+	}
+}
+
+// Adopt takes a request that another book placed.
+func (b *Book) Adopt(now time.Time, owner Owner, d Hold) {
+	if b.holds[d.id] != nil {
+		return
+	}
+	p := b.pools[d.service]
+	if p == nil || p.servers[d.server] == nil {
+		return
+	}
+	started := d.started
+	d.started = false
+	h := &hold{Hold: d, owner: owner, granted: now}
+	s := p.servers[d.server]
+	b.holds[d.id] = h
+	s.holds[d.id] = h
+	s.memory += d.prompt + d.answer
+	if started {
+		b.start(now, h)
+	}
+}
+
+// Forget releases what the other incarnations of an entry hold; keep 0 releases all.
+func (b *Book) Forget(now time.Time, entry string, keep uint64) {
+	for _, h := range b.holds {
+		if h.owner.entry == entry && h.owner.incarnation != keep {
+			b.release(now, h)
+		}
+	}
+	for _, p := range b.pools {
+		p.queue = slices.DeleteFunc(p.queue, func(w *waiting) bool {
+			return w.owner.entry == entry && w.owner.incarnation != keep
+		})
+	}
+}
+
+// Holds returns the requests that an owner has on servers, as the book knows them.
+func (b *Book) Holds(owner Owner) []Hold {
+	var out []Hold
+	for _, h := range b.holds {
+		if h.owner == owner {
+			out = append(out, h.Hold)
+		}
+	}
+	return out
+}
+
+// Waiting returns how many wants wait.
+func (b *Book) Waiting() int {
+	n := 0
+	for _, p := range b.pools {
+		n += len(p.queue)
+	}
+	return n
+}
+
+func (b *Book) grantOf(h *hold) Grant {
+	s := b.serverOf(h)
+	var helpers []Helper
+	for _, part := range h.parts {
+		if part.server != s {
+			helpers = append(helpers, NewHelper(part.server.info.ID(), part.server.info.Address()))
+		}
+	}
+	return NewGrant(h.id, h.server, s.info.Address(), helpers, max(0, h.expect.Sub(h.granted)))
+}
--- /dev/null
+++ b/dispatch/decision.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import "time"
+
+// Decision is the answer to a want: Granted, Queued or Refused.
+type Decision interface {
+	decision()
+}
+
+// Granted tells where a request goes.
+type Granted struct {
+	Owner Owner
+	Grant Grant
+}
+
+// Queued tells that a want waits.
+type Queued struct{}
+
+// Refused tells that a request can't be served; it has not run.
+type Refused struct {
+	Owner    Owner
+	ID       string
+	Reason   Reason
+	ComeBack time.Duration
+}
+
+func (Granted) decision() {}
+func (Queued) decision()  {}
+func (Refused) decision() {}
+
+// Reason says why a want was refused.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonNoServer: no server of the service may be used.
+	ReasonNoServer Reason = "no_server"
+	// ReasonBusy: the servers' places are taken for too long.
+	ReasonBusy Reason = "busy"
+	// ReasonTooLate: the answer would not end in time.
+	ReasonTooLate Reason = "too_late"
+	// ReasonTooLarge: no server has the memory.
+	ReasonTooLarge Reason = "too_large"
+)
+
+// Helper is a server that reads a part of a prompt.
+type Helper struct {
+	server  string
+	address string
+}
+
+// NewHelper returns a helper at an IP and port.
+func NewHelper(server, address string) Helper { return Helper{server: server, address: address} }
+
+// Server returns the server's id.
+func (h Helper) Server() string { return h.server }
+
+// Address returns the server's IP and port.
+func (h Helper) Address() string { return h.address }
+
+// Grant is a place on a backend server.
+type Grant struct {
+	id      string
+	server  string
+	address string
+	helpers []Helper
+	first   time.Duration
+	waited  time.Duration
+	why     string
+}
+
+// NewGrant returns a grant for the want of that id.
+func NewGrant(id, server, address string, helpers []Helper, first time.Duration) Grant {
+	return Grant{id: id, server: server, address: address, helpers: helpers, first: first}
+}
+
+// WithWhy returns the grant with how long its want waited and what decided it.
+func (g Grant) WithWhy(waited time.Duration, why string) Grant {
+	g.waited, g.why = waited, why
+	return g
+}
+
+// ID returns the id of the want.
+func (g Grant) ID() string { return g.id }
+
+// Server returns the id of the server's incarnation.
+func (g Grant) Server() string { return g.server }
+
+// Address returns the server's IP and port.
+func (g Grant) Address() string { return g.address }
+
+// Helpers returns the servers that read parts of the prompt.
+func (g Grant) Helpers() []Helper { return g.helpers }
+
+// First returns the expected time from the grant to the first event.
+func (g Grant) First() time.Duration { return g.first }
+
+// Waited returns how long the want waited for the grant.
+func (g Grant) Waited() time.Duration { return g.waited }
+
+// Why returns what decided the grant.
+func (g Grant) Why() string { return g.why }
+
+// Outcome says how a request ended at its server.
+type Outcome string
+
+// The outcomes.
+const (
+	// OutcomeWhole: the whole answer came.
+	OutcomeWhole Outcome = "whole"
+	// OutcomeLeft: the entry ended it, as the caller left or time ran out.
+	OutcomeLeft Outcome = "left"
+	// OutcomeFull: the server refused it and it did not run.
+	OutcomeFull Outcome = "full"
+	// OutcomeGone: another incarnation has the address.
+	OutcomeGone Outcome = "gone"
+	// OutcomeUnsent: the server could not be reached.
+	OutcomeUnsent Outcome = "unsent"
+	// OutcomeBroken: the answer broke off or was spoiled.
+	OutcomeBroken Outcome = "broken"
+	// OutcomeSilent: nothing came for too long.
+	OutcomeSilent Outcome = "silent"
+	// OutcomeFailed: the server answered with a failure of its own.
+	OutcomeFailed Outcome = "failed"
+)
+
+// Hold is a request on a server, as its owner tells of it.
+type Hold struct {
+	id      string
+	service string
+	server  string
+	helpers []string
+	prompt  int
+	answer  int
+	started bool
+}
+
+// NewHold returns a hold of the want with that id; started tells that its first event came.
+func NewHold(id, service, server string, helpers []string, prompt, answer int, started bool) Hold {
+	return Hold{id: id, service: service, server: server, helpers: helpers, prompt: prompt, answer: answer, started: started}
+}
+
+// ID returns the id of the want.
+func (h Hold) ID() string { return h.id }
+
+// Service returns the service's name.
+func (h Hold) Service() string { return h.service }
+
+// Server returns the server's id.
+func (h Hold) Server() string { return h.server }
+
+// Helpers returns the ids of the servers that read parts of the prompt.
+func (h Hold) Helpers() []string { return h.helpers }
+
+// Prompt returns the prompt's length in tokens.
+func (h Hold) Prompt() int { return h.prompt }
+
+// Answer returns the expected length of the answer in tokens.
+func (h Hold) Answer() int { return h.answer }
+
+// Started reports whether the first event has come.
+func (h Hold) Started() bool { return h.started }
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,248 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// comeBackNoServer is when to try again while no server is known.
+	comeBackNoServer = 500 * time.Millisecond
+	// comeBackLeast and comeBackMost bound the advice when to come back.
+	comeBackLeast = 200 * time.Millisecond
+	comeBackMost  = 2 * time.Second
+	// maxHelpers is how many servers a model engine lets read parts of one prompt.
+	maxHelpers = 16
+	// patience is the part of the objective for which a want may wait in the queue.
+	patience = 0.5
+	// firstTarget is the part of the time left to the objective in which a
+	// prompt is to be read; more helpers are taken to meet it.
+	firstTarget = 0.45
+	// lateLimit is the part of the time left to the deadline by which the first event must come.
+	lateLimit = 0.6
+)
+
+// helperCounts are the numbers of helpers that are tried, in order.
+var helperCounts = []int{0, 1, 2, 3, 5, 7, 10, 13, maxHelpers}
+
+// decide returns the decision on a want, nil to let it wait.
+func (b *Book) decide(now time.Time, p *pool, owner Owner, want Want) Decision {
+	if !now.Before(want.deadline) {
+		return Refused{Owner: owner, ID: want.id, Reason: ReasonTooLate, ComeBack: p.comeBack(now)}
+	}
+	open := p.open(now, want)
+	if len(open) == 0 {
+		return p.wait(now, owner, want, ReasonNoServer)
+	}
+	var choice placement
+	if p.service.Engine() == nil {
+		choice = choosePlain(open, want)
+	} else {
+		choice = p.chooseEngine(now, open, want)
+	}
+	if choice.server == nil {
+		return p.wait(now, owner, want, ReasonBusy)
+	}
+	if left := want.deadline.Sub(now); choice.first > time.Duration(lateLimit*float64(left)) {
+		return p.wait(now, owner, want, ReasonTooLate)
+	}
+	return Granted{Owner: owner, Grant: b.place(now, owner, want, choice)}
+}
+
+// wait refuses a want that has waited for long enough, else lets it wait.
+func (p *pool) wait(now time.Time, owner Owner, want Want, reason Reason) Decision {
+	limit := time.Duration(patience * float64(want.objective.Sub(want.arrived)))
+	if now.Sub(want.arrived) < limit {
+		return nil
+	}
+	return Refused{Owner: owner, ID: want.id, Reason: reason, ComeBack: p.comeBack(now)}
+}
+
+// comeBack returns when a place is likely to be free.
+func (p *pool) comeBack(now time.Time) time.Duration {
+	least := time.Duration(-1)
+	for _, s := range p.order {
+		if s.usable && (least < 0 || s.backlog(now) < least) {
+			least = s.backlog(now)
+		}
+	}
+	return min(max(least, comeBackLeast), comeBackMost)
+}
+
+// enqueue puts a want behind those that go before it.
+func (p *pool) enqueue(w *waiting) {
+	at, _ := slices.BinarySearchFunc(p.queue, w, func(a, b *waiting) int {
+		if a.want.rank != b.want.rank {
+			return a.want.rank - b.want.rank
+		}
+		return a.want.objective.Compare(b.want.objective)
+	})
+	p.queue = slices.Insert(p.queue, at, w)
+}
+
+// open returns the servers that may get a request, those that were excluded if there are no others.
+func (p *pool) open(now time.Time, want Want) []*server {
+	var out, excluded []*server
+	for _, s := range p.order {
+		if !s.open(now) || !s.coldRoom(now, p.share) {
+			continue
+		}
+		if slices.Contains(want.exclude, s.info.ID()) {
+			excluded = append(excluded, s)
+			continue
+		}
+		out = append(out, s)
+	}
+	if len(out) == 0 {
+		return excluded
+	}
+	return out
+}
+
+// placement is a server for a request with its helpers, and the expected time to the first event.
+type placement struct {
+	server  *server
+	helpers []*server
+	first   time.Duration
+	why     string
+}
+
+// choosePlain returns the least loaded server of a plain service, one in the
+// failure domain of the entry among equals.
+func choosePlain(open []*server, want Want) placement {
+	var best *server
+	var bestScore float64
+	for _, s := range open {
+		if len(s.holds) >= s.slots() {
+			continue
+		}
+		score := float64(len(s.holds))/float64(s.slots()) + s.failureMean
+		if s.info.Domain() != want.domain {
+			score += 0.3
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return placement{server: best, why: "least loaded"}
+}
+
+// chooseEngine returns where a prompt is read and its answer written. Writers
+// are gathered on few servers, since a pass with one writer takes as long as
+// with many, and the others read quickly.
+func (p *pool) chooseEngine(now time.Time, open []*server, want Want) placement {
+	firsts := slices.Clone(open)
+	firsts = slices.DeleteFunc(firsts, func(s *server) bool {
+		return len(s.holds) >= s.slots() || s.memory+want.prompt+want.answer > s.engine.Memory()
+	})
+	slices.SortStableFunc(firsts, func(a, b *server) int { return len(b.holds) - len(a.holds) })
+	readers := p.readers(now, open)
+	target := time.Duration(firstTarget * float64(want.objective.Sub(now)))
+	var best placement
+	for _, s := range firsts {
+		choice := fewestHelpers(now, s, readers, want.prompt, target)
+		if choice.first <= target {
+			choice.why = "gathered"
+			return choice
+		}
+		if best.server == nil || choice.first < best.first {
+			best = choice
+			best.why = "soonest"
+		}
+	}
+	return best
+}
+
+// readers returns the servers that may help, the quickest first.
+func (p *pool) readers(now time.Time, open []*server) []*server {
+	readers := slices.Clone(open)
+	readers = slices.DeleteFunc(readers, func(s *server) bool {
+		return s.helping >= s.slots() || now.Before(s.coldUntil)
+	})
+	slices.SortStableFunc(readers, func(a, b *server) int {
+		if (a.writers > 0) != (b.writers > 0) {
+			if a.writers > 0 {
+				return 1
+			}
+			return -1
+		}
+		return a.readyAt.Compare(b.readyAt)
+	})
+	return readers
+}
+
+// fewestHelpers returns the placement with the fewest helpers that meets the
+// target, else the soonest.
+func fewestHelpers(now time.Time, s *server, readers []*server, prompt int, target time.Duration) placement {
+	var best placement
+	for _, count := range helperCounts {
+		helpers := make([]*server, 0, count)
+		for _, r := range readers {
+			if len(helpers) == count {
+				break
+			}
+			if r != s {
+				helpers = append(helpers, r)
+			}
+		}
+		if len(helpers) < count {
+			break
+		}
+		first := timeToFirst(now, s, helpers, prompt)
+		if best.server == nil || first < best.first {
+			best = placement{server: s, helpers: helpers, first: first}
+		}
+		if first <= target {
+			break
+		}
+	}
+	return best
+}
+
+// timeToFirst returns when a prompt that is read in even parts is read whole,
+// and one pass more in which the first tokens are written.
+func timeToFirst(now time.Time, s *server, helpers []*server, prompt int) time.Duration {
+	share := 1 / float64(1+len(helpers))
+	longest := s.backlog(now) + s.readCost(prompt, share)
+	for _, h := range helpers {
+		longest = max(longest, h.backlog(now)+h.readCost(prompt, share))
+	}
+	return longest + s.engine.StrideTime(s.writers+1, s.context+prompt)
+}
+
+// place enters a request on its servers.
+func (b *Book) place(now time.Time, owner Owner, want Want, choice placement) Grant {
+	s := choice.server
+	var helperIDs []string
+	var helpers []Helper
+	for _, helper := range choice.helpers {
+		helperIDs = append(helperIDs, helper.info.ID())
+		helpers = append(helpers, NewHelper(helper.info.ID(), helper.info.Address()))
+	}
+	h := &hold{
+		Hold:    NewHold(want.id, want.service, s.info.ID(), helperIDs, want.prompt, want.answer, false),
+		owner:   owner,
+		granted: now,
+	}
+	if s.engine != nil {
+		h.expect = now.Add(choice.first)
+		share := 1 / float64(1+len(choice.helpers))
+		for _, participant := range append([]*server{s}, choice.helpers...) {
+			cost := participant.readCost(want.prompt, share)
+			participant.readyAt = later(now, participant.readyAt).Add(cost)
+			h.parts = append(h.parts, part{server: participant, cost: cost})
+			if participant != s {
+				participant.helping++
+			}
+		}
+	}
+	if now.Before(s.coldUntil) {
+		s.coldSpent++
+	}
+	b.holds[want.id] = h
+	s.holds[want.id] = h
+	s.memory += want.prompt + want.answer
+	why := fmt.Sprintf("%s of %d, writers %d, backlog %dms", choice.why, len(b.pools[want.service].order), s.writers, s.backlog(now).Milliseconds())
+	return NewGrant(want.id, s.info.ID(), s.info.Address(), helpers, choice.first).WithWhy(now.Sub(want.arrived), why)
+}
--- /dev/null
+++ b/dispatch/server.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"time"
+
+	"greengagedock.example/routing"
+)
+
+const (
+	// haltFirst is how long a server gets nothing after one failure; it doubles with each further one.
+	haltFirst = 400 * time.Millisecond
+	// haltMost bounds the doubling: a little over three heartbeats, after which the list drops a dead server.
+	haltMost = 5 * time.Second
+	// haltSilent is how long a server gets nothing after it fell silent.
+	haltSilent = 2 * time.Second
+	// failureWeight is the weight of the newest outcome in the mean of failures.
+	failureWeight = 0.2
+	// failureLimit is the mean of failures from which a server is halted.
+	failureLimit = 0.4
+	// failedCost is how much a server's own 5xx counts as a failure: some calls fail by nature.
+	failedCost = 0.4
+	// coldShare is the part of a cold server's bearing that is given out: two
+	// keepers in doubt and the entries on their own stay under it together.
+	coldShare = 0.5
+)
+
+// server is what a book knows of one incarnation of a backend server.
+type server struct {
+	info   routing.Server
+	engine *routing.Engine
+	usable bool
+
+	holds   map[string]*hold
+	helping int
+	memory  int
+	writers int
+	context int
+	// readyAt is when the prompts that were given to the server are read.
+	readyAt time.Time
+
+	coldUntil time.Time
+	coldRate  float64
+	coldSpent float64
+	coldAt    time.Time
+
+	haltedUntil time.Time
+	failures    int
+	failureMean float64
+}
+
+// hold is a request on a server.
+type hold struct {
+	Hold
+	owner   Owner
+	granted time.Time
+	// expect is when the first event is expected, zero if unknown.
+	expect time.Time
+	parts  []part
+}
+
+// part is the reading that a request gave to a server.
+type part struct {
+	server *server
+	cost   time.Duration
+}
+
+// backlog returns the time until all prompts on the server are read.
+func (s *server) backlog(now time.Time) time.Duration {
+	return max(0, s.readyAt.Sub(now))
+}
+
+// readCost returns the time in which the server reads a share of a prompt: each
+// chunk takes a pass, and a pass with writers takes their steps besides.
+func (s *server) readCost(prompt int, share float64) time.Duration {
+	cost := s.engine.ReadTime(prompt, share)
+	if s.writers > 0 {
+		chunks := s.engine.Chunks(int(float64(prompt)*share + 0.5))
+		cost += time.Duration(chunks) * s.engine.StrideTime(s.writers, s.context)
+	}
+	return cost
+}
+
+// slots returns how many requests the server runs at once.
+func (s *server) slots() int {
+	if s.engine != nil && s.engine.Slots() > 0 {
+		return min(s.info.Slots(), s.engine.Slots())
+	}
+	return s.info.Slots()
+}
+
+// open reports whether the server may get another request now.
+func (s *server) open(now time.Time) bool {
+	if !s.usable || now.Before(s.haltedUntil) {
+		return false
+	}
+	// After failures one request at a time shows whether the server is back.
+	return s.failures == 0 || len(s.holds) == 0
+}
+
+// coldRoom reports whether a cold server's bearing allows a request now.
+func (s *server) coldRoom(now time.Time, share float64) bool {
+	if !now.Before(s.coldUntil) || s.coldRate <= 0 {
+		return true
+	}
+	rate := s.coldRate * coldShare * share
+	s.coldSpent = max(0, s.coldSpent-rate*now.Sub(s.coldAt).Seconds())
+	s.coldAt = now
+	return s.coldSpent < 1
+}
+
+// ended takes the outcome of a request on the server.
+func (s *server) ended(now time.Time, outcome Outcome) {
+	cost := 0.0
+	switch outcome {
+	case OutcomeLeft, OutcomeFull:
+		if outcome == OutcomeFull {
+			s.halt(now, haltFirst/4)
+		}
+		return
+	case OutcomeWhole:
+		s.failures = 0
+	case OutcomeFailed:
+		s.failures = 0
+		cost = failedCost
+	case OutcomeGone:
+		s.halt(now, haltMost)
+		return
+	case OutcomeUnsent, OutcomeBroken, OutcomeSilent:
+		cost = 1
+		s.failures++
+		pause := min(haltMost, haltFirst<<min(s.failures-1, 4))
+		if outcome == OutcomeSilent {
+			pause = max(pause, haltSilent)
+		}
+		s.halt(now, pause)
+	}
+	s.failureMean += failureWeight * (cost - s.failureMean)
+	if s.failureMean > failureLimit {
+		s.failureMean = failureLimit / 2
+		s.halt(now, haltMost)
+	}
+}
+
+func (s *server) halt(now time.Time, pause time.Duration) {
+	if until := now.Add(pause); until.After(s.haltedUntil) {
+		s.haltedUntil = until
+	}
+}
--- /dev/null
+++ b/gateway/message.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"time"
+
+	"greengagedock.example/dispatch"
+)
+
+// The kinds of calls between entries.
+const (
+	callBeat   = "beat"
+	callItems  = "items"
+	callPlace  = "place"
+	callEvents = "events"
+)
+
+// memberMessage is an entry as it tells of itself, or another tells of it.
+type memberMessage struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	ID          string
+	Incarnation uint64
+	Domain      string
+	Peers       string
+	Callers     string
+	State       memberState
+}
+
+// holdMessage is a request on a backend server.
+type holdMessage struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       string
+	Service  string
+	Server   string
+	Helpers  []string
+	Prompt   int
+	Answer   int
+	Started  bool
+}
+
+// beatMessage is a heartbeat, and the answer to one.
+type beatMessage struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	From     memberMessage
+	Revision int64
+	// Places lists the services that the receiver places, and Holds the
+	// sender's requests on their servers.
+	Places []string
+	Holds  []holdMessage
+	// Others are the entries that the sender hears.
+	Others []memberMessage
+}
+
+// itemsMessage asks for the items if the receiver's revision is above the one stated.
+type itemsMessage struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Revision int64
+}
+
+// itemMessage is one item of the store.
+type itemMessage struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Key      string
+	Revision int64
+	Value    []byte
+}
+
+// itemsReply holds all items of a revision, or none if it is not newer.
+type itemsReply struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Revision int64
+	Items    []itemMessage
+}
+
+// placeMessage asks for a place on a backend server. Times count from the
+// sending, since clocks differ.
+type placeMessage struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Entry       string
+	Incarnation uint64
+	ID          string
+	Service     string
+	Domain      string
+	Prompt      int
+	Answer      int
+	Rank        int
+	Age         time.Duration
+	ToObjective time.Duration
+	ToDeadline  time.Duration
+	Exclude     []string
+}
+
+// placeReply answers a placeMessage; neither Server nor Reason tells that the want waits.
+type placeReply struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Server   string
+	Address  string
+	Helpers  []helperMessage
+	First    time.Duration
+	Waited   time.Duration
+	Why      string
+	Reason   string
+	ComeBack time.Duration
+}
+
+type helperMessage struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Server   string
+	Address  string
+}
+
+// eventsMessage tells what became of places.
+type eventsMessage struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Entry       string
+	Incarnation uint64
+	Started     []string
+	Ended       []endMessage
+	Faults      []faultMessage
+	Withdrawn   []string
+}
+
+type endMessage struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       string
+	Outcome  dispatch.Outcome
+}
+
+type faultMessage struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Service  string
+	Address  string
+	Outcome  dispatch.Outcome
+}
+
+// emptyReply answers calls that need no answer.
+type emptyReply struct {
+	_msgpack struct{} `msgpack:",as_array"`
+}
+
+func encodeWant(owner dispatch.Owner, w dispatch.Want, now time.Time) placeMessage {
+	return placeMessage{
+		Entry: owner.Entry(), Incarnation: owner.Incarnation(),
+		ID: w.ID(), Service: w.Service(), Domain: w.Domain(), Prompt: w.Prompt(), Answer: w.Answer(), Rank: w.Rank(),
+		Age: now.Sub(w.Arrived()), ToObjective: w.Objective().Sub(now), ToDeadline: w.Deadline().Sub(now),
+		Exclude: w.Exclude(),
+	}
+}
+
+func (m placeMessage) decode(now time.Time) (dispatch.Owner, dispatch.Want) {
+	return dispatch.NewOwner(m.Entry, m.Incarnation), dispatch.NewWant(m.ID, m.Service).
+		WithDomain(m.Domain).
+		WithTokens(m.Prompt, m.Answer).
+		WithRank(m.Rank).
+		WithTimes(now.Add(-m.Age), now.Add(m.ToObjective), now.Add(m.ToDeadline)).
+		WithExclude(m.Exclude...)
+}
+
+func encodeDecision(d dispatch.Decision) placeReply {
+	switch d := d.(type) {
+	case dispatch.Granted:
+		reply := placeReply{
+			Server: d.Grant.Server(), Address: d.Grant.Address(),
+			First: d.Grant.First(), Waited: d.Grant.Waited(), Why: d.Grant.Why(),
+		}
+		for _, h := range d.Grant.Helpers() {
+			reply.Helpers = append(reply.Helpers, helperMessage{Server: h.Server(), Address: h.Address()})
+		}
+		return reply
+	case dispatch.Refused:
+		return placeReply{Reason: string(d.Reason), ComeBack: d.ComeBack}
+	default:
+		return placeReply{}
+	}
+}
+
+func (m placeReply) decode(owner dispatch.Owner, id string) dispatch.Decision {
+	switch {
+	case m.Server != "":
+		var helpers []dispatch.Helper
+		for _, h := range m.Helpers {
+			helpers = append(helpers, dispatch.NewHelper(h.Server, h.Address))
+		}
+		return dispatch.Granted{Owner: owner, Grant: dispatch.NewGrant(id, m.Server, m.Address, helpers, m.First).WithWhy(m.Waited, m.Why)}
+	case m.Reason != "":
+		return dispatch.Refused{Owner: owner, ID: id, Reason: dispatch.Reason(m.Reason), ComeBack: m.ComeBack}
+	default:
+		return dispatch.Queued{}
+	}
+}
+
+func encodeHold(h dispatch.Hold) holdMessage {
+	return holdMessage{ID: h.ID(), Service: h.Service(), Server: h.Server(), Helpers: h.Helpers(), Prompt: h.Prompt(), Answer: h.Answer(), Started: h.Started()}
+}
+
+func (m holdMessage) decode() dispatch.Hold {
+	return dispatch.NewHold(m.ID, m.Service, m.Server, m.Helpers, m.Prompt, m.Answer, m.Started)
+}
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,243 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"greengagedock.example/dispatch"
+	"greengagedock.example/mesh"
+)
+
+// errCall is the error of a call that an entry does not know or can't read.
+var errCall = eris.New("gateway: call refused")
+
+// handle carries out a call of another entry.
+func (c *control) handle(kind string, body []byte) (any, error) {
+	switch kind {
+	case callBeat:
+		return answerCall(body, c.handleBeat)
+	case callItems:
+		return answerCall(body, c.handleItems)
+	case callPlace:
+		return answerCall(body, c.handlePlace)
+	case callEvents:
+		return answerCall(body, c.handleEvents)
+	default:
+		return nil, eris.Wrapf(errCall, "unknown kind %q", kind)
+	}
+}
+
+// answerCall decodes a call and has it answered.
+func answerCall[Call, Reply any](body []byte, answer func(Call) (Reply, error)) (any, error) {
+	var call Call
+	if err := msgpack.Unmarshal(body, &call); err != nil {
+		return nil, eris.Wrap(errCall, err.Error())
+	}
+	return answer(call)
+}
+
+func (c *control) handleBeat(beat beatMessage) (beatMessage, error) {
+	var reply beatMessage
+	ok := c.do(func(now time.Time) {
+		c.takeBeat(now, beat)
+		owner := dispatch.NewOwner(beat.From.ID, beat.From.Incarnation)
+		if len(beat.Places) > 0 {
+			holds := make([]dispatch.Hold, 0, len(beat.Holds))
+			for _, h := range beat.Holds {
+				holds = append(holds, h.decode())
+			}
+			c.book.Declare(now, owner, beat.Places, holds)
+		}
+		reply = c.ownBeat(now, "")
+	})
+	if !ok {
+		return reply, eris.Wrap(errCall, "stopping")
+	}
+	return reply, nil
+}
+
+// takeBeat takes what a heartbeat, or the answer to one, says.
+func (c *control) takeBeat(now time.Time, beat beatMessage) {
+	if c.members.heard(now, beat.From) {
+		c.log.Info("entry heard", "entry", beat.From.ID, "incarnation", beat.From.Incarnation, "state", string(beat.From.State), "revision", beat.Revision)
+		c.book.Forget(now, beat.From.ID, beat.From.Incarnation)
+	}
+	for _, other := range beat.Others {
+		if c.members.told(other) {
+			c.log.Info("entry learned", "entry", other.ID, "from", beat.From.ID)
+		}
+	}
+	if beat.Revision > c.mirror.revision {
+		select {
+		case c.behind <- beat.From.Peers:
+		default: // one entry that is ahead is enough
+		}
+	}
+}
+
+// ownBeat returns this entry's heartbeat for the entry at the address.
+func (c *control) ownBeat(now time.Time, to string) beatMessage {
+	beat := beatMessage{From: c.members.self, Revision: c.mirror.revision}
+	for _, known := range c.members.audible(now, addressSilence) {
+		beat.Others = append(beat.Others, known.memberMessage)
+	}
+	if to == "" || c.mirror.table == nil {
+		return beat
+	}
+	placed := make(map[string]bool)
+	for _, service := range c.mirror.table.Services() {
+		if placer := c.members.placer(now, service); placer != nil && placer.Peers == to {
+			beat.Places = append(beat.Places, service)
+			placed[service] = true
+		}
+	}
+	if len(placed) == 0 {
+		return beat
+	}
+	for _, hold := range c.book.Holds(c.owner) {
+		if placed[hold.Service()] {
+			beat.Holds = append(beat.Holds, encodeHold(hold))
+		}
+	}
+	return beat
+}
+
+func (c *control) handleItems(call itemsMessage) (itemsReply, error) {
+	var reply itemsReply
+	ok := c.do(func(time.Time) {
+		if c.mirror.revision <= call.Revision {
+			return
+		}
+		reply.Revision = c.mirror.revision
+		for _, item := range c.mirror.all() {
+			reply.Items = append(reply.Items, itemMessage{Key: item.key, Revision: item.revision, Value: item.value})
+		}
+	})
+	if !ok {
+		return reply, eris.Wrap(errCall, "stopping")
+	}
+	return reply, nil
+}
+
+func (c *control) handlePlace(call placeMessage) (placeReply, error) {
+	owner, want := call.decode(c.timers.Now())
+	decision, err := c.place(context.Background(), owner, want)
+	if err != nil {
+		return placeReply{}, eris.Wrap(errCall, err.Error())
+	}
+	return encodeDecision(decision), nil
+}
+
+func (c *control) handleEvents(call eventsMessage) (emptyReply, error) {
+	c.do(func(now time.Time) {
+		for _, id := range call.Started {
+			c.book.Started(now, id)
+		}
+		for _, end := range call.Ended {
+			c.book.Ended(now, end.ID, end.Outcome)
+		}
+		for _, fault := range call.Faults {
+			c.book.Fault(now, fault.Service, fault.Address, fault.Outcome)
+		}
+		for _, id := range call.Withdrawn {
+			c.book.Withdraw(id)
+		}
+		for _, decision := range c.book.Tick(now) {
+			c.decided(decision)
+		}
+	})
+	return emptyReply{}, nil
+}
+
+// beats sends heartbeats until ctx ends.
+func (c *control) beats(ctx context.Context, client *mesh.Client) {
+	tick := c.timers.Every(beatInterval)
+	defer tick.Stop()
+	busy := make(map[string]chan struct{})
+	for {
+		var targets []string
+		c.do(func(time.Time) { targets = c.members.targets() })
+		for _, address := range targets {
+			if ended, ok := busy[address]; ok {
+				select {
+				case <-ended:
+				default:
+					continue // the last one is still under way
+				}
+			}
+			ended := make(chan struct{})
+			busy[address] = ended
+			go func() {
+				defer close(ended)
+				c.beat(ctx, client, address)
+			}()
+		}
+		select {
+		case <-tick.C():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// beat sends one heartbeat.
+func (c *control) beat(ctx context.Context, client *mesh.Client, address string) {
+	var beat, reply beatMessage
+	if !c.do(func(now time.Time) { beat = c.ownBeat(now, address) }) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	if err := client.Call(ctx, address, callBeat, beat, &reply); err != nil {
+		if ctx.Err() != nil {
+			client.Drop(address) // a connection that went silent is not used again
+		}
+		return
+	}
+	c.do(func(now time.Time) { c.takeBeat(now, reply) })
+}
+
+// catchUp fetches items from entries that are ahead until ctx ends.
+func (c *control) catchUp(ctx context.Context, client *mesh.Client) {
+	for {
+		select {
+		case address := <-c.behind:
+			c.fetch(ctx, client, address)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *control) fetch(ctx context.Context, client *mesh.Client, address string) {
+	// What the store itself is about to tell need not be fetched.
+	select {
+	case <-time.After(catchUpPause):
+	case <-ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	var reply itemsReply
+	if err := client.Call(ctx, address, callItems, itemsMessage{Revision: c.View().Revision()}, &reply); err != nil {
+		c.log.Warn("items not fetched", "entry", address, "error", err)
+		return
+	}
+	items := make([]Item, 0, len(reply.Items))
+	for _, item := range reply.Items {
+		items = append(items, NewItem(item.Key, item.Revision, item.Value))
+	}
+	c.do(func(now time.Time) {
+		if reply.Revision > 0 && c.mirror.replace(now, items, reply.Revision) {
+			c.log.Info("items fetched", "entry", address, "revision", reply.Revision, "items", len(items))
+			c.published(now)
+		}
+	})
+}
+
+// catchUpPause is how long an entry that is ahead is left unasked: the store's
+// usual answer and a round trip.
+const catchUpPause = 150 * time.Millisecond
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,112 @@
+package gateway
+
+import "time"
+
+// Settings are what one entry is told about itself.
+type Settings struct {
+	id          string
+	domain      string
+	region      string
+	callers     string
+	peers       string
+	directory   string
+	readiness   string
+	metrics     string
+	seeds       []string
+	grace       time.Duration
+	addressTTL  time.Duration
+	retryRatio  float64
+	retrySlack  int
+	retryWindow time.Duration
+	memory      int64
+	descriptors int
+}
+
+// NewSettings returns the settings of an entry in a failure domain of a region.
+func NewSettings(id, domain, region string) Settings {
+	return Settings{id: id, domain: domain, region: region}
+}
+
+// WithAddresses returns the settings with the IPs and ports on which the entry is heard.
+func (s Settings) WithAddresses(callers, peers, directory, readiness, metrics string) Settings {
+	s.callers, s.peers, s.directory, s.readiness, s.metrics = callers, peers, directory, readiness, metrics
+	return s
+}
+
+// WithSeeds returns the settings with the addresses of entries that know others.
+func (s Settings) WithSeeds(seeds ...string) Settings {
+	s.seeds = seeds
+	return s
+}
+
+// WithGrace returns the settings with the time between the signal to stop and the end.
+func (s Settings) WithGrace(grace time.Duration) Settings {
+	s.grace = grace
+	return s
+}
+
+// WithAddressTTL returns the settings with how long callers may keep an answer of the directory.
+func (s Settings) WithAddressTTL(ttl time.Duration) Settings {
+	s.addressTTL = ttl
+	return s
+}
+
+// WithRetries returns the settings with the bound on repeats of all entries together.
+func (s Settings) WithRetries(ratio float64, slack int, window time.Duration) Settings {
+	s.retryRatio, s.retrySlack, s.retryWindow = ratio, slack, window
+	return s
+}
+
+// WithResources returns the settings with the bytes of memory and the descriptors that the process may use.
+func (s Settings) WithResources(memory int64, descriptors int) Settings {
+	s.memory, s.descriptors = memory, descriptors
+	return s
+}
+
+// ID returns the entry's id.
+func (s Settings) ID() string { return s.id }
+
+// Domain returns the entry's failure domain.
+func (s Settings) Domain() string { return s.domain }
+
+// Region returns the entry's region.
+func (s Settings) Region() string { return s.region }
+
+// Callers returns the IP and port on which callers are heard.
+func (s Settings) Callers() string { return s.callers }
+
+// Peers returns the IP and port on which other entries are heard.
+func (s Settings) Peers() string { return s.peers }
+
+// Directory returns the IP and port that tells callers where to connect.
+func (s Settings) Directory() string { return s.directory }
+
+// Readiness returns the IP and port that tells whether the entry is ready.
+func (s Settings) Readiness() string { return s.readiness }
+
+// Metrics returns the IP and port of the metrics.
+func (s Settings) Metrics() string { return s.metrics }
+
+// Seeds returns the IPs and ports of entries that know others.
+func (s Settings) Seeds() []string { return s.seeds }
+
+// Grace returns the time between the signal to stop and the end.
+func (s Settings) Grace() time.Duration { return s.grace }
+
+// AddressTTL returns how long callers may keep an answer of the directory.
+func (s Settings) AddressTTL() time.Duration { return s.addressTTL }
+
+// RetryRatio returns the repeats that are allowed for each request.
+func (s Settings) RetryRatio() float64 { return s.retryRatio }
+
+// RetrySlack returns the repeats that are allowed besides.
+func (s Settings) RetrySlack() int { return s.retrySlack }
+
+// RetryWindow returns the time in which repeats are counted.
+func (s Settings) RetryWindow() time.Duration { return s.retryWindow }
+
+// Memory returns the bytes of memory that the process may use.
+func (s Settings) Memory() int64 { return s.memory }
+
+// Descriptors returns the file descriptors that the process may use.
+func (s Settings) Descriptors() int { return s.descriptors }
--- /dev/null
+++ b/ingress/ports.go
@@ -0,0 +1,74 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"greengagedock.example/dispatch"
+	"greengagedock.example/routing"
+)
+
+// Views tells what is published.
+type Views interface {
+	// View returns the newest view, never nil.
+	View() *routing.View
+	// Entries returns how many entries share the bounds on all of them.
+	Entries() int
+}
+
+// Slots hands out places on backend servers.
+type Slots interface {
+	// Acquire returns a place, or a Refusal.
+	Acquire(ctx context.Context, want dispatch.Want) (dispatch.Grant, error)
+	// Started tells that the first event of a request came.
+	Started(service, id string)
+	// Ended tells how a request ended.
+	Ended(service, id string, outcome dispatch.Outcome)
+	// Fault tells that a request failed through a server other than the one it went to.
+	Fault(service, address string, outcome dispatch.Outcome)
+}
+
+// Refusal tells that no place is to be had; the request has not run.
+type Refusal struct {
+	reason   dispatch.Reason
+	comeBack time.Duration
+}
+
+// NewRefusal returns a refusal with when to try again.
+func NewRefusal(reason dispatch.Reason, comeBack time.Duration) *Refusal {
+	return &Refusal{reason: reason, comeBack: comeBack}
+}
+
+// Error returns the reason.
+func (r *Refusal) Error() string { return "ingress: refused: " + string(r.reason) }
+
+// Reason returns why there is no place.
+func (r *Refusal) Reason() dispatch.Reason { return r.reason }
+
+// ComeBack returns when to try again.
+func (r *Refusal) ComeBack() time.Duration { return r.comeBack }
+
+// Recorder counts what became of requests.
+type Recorder interface {
+	// Ended takes a request's route kind, result and times; first is 0 without an answer.
+	Ended(kind routing.Kind, result Result, first, total time.Duration)
+}
+
+// Result says what became of a request.
+type Result string
+
+// The results.
+const (
+	// ResultServed: the server's answer was passed on whole.
+	ResultServed Result = "served"
+	// ResultRefused: it has not run.
+	ResultRefused Result = "refused"
+	// ResultInvalid: it is not allowed.
+	ResultInvalid Result = "invalid"
+	// ResultUnknown: it may have run, and there is no answer.
+	ResultUnknown Result = "unknown"
+	// ResultCut: its answer broke off.
+	ResultCut Result = "cut"
+	// ResultLeft: the caller left.
+	ResultLeft Result = "left"
+)
--- /dev/null
+++ b/ingress/send.go
@@ -0,0 +1,255 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"greengagedock.example/dispatch"
+	"greengagedock.example/routing"
+	"greengagedock.example/upstream"
+)
+
+// Errors of one send.
+var (
+	errSilent = eris.New("ingress: server fell silent")
+	errSpoilt = eris.New("ingress: answer broke off")
+	errNotRun = eris.New("ingress: server did not run the request")
+	errFailed = eris.New("ingress: server failed the request")
+)
+
+const (
+	// maxKeptBytes bounds an answer that is read whole before it is passed on.
+	maxKeptBytes = 256 << 10
+	// silentLeast is the least time for which a server's silence is borne.
+	silentLeast = 900 * time.Millisecond
+	// silentFactor is how many times the expected time a server may take.
+	silentFactor = 3
+	// silentPart is the part of the time left that a plain call may take
+	// before it is tried elsewhere.
+	silentPart = 0.5
+)
+
+// keptAnswer is a whole answer of a server.
+type keptAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// write passes the answer on.
+func (k *keptAnswer) write(w http.ResponseWriter) {
+	copyHeader(w.Header(), k.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(k.body)))
+	w.WriteHeader(k.status)
+	_, _ = w.Write(k.body) // the caller is gone if this fails
+}
+
+// copyHeader sets an answer's header and keeps net/http from adding a type of its own.
+func copyHeader(to, from http.Header) {
+	maps.Copy(to, from)
+	if from.Get("Content-Type") == "" {
+		to["Content-Type"] = nil
+	}
+}
+
+// send sends the request to the server of a grant and passes its answer on.
+func (q *request) send(ctx context.Context, grant dispatch.Grant) (dispatch.Outcome, error) {
+	q.lastSent = grant
+	now := q.server.timers.Now()
+	if q.sends == 1 {
+		q.server.budget.first(now, q.service.Name())
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := time.AfterFunc(q.patience(grant, now), func() { cancel(errSilent) })
+	defer watch.Stop()
+	delivery := upstream.NewDelivery(grant.Server(), q.account.Name(), q.limit.Sub(now)).WithLastEvent(q.lastEvent())
+	var helpers []string
+	for _, helper := range grant.Helpers() {
+		helpers = append(helpers, helper.Address())
+	}
+	answer, err := q.server.client.Send(ctx, grant.Address(), q.out, delivery.WithHelpers(helpers...))
+	if err != nil {
+		return sendOutcome(ctx, err), err
+	}
+	defer answer.Close()
+	if answer.Notice().NotRun() {
+		return q.notRun(grant, answer)
+	}
+	if q.route.Kind() == routing.KindStream && answer.Status() == http.StatusOK {
+		return q.stream(ctx, cancel, watch, grant, answer)
+	}
+	return q.passWhole(ctx, answer)
+}
+
+// patience returns how long the server may take to its first byte.
+func (q *request) patience(grant dispatch.Grant, now time.Time) time.Duration {
+	left := q.limit.Sub(now)
+	if !q.route.Repeatable() || q.ran+1 >= q.route.MaxSends() {
+		return left
+	}
+	if q.service.Engine() == nil {
+		return time.Duration(silentPart * float64(left))
+	}
+	return min(left, max(silentLeast, silentFactor*grant.First()))
+}
+
+func (q *request) lastEvent() string {
+	if q.events.last != "" {
+		return q.events.last
+	}
+	return q.order.lastEvent
+}
+
+// sendOutcome returns the outcome of a send without an answer.
+func sendOutcome(ctx context.Context, err error) dispatch.Outcome {
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		return dispatch.OutcomeUnsent
+	case errors.Is(context.Cause(ctx), errSilent):
+		return dispatch.OutcomeSilent
+	case ctx.Err() != nil:
+		return dispatch.OutcomeLeft
+	default:
+		return dispatch.OutcomeBroken
+	}
+}
+
+// notRun returns the outcome of a request that a server refused.
+func (q *request) notRun(grant dispatch.Grant, answer *upstream.Answer) (dispatch.Outcome, error) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxKeptBytes)) // a broken rest closes the connection
+	notice := answer.Notice()
+	outcome := dispatch.OutcomeFull
+	if notice.Misdirected() {
+		outcome = dispatch.OutcomeGone
+	}
+	err := eris.Wrapf(errNotRun, "status %d, at fault %q", answer.Status(), notice.Fault())
+	if fault := notice.Fault(); fault != "" && fault != grant.Address() {
+		q.server.slots.Fault(q.service.Name(), fault, dispatch.OutcomeUnsent)
+		return dispatch.OutcomeFull, err
+	}
+	return outcome, err
+}
+
+// passWhole reads an answer to its end and passes it on; an answer over
+// maxKeptBytes is passed on as it comes.
+func (q *request) passWhole(ctx context.Context, answer *upstream.Answer) (dispatch.Outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(answer, maxKeptBytes+1))
+	if err != nil {
+		return brokenOutcome(ctx), eris.Wrapf(errSpoilt, "%v", err)
+	}
+	q.first = q.server.timers.Now()
+	kept := &keptAnswer{status: answer.Status(), header: answer.Header(), body: body}
+	if len(body) > maxKeptBytes {
+		return q.passOn(answer, kept)
+	}
+	if answer.Status() >= http.StatusInternalServerError {
+		q.kept = kept
+		if q.route.Repeatable() {
+			return dispatch.OutcomeFailed, eris.Wrapf(errFailed, "status %d", answer.Status())
+		}
+	}
+	kept.write(q.w)
+	if kept.status >= http.StatusInternalServerError {
+		return dispatch.OutcomeFailed, nil
+	}
+	return dispatch.OutcomeWhole, nil
+}
+
+// passOn passes a long answer on as it comes.
+func (q *request) passOn(answer *upstream.Answer, begun *keptAnswer) (dispatch.Outcome, error) {
+	q.wrote = true
+	copyHeader(q.w.Header(), begun.header)
+	if answer.Length() >= 0 {
+		q.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length(), 10))
+	}
+	q.w.WriteHeader(begun.status)
+	if _, err := q.w.Write(begun.body); err != nil {
+		return dispatch.OutcomeLeft, err
+	}
+	if _, err := io.Copy(q.w, answer); err != nil {
+		return dispatch.OutcomeBroken, eris.Wrapf(errSpoilt, "%v", err)
+	}
+	return dispatch.OutcomeWhole, nil
+}
+
+func brokenOutcome(ctx context.Context) dispatch.Outcome {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return dispatch.OutcomeSilent
+	}
+	if ctx.Err() != nil {
+		return dispatch.OutcomeLeft
+	}
+	return dispatch.OutcomeBroken
+}
+
+// stream passes the events of an answer on as they come.
+func (q *request) stream(ctx context.Context, cancel context.CancelCauseFunc, watch *time.Timer, grant dispatch.Grant, answer *upstream.Answer) (dispatch.Outcome, error) {
+	if !q.wrote {
+		header := answer.Header()
+		copyHeader(q.w.Header(), header)
+	}
+	control := http.NewResponseController(q.w)
+	_ = control.SetWriteDeadline(q.limit.Add(endMargin)) // without it the caller's silence is borne longer
+	reader := newEventReader(answer)
+	pause := max(silentLeast, silentLeast+q.route.PauseObjective())
+	started := false
+	for {
+		event, err := reader.next()
+		if err == io.EOF {
+			return q.streamEnd(reader)
+		}
+		if err != nil {
+			return brokenOutcome(ctx), eris.Wrapf(errSpoilt, "after event %q: %v", q.events.last, err)
+		}
+		if !started {
+			started = true
+			q.server.slots.Started(q.service.Name(), grant.ID())
+			if q.first.IsZero() {
+				q.first = q.server.timers.Now()
+			}
+		}
+		if q.mayResume() {
+			watch.Reset(pause)
+		} else {
+			watch.Stop()
+		}
+		if !q.events.accept(event) {
+			continue
+		}
+		q.wrote = true
+		if _, err := q.w.Write(event.text); err != nil {
+			return dispatch.OutcomeLeft, fmt.Errorf("caller: %w", err)
+		}
+		if !reader.buffered() {
+			if err := control.Flush(); err != nil {
+				return dispatch.OutcomeLeft, fmt.Errorf("caller: %w", err)
+			}
+		}
+	}
+}
+
+// mayResume reports whether the stream may go on at one more server.
+func (q *request) mayResume() bool {
+	return q.route.Resumable() && q.ran+1 < q.route.MaxSends()
+}
+
+// streamEnd returns the outcome of a stream whose body ended whole.
+func (q *request) streamEnd(reader *eventReader) (dispatch.Outcome, error) {
+	if reader.partial() {
+		return dispatch.OutcomeBroken, eris.Wrap(errSpoilt, "ended within an event")
+	}
+	if !q.wrote {
+		q.wrote = true
+		q.w.WriteHeader(http.StatusOK)
+	}
+	return dispatch.OutcomeWhole, nil
+}
--- /dev/null
+++ b/ingress/server.go
@@ -0,0 +1,102 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"greengagedock.example/timer"
+	"greengagedock.example/upstream"
+)
+
+// ErrServer is the error that every failure of a Server wraps.
+var ErrServer = eris.New("ingress: server")
+
+const (
+	// maxHeaderBytes bounds a request's header until the configuration is read: net/http's own default is far above it.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout bounds the reading of a header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds an idle connection; callers reuse theirs for less than the configuration's bound.
+	idleTimeout = 30 * time.Second
+)
+
+// Server answers callers at one entry.
+type Server struct {
+	views    Views
+	slots    Slots
+	client   *upstream.Client
+	headers  Headers
+	recorder Recorder
+	log      hclog.Logger
+	timers   *timer.Service
+	budget   budget
+	bodies   bodies
+	http     *http.Server
+	open     atomic.Int64
+	serial   atomic.Uint64
+	leaving  atomic.Bool
+}
+
+// NewServer returns a server that routes by views, asks slots for places and sends through the client.
+func NewServer(views Views, slots Slots, client *upstream.Client, headers Headers, bound RetryBound, maxBodyMemory int64, recorder Recorder, log hclog.Logger, timers *timer.Service) *Server {
+	s := &Server{views: views, slots: slots, client: client, headers: headers, recorder: recorder, log: log, timers: timers}
+	s.budget.bound = bound
+	s.bodies.free.Store(maxBodyMemory)
+	s.http = &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	return s
+}
+
+// Open returns the number of open requests.
+func (s *Server) Open() int { return int(s.open.Load()) }
+
+// Serve answers callers on the listener until Shutdown, and then returns nil.
+func (s *Server) Serve(listener net.Listener) error {
+	if err := s.http.Serve(listener); err != http.ErrServerClosed {
+		return eris.Wrap(ErrServer, err.Error())
+	}
+	return nil
+}
+
+// Leave asks callers to close their connections with the next answer.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+	s.http.SetKeepAlivesEnabled(false)
+}
+
+// Shutdown closes the listeners and waits until no request is open or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.http.Close()
+		return eris.Wrapf(ErrServer, "%d requests open at the end: %v", s.open.Load(), err)
+	}
+	return nil
+}
+
+// ServeHTTP answers one request of a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	q := &request{server: s, w: w, r: r, began: s.timers.Now()}
+	q.serve()
+}
+
+// hostName returns a Host header's name without its port, in lower case.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,178 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"greengagedock.example/timer"
+)
+
+// Errors of requests that got no answer.
+var (
+	// ErrNotSent tells that no byte of the request left.
+	ErrNotSent = eris.New("upstream: not sent")
+	// ErrNoAnswer tells that the request may have run.
+	ErrNoAnswer = eris.New("upstream: no answer")
+
+	errStray = eris.New("upstream: answers to other requests only")
+)
+
+// maxIdlePerServer bounds the idle connections that are kept for one server.
+const maxIdlePerServer = 32
+
+// Client sends requests to backend servers.
+type Client struct {
+	headers Headers
+	timers  *timer.Service
+
+	mu   sync.Mutex
+	idle map[string][]*connection
+
+	opened atomic.Int64
+	reused atomic.Int64
+}
+
+// NewClient returns a client that states deliveries by headers.
+func NewClient(headers Headers, timers *timer.Service) *Client {
+	return &Client{headers: headers, timers: timers, idle: make(map[string][]*connection)}
+}
+
+// Opened returns how many connections were opened.
+func (c *Client) Opened() int64 { return c.opened.Load() }
+
+// Reused returns how many requests went over a kept connection.
+func (c *Client) Reused() int64 { return c.reused.Load() }
+
+// Answer is the answer of a backend server; Close must be called.
+type Answer struct {
+	client   *Client
+	conn     *connection
+	response *http.Response
+	notice   Notice
+	stop     func() bool
+	whole    bool
+	closed   bool
+}
+
+// Send sends the request to a server's address and returns its answer. The
+// connection is closed when ctx ends before the answer is closed.
+func (c *Client) Send(ctx context.Context, address string, r Request, d Delivery) (*Answer, error) {
+	conn := c.take(address, d.server)
+	if conn == nil {
+		var err error
+		if conn, err = dial(ctx, address, d.server); err != nil {
+			return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
+		}
+		c.opened.Add(1)
+	} else {
+		c.reused.Add(1)
+	}
+	stop := context.AfterFunc(ctx, func() { conn.net.Close() })
+	header := headerWithoutHops(r.header)
+	c.headers.EncodeRequest(header, d)
+	response, notice, err := conn.exchange(r, header, c.headers)
+	if err != nil {
+		stop()
+		conn.net.Close()
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return nil, eris.Wrapf(ErrNoAnswer, "%s: %v", address, err)
+	}
+	return &Answer{client: c, conn: conn, response: response, notice: notice, stop: stop}, nil
+}
+
+// Status returns the answer's status.
+func (a *Answer) Status() int { return a.response.StatusCode }
+
+// Header returns the answer's header without what concerns one connection.
+func (a *Answer) Header() http.Header { return headerWithoutHops(a.response.Header) }
+
+// Length returns the length of the body, -1 if unknown.
+func (a *Answer) Length() int64 { return a.response.ContentLength }
+
+// Notice returns what the headers say besides HTTP.
+func (a *Answer) Notice() Notice { return a.notice }
+
+// Read reads the body; io.EOF tells that it is whole.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.response.Body.Read(p)
+	if err == io.EOF {
+		a.whole = true
+	}
+	return n, err
+}
+
+// Close gives the connection back if the answer was read to its end, else closes it.
+func (a *Answer) Close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	kept := a.stop() && a.whole && !a.response.Close && a.conn.settled()
+	if !kept {
+		a.conn.net.Close()
+		return
+	}
+	if a.notice.keepAlive > 0 {
+		a.conn.keepFor = max(a.notice.keepAlive-idleMargin, 0)
+	}
+	a.client.put(a.conn)
+}
+
+// take returns the idle connection that was used last, nil without a usable one.
+func (c *Client) take(address, server string) *connection {
+	now := c.timers.Now()
+	for {
+		c.mu.Lock()
+		list := c.idle[server]
+		if len(list) == 0 {
+			c.mu.Unlock()
+			return nil
+		}
+		conn := list[len(list)-1]
+		c.idle[server] = list[:len(list)-1]
+		c.mu.Unlock()
+		if conn.net.RemoteAddr().String() == address && conn.fresh(now) {
+			return conn
+		}
+		conn.net.Close()
+	}
+}
+
+func (c *Client) put(conn *connection) {
+	conn.idleAt = c.timers.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[conn.server]) >= maxIdlePerServer {
+		conn.net.Close()
+		return
+	}
+	c.idle[conn.server] = append(c.idle[conn.server], conn)
+}
+
+// Sweep closes idle connections that are too old, and those of servers that keep refuses.
+func (c *Client) Sweep(keep func(server string) bool) {
+	now := c.timers.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for server, list := range c.idle {
+		kept := list[:0]
+		for _, conn := range list {
+			if keep(server) && now.Sub(conn.idleAt) < conn.keepFor {
+				kept = append(kept, conn)
+				continue
+			}
+			conn.net.Close()
+		}
+		c.idle[server] = kept
+		if len(kept) == 0 {
+			delete(c.idle, server)
+		}
+	}
+}
