Place prompts by the pauses that they cause

Cause: a pass reads up to a chunk for each of its steps, not one chunk: what a server reads delays all that it writes, and a writer hardly delays reading. Ruled out: the cost of a stride for each chunk (an empty fleet read 52,300 tokens in 600 ms beside a writer, which paused 470 ms). Change: a reading is placed where the pauses of the answers there stay on time.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -132,12 +132,18 @@
 	helpers []string
 	prompt  int
 	answer  int
+	pause   time.Duration
 	started bool
 }
 
-// NewHold returns a hold of the want with that id; started tells that its first event came.
-func NewHold(id, service, server string, helpers []string, prompt, answer int, started bool) Hold {
-	return Hold{id: id, service: service, server: server, helpers: helpers, prompt: prompt, answer: answer, started: started}
+// NewHold returns the hold of a want on a server and its helpers; its first event has not come.
+func NewHold(want Want, server string, helpers []string) Hold {
+	return RestoreHold(want.id, want.service, server, helpers, want.prompt, want.answer, want.pause, false)
+}
+
+// RestoreHold returns a hold as its owner tells of it.
+func RestoreHold(id, service, server string, helpers []string, prompt, answer int, pause time.Duration, started bool) Hold {
+	return Hold{id: id, service: service, server: server, helpers: helpers, prompt: prompt, answer: answer, pause: pause, started: started}
 }
 
 // ID returns the id of the want.
@@ -158,5 +164,8 @@
 // Answer returns the expected length of the answer in tokens.
 func (h Hold) Answer() int { return h.answer }
 
+// Pause returns the longest pause between events that is on time, 0 if any is.
+func (h Hold) Pause() time.Duration { return h.pause }
+
 // Started reports whether the first event has come.
 func (h Hold) Started() bool { return h.started }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -18,7 +18,7 @@
 	patience = 0.5
 	// firstTarget is the part of the time left to the objective in which a
 	// prompt is to be read; more helpers are taken to meet it.
-	firstTarget = 0.45
+	firstTarget = 0.4
 	// lateLimit is the part of the time left to the deadline by which the first event must come.
 	lateLimit = 0.6
 )
@@ -105,7 +105,9 @@
 	server  *server
 	helpers []*server
 	first   time.Duration
-	why     string
+	// borne tells that answers on all these servers stay on time.
+	borne bool
+	why   string
 }
 
 // choosePlain returns the least loaded server of a plain service, one in the
@@ -128,87 +130,104 @@
 	return placement{server: best, why: "least loaded"}
 }
 
-// chooseEngine returns where a prompt is read and its answer written. Writers
-// are gathered on few servers, since a pass with one writer takes as long as
-// with many, and the others read quickly.
+// chooseEngine returns where a prompt is read and its answer written. Answers
+// that bear pauses alike are gathered on few servers: a pass takes as long with
+// one writer as with many, and what others read delays all of them.
 func (p *pool) chooseEngine(now time.Time, open []*server, want Want) placement {
 	firsts := slices.Clone(open)
 	firsts = slices.DeleteFunc(firsts, func(s *server) bool {
 		return len(s.holds) >= s.slots() || s.memory+want.prompt+want.answer > s.engine.Memory()
 	})
-	slices.SortStableFunc(firsts, func(a, b *server) int { return len(b.holds) - len(a.holds) })
+	slices.SortStableFunc(firsts, func(a, b *server) int {
+		if order := affinity(a, want) - affinity(b, want); order != 0 {
+			return order
+		}
+		if order := len(b.holds) - len(a.holds); order != 0 {
+			return order
+		}
+		return a.readyAt.Compare(b.readyAt)
+	})
 	readers := p.readers(now, open)
 	target := time.Duration(firstTarget * float64(want.objective.Sub(now)))
-	var best placement
+	var best, soonest placement
 	for _, s := range firsts {
-		choice := fewestHelpers(now, s, readers, want.prompt, target)
-		if choice.first <= target {
-			choice.why = "gathered"
-			return choice
-		}
-		if best.server == nil || choice.first < best.first {
-			best = choice
-			best.why = "soonest"
+		for _, count := range helperCounts {
+			choice, ok := withHelpers(now, s, readers, want.prompt, count)
+			if !ok {
+				break
+			}
+			if soonest.server == nil || choice.first < soonest.first {
+				soonest = choice
+			}
+			if !choice.borne {
+				continue
+			}
+			if choice.first <= target {
+				choice.why = "gathered"
+				return choice
+			}
+			if best.server == nil || choice.first < best.first {
+				best = choice
+			}
 		}
 	}
-	return best
+	if best.server != nil {
+		best.why = "soonest"
+		return best
+	}
+	soonest.why = "soonest with long pauses"
+	return soonest
 }
 
-// readers returns the servers that may help, the quickest first.
+// affinity returns 0 for a server whose answers bear the same pauses, 1 for an
+// empty one and 2 for others.
+func affinity(s *server, want Want) int {
+	switch s.tolerance() {
+	case want.pause:
+		return 0
+	case 0:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// readers returns the servers that may help: those without answers first, the quickest first.
 func (p *pool) readers(now time.Time, open []*server) []*server {
 	readers := slices.Clone(open)
 	readers = slices.DeleteFunc(readers, func(s *server) bool {
 		return s.helping >= s.slots() || now.Before(s.coldUntil)
 	})
 	slices.SortStableFunc(readers, func(a, b *server) int {
-		if (a.writers > 0) != (b.writers > 0) {
-			if a.writers > 0 {
+		if (len(a.holds) > 0) != (len(b.holds) > 0) {
+			if len(a.holds) > 0 {
 				return 1
 			}
 			return -1
 		}
-		return a.readyAt.Compare(b.readyAt)
+		return later(now, a.readyAt).Compare(later(now, b.readyAt))
 	})
 	return readers
 }
 
-// fewestHelpers returns the placement with the fewest helpers that meets the
-// target, else the soonest.
-func fewestHelpers(now time.Time, s *server, readers []*server, prompt int, target time.Duration) placement {
-	var best placement
-	for _, count := range helperCounts {
-		helpers := make([]*server, 0, count)
-		for _, r := range readers {
-			if len(helpers) == count {
-				break
-			}
-			if r != s {
-				helpers = append(helpers, r)
-			}
-		}
-		if len(helpers) < count {
+// withHelpers returns the placement on a server with so many helpers, and
+// false if there are not so many.
+func withHelpers(now time.Time, s *server, readers []*server, prompt, count int) (placement, bool) {
+	share := 1 / float64(1+count)
+	cost := s.readCost(prompt, share)
+	choice := placement{server: s, first: s.backlog(now) + cost + s.stride(), borne: s.bears(now, cost)}
+	for _, r := range readers {
+		if len(choice.helpers) == count {
 			break
 		}
-		first := timeToFirst(now, s, helpers, prompt)
-		if best.server == nil || first < best.first {
-			best = placement{server: s, helpers: helpers, first: first}
-		}
-		if first <= target {
-			break
+		if r == s {
+			continue
 		}
+		choice.helpers = append(choice.helpers, r)
+		choice.first = max(choice.first, r.backlog(now)+cost+r.stride())
+		choice.borne = choice.borne && r.bears(now, cost)
 	}
-	return best
-}
-
-// timeToFirst returns when a prompt that is read in even parts is read whole,
-// and one pass more in which the first tokens are written.
-func timeToFirst(now time.Time, s *server, helpers []*server, prompt int) time.Duration {
-	share := 1 / float64(1+len(helpers))
-	longest := s.backlog(now) + s.readCost(prompt, share)
-	for _, h := range helpers {
-		longest = max(longest, h.backlog(now)+h.readCost(prompt, share))
-	}
-	return longest + s.engine.StrideTime(s.writers+1, s.context+prompt)
+	return choice, len(choice.helpers) == count
 }
 
 // place enters a request on its servers.
@@ -221,7 +240,7 @@
 		helpers = append(helpers, NewHelper(helper.info.ID(), helper.info.Address()))
 	}
 	h := &hold{
-		Hold:    NewHold(want.id, want.service, s.info.ID(), helperIDs, want.prompt, want.answer, false),
+		Hold:    NewHold(want, s.info.ID(), helperIDs),
 		owner:   owner,
 		granted: now,
 	}
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -19,6 +19,8 @@
 	failureLimit = 0.4
 	// failedCost is how much a server's own 5xx counts as a failure: some calls fail by nature.
 	failedCost = 0.4
+	// pausePart is the part of the shortest pause objective on a server that one pass may take.
+	pausePart = 0.8
 	// coldShare is the part of a cold server's bearing that is given out: two
 	// keepers in doubt and the entries on their own stay under it together.
 	coldShare = 0.5
@@ -69,15 +71,39 @@
 	return max(0, s.readyAt.Sub(now))
 }
 
-// readCost returns the time in which the server reads a share of a prompt: each
-// chunk takes a pass, and a pass with writers takes their steps besides.
+// readCost returns the time in which the server reads a share of a prompt.
 func (s *server) readCost(prompt int, share float64) time.Duration {
-	cost := s.engine.ReadTime(prompt, share)
-	if s.writers > 0 {
-		chunks := s.engine.Chunks(int(float64(prompt)*share + 0.5))
-		cost += time.Duration(chunks) * s.engine.StrideTime(s.writers, s.context)
+	return s.engine.ReadTime(prompt, share)
+}
+
+// stride returns the time of the steps that a pass takes besides its reading.
+func (s *server) stride() time.Duration {
+	if s.writers == 0 {
+		return 0
+	}
+	return s.engine.StrideTime(s.writers, s.context)
+}
+
+// tolerance returns the shortest pause that is on time for any request on the server, 0 if there is none.
+func (s *server) tolerance() time.Duration {
+	shortest := time.Duration(0)
+	for _, h := range s.holds {
+		if h.pause > 0 && (shortest == 0 || h.pause < shortest) {
+			shortest = h.pause
+		}
+	}
+	return shortest
+}
+
+// bears reports whether the server's answers stay on time while it reads so
+// much more: a pass reads all that waits, and its events come at its end.
+func (s *server) bears(now time.Time, cost time.Duration) bool {
+	tolerance := s.tolerance()
+	if tolerance == 0 {
+		return true
 	}
-	return cost
+	pass := s.backlog(now) + cost + s.engine.StrideTime(len(s.holds), s.memory)
+	return pass <= time.Duration(pausePart*float64(tolerance))
 }
 
 // slots returns how many requests the server runs at once.
--- a/dispatch/want.go
+++ b/dispatch/want.go
@@ -30,6 +30,7 @@
 	arrived   time.Time
 	objective time.Time
 	deadline  time.Time
+	pause     time.Duration
 	exclude   []string
 }
 
@@ -62,6 +63,12 @@
 	return w
 }
 
+// WithPause returns the want with the longest pause between events that is on time, 0 if any is.
+func (w Want) WithPause(pause time.Duration) Want {
+	w.pause = pause
+	return w
+}
+
 // WithExclude returns the want with the servers that are not to be used.
 func (w Want) WithExclude(servers ...string) Want {
 	w.exclude = servers
@@ -95,5 +102,8 @@
 // Deadline returns the time by which an answer must have ended.
 func (w Want) Deadline() time.Time { return w.deadline }
 
+// Pause returns the longest pause between events that is on time, 0 if any is.
+func (w Want) Pause() time.Duration { return w.pause }
+
 // Exclude returns the servers that are not to be used.
 func (w Want) Exclude() []string { return w.exclude }
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -34,6 +34,7 @@
 	Helpers  []string
 	Prompt   int
 	Answer   int
+	Pause    time.Duration
 	Started  bool
 }
 
@@ -86,6 +87,7 @@
 	Age         time.Duration
 	ToObjective time.Duration
 	ToDeadline  time.Duration
+	Pause       time.Duration
 	Exclude     []string
 }
 
@@ -142,7 +144,7 @@
 		Entry: owner.Entry(), Incarnation: owner.Incarnation(),
 		ID: w.ID(), Service: w.Service(), Domain: w.Domain(), Prompt: w.Prompt(), Answer: w.Answer(), Rank: w.Rank(),
 		Age: now.Sub(w.Arrived()), ToObjective: w.Objective().Sub(now), ToDeadline: w.Deadline().Sub(now),
-		Exclude: w.Exclude(),
+		Pause: w.Pause(), Exclude: w.Exclude(),
 	}
 }
 
@@ -152,6 +154,7 @@
 		WithTokens(m.Prompt, m.Answer).
 		WithRank(m.Rank).
 		WithTimes(now.Add(-m.Age), now.Add(m.ToObjective), now.Add(m.ToDeadline)).
+		WithPause(m.Pause).
 		WithExclude(m.Exclude...)
 }
 
@@ -189,9 +192,9 @@
 }
 
 func encodeHold(h dispatch.Hold) holdMessage {
-	return holdMessage{ID: h.ID(), Service: h.Service(), Server: h.Server(), Helpers: h.Helpers(), Prompt: h.Prompt(), Answer: h.Answer(), Started: h.Started()}
+	return holdMessage{ID: h.ID(), Service: h.Service(), Server: h.Server(), Helpers: h.Helpers(), Prompt: h.Prompt(), Answer: h.Answer(), Pause: h.Pause(), Started: h.Started()}
 }
 
 func (m holdMessage) decode() dispatch.Hold {
-	return dispatch.NewHold(m.ID, m.Service, m.Server, m.Helpers, m.Prompt, m.Answer, m.Started)
+	return dispatch.RestoreHold(m.ID, m.Service, m.Server, m.Helpers, m.Prompt, m.Answer, m.Pause, m.Started)
 }
--- a/gateway/slots.go
+++ b/gateway/slots.go
@@ -101,7 +101,7 @@
 	for _, h := range grant.Helpers() {
 		helpers = append(helpers, h.Server())
 	}
-	hold := dispatch.NewHold(want.ID(), want.Service(), grant.Server(), helpers, want.Prompt(), want.Answer(), false)
+	hold := dispatch.NewHold(want, grant.Server(), helpers)
 	s.control.do(func(now time.Time) { s.control.book.Adopt(now, s.control.owner, hold) })
 }
 
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -64,7 +65,19 @@
 
 // events holds the place in a stream that several servers may write.
 type events struct {
-	last string
+	last    string
+	count   int
+	at      time.Time
+	longest time.Duration
+}
+
+// passed counts an event that is passed on and remembers the longest pause.
+func (e *events) passed(now time.Time) {
+	if e.count > 0 {
+		e.longest = max(e.longest, now.Sub(e.at))
+	}
+	e.count++
+	e.at = now
 }
 
 // accept reports whether an event is new to the caller, and remembers its id.
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -226,6 +226,7 @@
 		WithTokens(q.order.prompt, answer).
 		WithRank(rank).
 		WithTimes(q.began, q.began.Add(q.route.Objective()), q.limit).
+		WithPause(q.route.PauseObjective()).
 		WithExclude(q.exclude...)
 }
 
@@ -311,6 +312,9 @@
 	if !q.first.IsZero() {
 		line = append(line, "first", q.first.Sub(q.began))
 	}
+	if q.events.count > 0 {
+		line = append(line, "events", q.events.count, "longest_pause", q.events.longest)
+	}
 	q.server.log.Info(what, append(line, pairs...)...)
 }
 
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -28,8 +28,9 @@
 const (
 	// maxKeptBytes bounds an answer that is read whole before it is passed on.
 	maxKeptBytes = 256 << 10
-	// silentLeast is the least time for which a server's silence is borne.
-	silentLeast = 900 * time.Millisecond
+	// silentLeast is the least time for which a server's silence is borne: a
+	// pass over a full engine's reading, and less than callers bear.
+	silentLeast = 1250 * time.Millisecond
 	// silentFactor is how many times the expected time a server may take.
 	silentFactor = 3
 	// silentPart is the part of the time left that a plain call may take
@@ -99,7 +100,7 @@
 	if q.service.Engine() == nil {
 		return time.Duration(silentPart * float64(left))
 	}
-	return min(left, max(silentLeast, silentFactor*grant.First()))
+	return min(left, silentLeast+silentFactor*grant.First())
 }
 
 func (q *request) lastEvent() string {
@@ -200,7 +201,7 @@
 	control := http.NewResponseController(q.w)
 	_ = control.SetWriteDeadline(q.limit.Add(endMargin)) // without it the caller's silence is borne longer
 	reader := newEventReader(answer)
-	pause := max(silentLeast, silentLeast+q.route.PauseObjective())
+	pause := silentLeast + q.route.PauseObjective()
 	started := false
 	for {
 		event, err := reader.next()
@@ -225,6 +226,7 @@
 		if !q.events.accept(event) {
 			continue
 		}
+		q.events.passed(q.server.timers.Now())
 		q.wrote = true
 		if _, err := q.w.Write(event.text); err != nil {
 			return dispatch.OutcomeLeft, fmt.Errorf("caller: %w", err)
