Keep engines that read for themselves from reading for others

Cause: an engine reads parts for others before its own prompts, so a prompt on a server that helps waited behind parts that came after it; callers had left. Change: a server with an unread prompt helps nobody; a first event that would come after the caller has left is not promised; watches are asked anew apart.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -19,8 +19,9 @@
 	// firstTarget is the part of the time left to the objective in which a
 	// prompt is to be read; more helpers are taken to meet it.
 	firstTarget = 0.4
-	// lateLimit is the part of the time left to the deadline by which the first event must come.
-	lateLimit = 0.6
+	// firstPart is the part of the time left to a want's first event that the
+	// expected time may take: expectations are short by up to a pass.
+	firstPart = 0.8
 )
 
 // helperCounts are the numbers of helpers that are tried, in order.
@@ -44,7 +45,7 @@
 	if choice.server == nil {
 		return p.wait(now, owner, want, ReasonBusy)
 	}
-	if left := want.deadline.Sub(now); choice.first > time.Duration(lateLimit*float64(left)) {
+	if left := want.firstBy.Sub(now); choice.first > time.Duration(firstPart*float64(left)) {
 		return p.wait(now, owner, want, ReasonTooLate)
 	}
 	return Granted{Owner: owner, Grant: b.place(now, owner, want, choice)}
@@ -192,11 +193,13 @@
 	}
 }
 
-// readers returns the servers that may help: those without answers first, the quickest first.
+// readers returns the servers that may help: those without answers first, the
+// quickest first. An engine reads parts for others before its own prompts, so
+// one that still reads a prompt of its own does not help.
 func (p *pool) readers(now time.Time, open []*server) []*server {
 	readers := slices.Clone(open)
 	readers = slices.DeleteFunc(readers, func(s *server) bool {
-		return s.helping >= s.slots() || now.Before(s.coldUntil)
+		return s.helping >= s.slots() || now.Before(s.coldUntil) || s.writers < len(s.holds)
 	})
 	slices.SortStableFunc(readers, func(a, b *server) int {
 		if (len(a.holds) > 0) != (len(b.holds) > 0) {
--- a/dispatch/want.go
+++ b/dispatch/want.go
@@ -30,6 +30,7 @@
 	arrived   time.Time
 	objective time.Time
 	deadline  time.Time
+	firstBy   time.Time
 	pause     time.Duration
 	exclude   []string
 }
@@ -63,6 +64,12 @@
 	return w
 }
 
+// WithFirstBy returns the want with the time by which its first event must come, or the caller leaves.
+func (w Want) WithFirstBy(firstBy time.Time) Want {
+	w.firstBy = firstBy
+	return w
+}
+
 // WithPause returns the want with the longest pause between events that is on time, 0 if any is.
 func (w Want) WithPause(pause time.Duration) Want {
 	w.pause = pause
@@ -102,6 +109,9 @@
 // Deadline returns the time by which an answer must have ended.
 func (w Want) Deadline() time.Time { return w.deadline }
 
+// FirstBy returns the time by which the first event must come, or the caller leaves.
+func (w Want) FirstBy() time.Time { return w.firstBy }
+
 // Pause returns the longest pause between events that is on time, 0 if any is.
 func (w Want) Pause() time.Duration { return w.pause }
 
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -87,6 +87,7 @@
 	Age         time.Duration
 	ToObjective time.Duration
 	ToDeadline  time.Duration
+	ToFirst     time.Duration
 	Pause       time.Duration
 	Exclude     []string
 }
@@ -144,7 +145,7 @@
 		Entry: owner.Entry(), Incarnation: owner.Incarnation(),
 		ID: w.ID(), Service: w.Service(), Domain: w.Domain(), Prompt: w.Prompt(), Answer: w.Answer(), Rank: w.Rank(),
 		Age: now.Sub(w.Arrived()), ToObjective: w.Objective().Sub(now), ToDeadline: w.Deadline().Sub(now),
-		Pause: w.Pause(), Exclude: w.Exclude(),
+		ToFirst: w.FirstBy().Sub(now), Pause: w.Pause(), Exclude: w.Exclude(),
 	}
 }
 
@@ -154,6 +155,7 @@
 		WithTokens(m.Prompt, m.Answer).
 		WithRank(m.Rank).
 		WithTimes(now.Add(-m.Age), now.Add(m.ToObjective), now.Add(m.ToDeadline)).
+		WithFirstBy(now.Add(m.ToFirst)).
 		WithPause(m.Pause).
 		WithExclude(m.Exclude...)
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// watchWait is how long one call waits for changes. Each call has a price;
-	// a shorter wait finds a silent connection sooner.
-	watchWait = 10 * time.Second
+	// watchWaitEach, for each entry, is how long one call waits for changes: a
+	// watch may go deaf, and some entry must soon ask anew. Each call has a price.
+	watchWaitEach  = 300 * time.Millisecond
+	watchWaitLeast = 1500 * time.Millisecond
+	watchWaitMost  = 8 * time.Second
 	// retryLeast and retryMost bound the pause after a failed read.
 	retryLeast = 150 * time.Millisecond
 	retryMost  = 1200 * time.Millisecond
@@ -62,7 +64,7 @@
 	if revision == 0 {
 		items, next, err = source.List(ctx)
 	} else {
-		wait := watchWait
+		wait := c.watchWait()
 		if outage {
 			wait = time.Millisecond // tells at once that the store is back
 		}
@@ -85,6 +87,14 @@
 	return next, nil
 }
 
+// watchWait returns how long the next call waits; chance keeps entries apart.
+func (c *control) watchWait() time.Duration {
+	audible := 0
+	c.do(func(now time.Time) { audible = len(c.members.audible(now, addressSilence)) })
+	wait := min(max(watchWaitLeast, time.Duration(audible+1)*watchWaitEach), watchWaitMost)
+	return wait/2 + rand.N(wait)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -23,6 +23,11 @@
 	retryAfterUnready = 300 * time.Millisecond
 	// maxSends bounds the sends of one request that did not run.
 	maxSends = 4
+	// A caller leaves a stream after a gap of leastPatience, or of so many
+	// objectives or pause objectives, whichever is longest (the platform's pages).
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4
+	pausePatience     = 8
 	// usualTime bounds a request for which neither caller nor route states a time.
 	usualTime = 30 * time.Second
 )
@@ -226,10 +231,27 @@
 		WithTokens(q.order.prompt, answer).
 		WithRank(rank).
 		WithTimes(q.began, q.began.Add(q.route.Objective()), q.limit).
+		WithFirstBy(q.firstBy()).
 		WithPause(q.route.PauseObjective()).
 		WithExclude(q.exclude...)
 }
 
+// firstBy returns when the caller leaves if no event has come.
+func (q *request) firstBy() time.Time {
+	if q.route.Kind() != routing.KindStream {
+		return q.limit
+	}
+	bears := max(leastPatience, objectivePatience*q.route.Objective(), pausePatience*q.route.PauseObjective())
+	from := q.began
+	if q.events.count > 0 {
+		from = q.events.at
+	}
+	if by := from.Add(bears); by.Before(q.limit) {
+		return by
+	}
+	return q.limit
+}
+
 // giveUp gives the final answer of a request that no server answered.
 func (q *request) giveUp(ctx context.Context, err error) {
 	if q.r.Context().Err() != nil {
