--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -131,13 +131,13 @@
 	if slices.ContainsFunc(p.queue, func(w *waiting) bool { return w.want.id == want.id }) {
 		return Queued{}
 	}
-	if decision := b.decide(now, p, owner, want); decision != nil {
+	if decision := b.decide(now, p, owner, want, len(p.queue) > 0); decision != nil {
 		return decision
 	}
 	if len(p.queue) >= maxQueue {
 		return Refused{Owner: owner, ID: want.id, Reason: ReasonBusy, ComeBack: p.comeBack(now)}
 	}
-	p.enqueue(&waiting{owner: owner, want: want})
+	p.queue = append(p.queue, &waiting{owner: owner, want: want})
 	return Queued{}
 }
 
@@ -155,10 +155,11 @@
 		if len(p.queue) == 0 {
 			continue
 		}
+		p.arrange(now)
 		queue := p.queue
 		p.queue = nil
 		for _, w := range queue {
-			decision := b.decide(now, p, w.owner, w.want)
+			decision := b.decide(now, p, w.owner, w.want, false)
 			if decision == nil {
 				p.queue = append(p.queue, w)
 				continue
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
+
+	"greengagedock.example/routing"
 )
 
 const (
@@ -14,8 +17,19 @@
 	comeBackMost  = 2 * time.Second
 	// maxHelpers is how many servers a model engine lets read parts of one prompt.
 	maxHelpers = 16
-	// patience is the part of the objective for which a want may wait in the queue.
-	patience = 0.5
+	// plainPatience is the part of the objective for which a plain call may wait.
+	plainPatience = 0.5
+	// usualShare is the part of a prompt that one of its readers usually reads.
+	usualShare = 0.125
+	// freeBacklog is the reading that a server may still have before it when a
+	// prompt is given to several: engines read what they have side by side, so
+	// what waits is kept in the book, which knows the order.
+	freeBacklog = 100 * time.Millisecond
+	// hurryAfter is the part of the objective after which a want takes a place
+	// that is on time though it misses the target.
+	hurryAfter = 0.12
+	// onTimePart is the part of the time left to the objective that the expected time may take.
+	onTimePart = 0.9
 	// firstTarget is the part of the time left to the objective in which a
 	// prompt is to be read; more helpers are taken to meet it.
 	firstTarget = 0.4
@@ -27,8 +41,9 @@
 // helperCounts are the numbers of helpers that are tried, in order.
 var helperCounts = []int{0, 1, 2, 3, 5, 7, 10, 13, maxHelpers}
 
-// decide returns the decision on a want, nil to let it wait.
-func (b *Book) decide(now time.Time, p *pool, owner Owner, want Want) Decision {
+// decide returns the decision on a want, nil to let it wait. With alone the
+// want may take no helpers, since others wait for them.
+func (b *Book) decide(now time.Time, p *pool, owner Owner, want Want, alone bool) Decision {
 	if !now.Before(want.deadline) {
 		return Refused{Owner: owner, ID: want.id, Reason: ReasonTooLate, ComeBack: p.comeBack(now)}
 	}
@@ -40,26 +55,62 @@
 	if p.service.Engine() == nil {
 		choice = choosePlain(open, want)
 	} else {
-		choice = p.chooseEngine(now, open, want)
+		choice = p.chooseEngine(now, open, want, alone)
 	}
 	if choice.server == nil {
 		return p.wait(now, owner, want, ReasonBusy)
 	}
-	if left := want.firstBy.Sub(now); choice.first > time.Duration(firstPart*float64(left)) {
-		return p.wait(now, owner, want, ReasonTooLate)
-	}
 	return Granted{Owner: owner, Grant: b.place(now, owner, want, choice)}
 }
 
-// wait refuses a want that has waited for long enough, else lets it wait.
+// wait refuses a want that has no time left to wait, else lets it wait.
 func (p *pool) wait(now time.Time, owner Owner, want Want, reason Reason) Decision {
-	limit := time.Duration(patience * float64(want.objective.Sub(want.arrived)))
-	if now.Sub(want.arrived) < limit {
+	if now.Before(want.patience(p.service.Engine())) {
 		return nil
 	}
 	return Refused{Owner: owner, ID: want.id, Reason: reason, ComeBack: p.comeBack(now)}
 }
 
+// patience returns until when a want may wait for a place.
+func (w Want) patience(engine *routing.Engine) time.Time {
+	if engine == nil {
+		return w.arrived.Add(time.Duration(plainPatience * float64(w.objective.Sub(w.arrived))))
+	}
+	soonest := engine.ReadTime(w.prompt, 1.0/(1+maxHelpers)) + engine.StrideTime(1, w.prompt)
+	bears := w.firstBy.Sub(w.arrived)
+	return w.arrived.Add(time.Duration(firstPart*float64(bears)) - soonest)
+}
+
+// late reports whether a want can't meet its objective any more.
+func (w Want) late(now time.Time, engine *routing.Engine) bool {
+	return now.Add(engine.ReadTime(w.prompt, 1.0/(1+maxHelpers))).After(w.objective)
+}
+
+// response returns the ratio by which waiting prolongs a want's reading; the
+// highest goes first, so that short prompts pass long ones for a while only.
+func (w Want) response(now time.Time, engine *routing.Engine) float64 {
+	reading := max(float64(engine.ReadTime(w.prompt, usualShare)), float64(time.Millisecond))
+	return 1 + float64(now.Sub(w.arrived))/reading
+}
+
+// arrange sorts the wants that wait: first those that can be on time, by rank
+// and then by response ratio.
+func (p *pool) arrange(now time.Time) {
+	engine := p.service.Engine()
+	slices.SortStableFunc(p.queue, func(a, b *waiting) int {
+		if engine == nil {
+			return cmp.Or(a.want.rank-b.want.rank, a.want.arrived.Compare(b.want.arrived))
+		}
+		if aLate, bLate := a.want.late(now, engine), b.want.late(now, engine); aLate != bLate {
+			if aLate {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(a.want.rank-b.want.rank, cmp.Compare(b.want.response(now, engine), a.want.response(now, engine)))
+	})
+}
+
 // comeBack returns when a place is likely to be free.
 func (p *pool) comeBack(now time.Time) time.Duration {
 	least := time.Duration(-1)
@@ -71,17 +122,6 @@
 	return min(max(least, comeBackLeast), comeBackMost)
 }
 
-// enqueue puts a want behind those that go before it.
-func (p *pool) enqueue(w *waiting) {
-	at, _ := slices.BinarySearchFunc(p.queue, w, func(a, b *waiting) int {
-		if a.want.rank != b.want.rank {
-			return a.want.rank - b.want.rank
-		}
-		return a.want.objective.Compare(b.want.objective)
-	})
-	p.queue = slices.Insert(p.queue, at, w)
-}
-
 // open returns the servers that may get a request, those that were excluded if there are no others.
 func (p *pool) open(now time.Time, want Want) []*server {
 	var out, excluded []*server
@@ -134,32 +174,26 @@
 // chooseEngine returns where a prompt is read and its answer written. Answers
 // that bear pauses alike are gathered on few servers: a pass takes as long with
 // one writer as with many, and what others read delays all of them.
-func (p *pool) chooseEngine(now time.Time, open []*server, want Want) placement {
+func (p *pool) chooseEngine(now time.Time, open []*server, want Want, alone bool) placement {
 	firsts := slices.Clone(open)
 	firsts = slices.DeleteFunc(firsts, func(s *server) bool {
 		return len(s.holds) >= s.slots() || s.memory+want.prompt+want.answer > s.engine.Memory()
 	})
 	slices.SortStableFunc(firsts, func(a, b *server) int {
-		if order := affinity(a, want) - affinity(b, want); order != 0 {
-			return order
-		}
-		if order := len(b.holds) - len(a.holds); order != 0 {
-			return order
-		}
-		return a.readyAt.Compare(b.readyAt)
+		return cmp.Or(affinity(a, want)-affinity(b, want), len(b.holds)-len(a.holds), a.readyAt.Compare(b.readyAt))
 	})
 	readers := p.readers(now, open)
-	target := time.Duration(firstTarget * float64(want.objective.Sub(now)))
-	var best, soonest placement
+	target, acceptable := want.targets(now)
+	var best placement
 	for _, s := range firsts {
 		for _, count := range helperCounts {
+			if count > 0 && (alone || s.backlog(now) > freeBacklog) {
+				break
+			}
 			choice, ok := withHelpers(now, s, readers, want.prompt, count)
 			if !ok {
 				break
 			}
-			if soonest.server == nil || choice.first < soonest.first {
-				soonest = choice
-			}
 			if !choice.borne {
 				continue
 			}
@@ -167,17 +201,29 @@
 				choice.why = "gathered"
 				return choice
 			}
-			if best.server == nil || choice.first < best.first {
+			if choice.first <= acceptable && (best.server == nil || choice.first < best.first) {
 				best = choice
+				best.why = "soonest"
 			}
 		}
 	}
-	if best.server != nil {
-		best.why = "soonest"
-		return best
+	return best
+}
+
+// targets returns the expected time to the first event that a placement is to
+// meet, and that which is acceptable once the want has waited a little.
+func (w Want) targets(now time.Time) (target, acceptable time.Duration) {
+	left := w.objective.Sub(now)
+	target = time.Duration(firstTarget * float64(left))
+	if left <= 0 {
+		late := time.Duration(firstPart * float64(w.firstBy.Sub(now)))
+		return 0, late
+	}
+	whole := w.objective.Sub(w.arrived)
+	if now.Sub(w.arrived) >= time.Duration(hurryAfter*float64(whole)) {
+		acceptable = time.Duration(onTimePart * float64(left))
 	}
-	soonest.why = "soonest with long pauses"
-	return soonest
+	return target, acceptable
 }
 
 // affinity returns 0 for a server whose answers bear the same pauses, 1 for an
@@ -199,7 +245,7 @@
 func (p *pool) readers(now time.Time, open []*server) []*server {
 	readers := slices.Clone(open)
 	readers = slices.DeleteFunc(readers, func(s *server) bool {
-		return s.helping >= s.slots() || now.Before(s.coldUntil) || s.writers < len(s.holds)
+		return s.helping >= s.slots() || now.Before(s.coldUntil) || s.writers < len(s.holds) || s.backlog(now) > freeBacklog
 	})
 	slices.SortStableFunc(readers, func(a, b *server) int {
 		if (len(a.holds) > 0) != (len(b.holds) > 0) {
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -196,7 +196,7 @@
 			return grant, err
 		}
 		q.server.log.Info("placed", "id", q.id, "send", q.sends, "service", q.service.Name(), "server", grant.Server(),
-			"helpers", len(grant.Helpers()), "prompt", want.Prompt(), "expected", grant.First(), "waited", grant.Waited(), "why", grant.Why(),
+			"helpers", helperIDs(grant), "prompt", want.Prompt(), "expected", grant.First(), "waited", grant.Waited(), "why", grant.Why(),
 			"revision", q.server.views.View().Revision())
 		if q.usable(grant) {
 			return grant, nil
@@ -209,6 +209,15 @@
 	}
 }
 
+// helperIDs returns the ids of a grant's helpers, separated by commas.
+func helperIDs(grant dispatch.Grant) string {
+	var ids []string
+	for _, helper := range grant.Helpers() {
+		ids = append(ids, helper.Server())
+	}
+	return strings.Join(ids, ",")
+}
+
 // usable reports whether all servers of a grant may still get work.
 func (q *request) usable(grant dispatch.Grant) bool {
 	view := q.server.views.View()
