--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -122,7 +122,10 @@
 // Ask decides on a want; it is asked again with the same id while it is queued.
 func (b *Book) Ask(now time.Time, owner Owner, want Want) Decision {
 	if h := b.holds[want.id]; h != nil {
-		return Granted{Owner: owner, Grant: b.grantOf(h)}
+		if grant, ok := b.grantOf(h); ok {
+			return Granted{Owner: owner, Grant: grant}
+		}
+		b.release(now, h)
 	}
 	p := b.pools[want.service]
 	if p == nil {
@@ -199,7 +202,7 @@
 // unhelp frees the helpers of a request whose prompt is read.
 func (b *Book) unhelp(h *hold) {
 	for _, part := range h.parts {
-		if part.server.info.ID() != h.server {
+		if part.server != h.on {
 			part.server.helping--
 		}
 	}
@@ -234,15 +237,12 @@
 // release takes a request off its servers.
 func (b *Book) release(now time.Time, h *hold) {
 	delete(b.holds, h.id)
-	s := b.serverOf(h)
-	if s == nil {
-		return
-	}
 	for _, part := range h.parts {
 		part.server.readyAt = later(now, part.server.readyAt.Add(-part.cost))
 	}
 	b.unhelp(h)
-	if s.holds[h.id] == nil {
+	s := b.serverOf(h)
+	if s == nil {
 		return
 	}
 	delete(s.holds, h.id)
@@ -260,12 +260,16 @@
 	return a
 }
 
+// serverOf returns the server that a request is on, nil if that incarnation is gone.
 func (b *Book) serverOf(h *hold) *server {
 	p := b.pools[h.service]
 	if p == nil {
 		return nil
 	}
-	return p.servers[h.server]
+	if s := p.servers[h.server]; s != nil && s.holds[h.id] == h {
+		return s
+	}
+	return nil
 }
 
 // Declare takes all requests that an owner has on the servers of some services;
@@ -298,8 +302,8 @@
 	}
 	started := d.started
 	d.started = false
-	h := &hold{Hold: d, owner: owner, granted: now}
 	s := p.servers[d.server]
+	h := &hold{Hold: d, owner: owner, granted: now, on: s}
 	b.holds[d.id] = h
 	s.holds[d.id] = h
 	s.memory += d.prompt + d.answer
@@ -342,13 +346,18 @@
 	return n
 }
 
-func (b *Book) grantOf(h *hold) Grant {
+// grantOf returns the grant of a request that is asked for again, and false if
+// its server is gone.
+func (b *Book) grantOf(h *hold) (Grant, bool) {
 	s := b.serverOf(h)
+	if s == nil {
+		return Grant{}, false
+	}
 	var helpers []Helper
 	for _, part := range h.parts {
 		if part.server != s {
 			helpers = append(helpers, NewHelper(part.server.info.ID(), part.server.info.Address()))
 		}
 	}
-	return NewGrant(h.id, h.server, s.info.Address(), helpers, max(0, h.expect.Sub(h.granted)))
+	return NewGrant(h.id, h.server, s.info.Address(), helpers, max(0, h.expect.Sub(h.granted))), true
 }
--- /dev/null
+++ b/dispatch/book_test.go
@@ -0,0 +1,286 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagedock.example/routing"
+)
+
+// testEngine has the figures of an engine that reads 154 tokens in a
+// millisecond and writes 34 tokens in a pass.
+var testEngine = routing.NewEngine(16, 405_000).
+	WithWriting(1310*time.Microsecond, time.Microsecond, 2*time.Microsecond, 34).
+	WithReading(time.Second/154_000, 162*time.Microsecond, 2048).
+	WithUsualAnswer(1266)
+
+// fleet is a book with servers of one engine service, "llm", and one plain service, "desk".
+type fleet struct {
+	book  *Book
+	now   time.Time
+	owner Owner
+}
+
+func newFleet(engines, plain int) *fleet {
+	f := &fleet{book: NewBook(), now: time.Unix(1000, 0), owner: NewOwner("entry-1", 1)}
+	f.publish(f.servers(engines, plain)...)
+	return f
+}
+
+func (f *fleet) servers(engines, plain int) []routing.Server {
+	var out []routing.Server
+	for i := range engines {
+		out = append(out, routing.NewServer(fmt.Sprintf("e%02d", i), "llm", fmt.Sprintf("10.0.0.%d:1", i), "a", 16))
+	}
+	for i := range plain {
+		out = append(out, routing.NewServer(fmt.Sprintf("p%02d", i), "desk", fmt.Sprintf("10.0.1.%d:1", i), "a", 6))
+	}
+	return out
+}
+
+func (f *fleet) publish(servers ...routing.Server) {
+	table := routing.NewTable(1, nil, []routing.Service{
+		routing.NewService("llm").WithEngine(testEngine).WithCold(3*time.Second, 26),
+		routing.NewService("desk"),
+	}, nil, routing.Limits{})
+	byID := make(map[string]routing.Server)
+	for _, s := range servers {
+		byID[s.ID()] = s
+	}
+	f.book.SetView(f.now, routing.NewView(1, table, byID, nil))
+}
+
+// prompt returns a want of a kind with the given objective and pause.
+func (f *fleet) prompt(id string, tokens int, objective, pause time.Duration) Want {
+	return NewWant(id, "llm").WithTokens(tokens, 1266).WithPause(pause).
+		WithTimes(f.now, f.now.Add(objective), f.now.Add(15*time.Second)).
+		WithFirstBy(f.now.Add(max(2*time.Second, 4*objective, 8*pause)))
+}
+
+func (f *fleet) short(id string, tokens int) Want {
+	return f.prompt(id, tokens, 300*time.Millisecond, 250*time.Millisecond)
+}
+
+func (f *fleet) long(id string, tokens int) Want {
+	return f.prompt(id, tokens, 3*time.Second, time.Second)
+}
+
+func (f *fleet) call(id string) Want {
+	return NewWant(id, "desk").WithTimes(f.now, f.now.Add(300*time.Millisecond), f.now.Add(time.Second)).WithFirstBy(f.now.Add(time.Second))
+}
+
+// granted asks and returns the grant, failing the test without one.
+func (f *fleet) granted(c *qt.C, want Want) Grant {
+	c.Helper()
+	decision, ok := f.book.Ask(f.now, f.owner, want).(Granted)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("want %s not granted", want.ID()))
+	return decision.Grant
+}
+
+// Pattern: short prompts alone. Their answers are gathered on one server, since
+// a pass takes as long with one writer as with many.
+func TestShortAnswersAreGathered(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(4, 0)
+	used := make(map[string]int)
+	for i := range 16 {
+		id := fmt.Sprint(i)
+		used[f.granted(c, f.short(id, 2000)).Server()]++
+		f.now = f.now.Add(50 * time.Millisecond)
+		f.book.Started(f.now, id)
+	}
+	c.Assert(used, qt.HasLen, 1)
+	f.granted(c, f.short("one more", 2000))
+	c.Assert(f.book.holds["one more"].server, qt.Not(qt.Equals), f.book.holds["0"].server)
+}
+
+// Pattern: a long prompt beside short answers. It is not read where they are
+// written: a pass would pause them for longer than is on time.
+func TestLongPromptIsReadAwayFromShortAnswers(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(6, 0)
+	short := f.granted(c, f.short("short", 2000))
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.book.Started(f.now, "short")
+	grant := f.granted(c, f.long("long", 182_000))
+	c.Assert(grant.Server(), qt.Not(qt.Equals), short.Server())
+	for _, helper := range grant.Helpers() {
+		c.Assert(helper.Server(), qt.Not(qt.Equals), short.Server())
+	}
+}
+
+// Pattern: one long prompt on an idle fleet. It is split so that its first
+// event is on time, which one server alone can't do.
+func TestLongPromptIsSplitToMeetItsObjective(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(12, 0)
+	alone := testEngine.ReadTime(182_000, 1)
+	c.Assert(alone > 3*time.Second, qt.IsTrue)
+	grant := f.granted(c, f.long("long", 182_000))
+	c.Assert(len(grant.Helpers()) >= 2, qt.IsTrue)
+	c.Assert(grant.First() <= 3*time.Second/2, qt.IsTrue, qt.Commentf("first after %v", grant.First()))
+}
+
+// Pattern: a burst of long prompts. What does not fit waits in the book, not in
+// the engines, which read all that they have side by side.
+func TestBurstOfLongPromptsWaitsInTheBook(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(8, 0)
+	for i := range 10 {
+		f.book.Ask(f.now, f.owner, f.long(fmt.Sprint(i), 182_000))
+	}
+	c.Assert(f.book.Waiting() > 0, qt.IsTrue)
+	for _, s := range f.book.pools["llm"].order {
+		c.Assert(s.backlog(f.now) < 3*time.Second, qt.IsTrue, qt.Commentf("%s has %v to read", s.info.ID(), s.backlog(f.now)))
+	}
+}
+
+// Pattern: a server that still reads a prompt of its own gets no part of
+// another's, which it would read first.
+func TestReaderOfItsOwnPromptDoesNotHelp(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(8, 0)
+	first := f.granted(c, f.long("first", 100_000))
+	second := f.granted(c, f.long("second", 100_000))
+	for _, helper := range second.Helpers() {
+		c.Assert(helper.Server(), qt.Not(qt.Equals), first.Server())
+	}
+}
+
+// Pattern: more long prompts than the fleet reads. Those that can still be on
+// time go before those that can't, and each ends granted or refused while its
+// caller is there.
+func TestOverloadRefusesBeforeCallersLeave(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(3, 0)
+	began := f.now
+	const count = 40
+	ended := make(map[string]bool)
+	for i := range count {
+		id := fmt.Sprint(i)
+		if _, queued := f.book.Ask(f.now, f.owner, f.long(id, 182_000)).(Queued); !queued {
+			ended[id] = true
+		}
+	}
+	for f.now.Sub(began) < 12*time.Second {
+		f.now = f.now.Add(25 * time.Millisecond)
+		for _, decision := range f.book.Tick(f.now) {
+			switch d := decision.(type) {
+			case Granted:
+				ended[d.Grant.ID()] = true
+			case Refused:
+				ended[d.ID] = true
+				c.Assert(d.ComeBack > 0, qt.IsTrue)
+			}
+		}
+	}
+	c.Assert(ended, qt.HasLen, count)
+	c.Assert(f.book.Waiting(), qt.Equals, 0)
+}
+
+func TestReleaseGivesAllBack(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(8, 2)
+	for i := range 30 {
+		f.book.Ask(f.now, f.owner, f.long(fmt.Sprint("l", i), 150_000))
+		f.book.Ask(f.now, f.owner, f.call(fmt.Sprint("c", i)))
+	}
+	for i := range 30 {
+		if i%2 == 0 {
+			f.book.Started(f.now, fmt.Sprint("l", i))
+		}
+		f.book.Ended(f.now, fmt.Sprint("l", i), OutcomeWhole)
+		f.book.Ended(f.now, fmt.Sprint("c", i), OutcomeWhole)
+		f.book.Withdraw(fmt.Sprint("l", i))
+		f.book.Withdraw(fmt.Sprint("c", i))
+	}
+	c.Assert(f.book.holds, qt.HasLen, 0)
+	for _, p := range f.book.pools {
+		for _, s := range p.order {
+			c.Assert(s.holds, qt.HasLen, 0)
+			c.Assert([]int{s.helping, s.memory, s.writers, s.context}, qt.DeepEquals, []int{0, 0, 0, 0})
+		}
+	}
+}
+
+// A cold server gets no more in any second than the bearing allows, whoever asks.
+func TestColdServerIsSpared(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(0, 0)
+	f.publish(routing.NewServer("cold", "llm", "10.0.0.1:1", "a", 16).WithCold(10*time.Second).WithIncarnation(5, 9))
+	var times []time.Time
+	for i := range 400 {
+		id := fmt.Sprint(i)
+		if _, ok := f.book.Ask(f.now, f.owner, f.short(id, 10)).(Granted); ok {
+			times = append(times, f.now)
+			f.book.Ended(f.now, id, OutcomeWhole)
+		}
+		f.book.Withdraw(id)
+		f.now = f.now.Add(10 * time.Millisecond)
+	}
+	c.Assert(len(times) > 0, qt.IsTrue)
+	for i, from := range times {
+		within := 0
+		for _, at := range times[i:] {
+			if at.Sub(from) < time.Second {
+				within++
+			}
+		}
+		c.Assert(within <= 26, qt.IsTrue, qt.Commentf("%d in a second", within))
+	}
+}
+
+func TestServerThatFailsIsSpared(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(0, 2)
+	first := f.granted(c, f.call("1"))
+	f.book.Ended(f.now, "1", OutcomeSilent)
+	for i := range 6 {
+		c.Assert(f.granted(c, f.call(fmt.Sprint("n", i))).Server(), qt.Not(qt.Equals), first.Server())
+	}
+}
+
+// Events of an owner may be lost: its declarations correct the book.
+func TestDeclareCorrectsTheBook(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(2, 0)
+	f.granted(c, f.short("lost", 1000))
+	kept := f.granted(c, f.short("kept", 1000))
+	f.now = f.now.Add(undeclaredGrace + time.Millisecond)
+	f.book.Declare(f.now, f.owner, []string{"llm"}, []Hold{
+		RestoreHold("kept", "llm", kept.Server(), nil, 1000, 1266, 0, true),
+		RestoreHold("unknown", "llm", "e01", nil, 500, 1266, 0, false),
+	})
+	c.Assert(f.book.holds["lost"], qt.IsNil)
+	c.Assert(f.book.holds["kept"].started, qt.IsTrue)
+	c.Assert(f.book.holds["unknown"], qt.IsNotNil)
+	f.book.Forget(f.now, "entry-1", 0)
+	c.Assert(f.book.holds, qt.HasLen, 0)
+}
+
+// A server published anew under its id is another incarnation and holds nothing.
+func TestNewIncarnationHoldsNothing(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(0, 0)
+	f.publish(routing.NewServer("s", "desk", "10.0.0.1:1", "a", 6).WithIncarnation(1, 1))
+	f.granted(c, f.call("1"))
+	f.publish(routing.NewServer("s", "desk", "10.0.0.1:1", "a", 6).WithIncarnation(2, 2))
+	c.Assert(f.book.pools["desk"].servers["s"].holds, qt.HasLen, 0)
+	f.book.Ended(f.now, "1", OutcomeBroken)
+	f.granted(c, f.call("2"))
+}
+
+func TestLeavingServerGetsNothing(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(0, 0)
+	f.publish(routing.NewServer("s", "desk", "10.0.0.1:1", "a", 6).WithLeaving(true))
+	_, queued := f.book.Ask(f.now, f.owner, f.call("1")).(Queued)
+	c.Assert(queued, qt.IsTrue)
+	f.now = f.now.Add(time.Second)
+	decisions := f.book.Tick(f.now)
+	c.Assert(decisions, qt.HasLen, 1)
+	c.Assert(decisions[0].(Refused).Reason, qt.Equals, ReasonTooLate)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -291,6 +291,7 @@
 	h := &hold{
 		Hold:    NewHold(want, s.info.ID(), helperIDs),
 		owner:   owner,
+		on:      s,
 		granted: now,
 	}
 	if s.engine != nil {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -54,6 +54,7 @@
 type hold struct {
 	Hold
 	owner   Owner
+	on      *server
 	granted time.Time
 	// expect is when the first event is expected, zero if unknown.
 	expect time.Time
--- /dev/null
+++ b/ingress/fake_test.go
@@ -0,0 +1,230 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"greengagedock.example/dispatch"
+	"greengagedock.example/routing"
+	"greengagedock.example/timer"
+	"greengagedock.example/upstream"
+)
+
+// fakeHeaders has names of its own for what callers and servers state.
+type fakeHeaders struct{}
+
+func (fakeHeaders) DecodeRequest(header http.Header) (Order, error) {
+	order := NewOrder(header.Get("Id")).WithKey(header.Get("Key")).WithLastEvent(header.Get("After"))
+	if text := header.Get("Left"); text != "" {
+		left, err := time.ParseDuration(text)
+		if err != nil {
+			return Order{}, err
+		}
+		order = order.WithTimeLeft(left)
+	}
+	return order, nil
+}
+
+func (fakeHeaders) EncodeRequest(header http.Header, d upstream.Delivery) {
+	header.Del("Key")
+	header.Set("Account", d.Account())
+	header.Set("After", d.LastEvent())
+}
+
+func (fakeHeaders) DecodeAnswer(status int, header http.Header) upstream.Notice {
+	n := upstream.NewNotice(header.Get("Id"))
+	if header.Get("Not-Run") != "" {
+		n = n.WithNotRun(false, "")
+	}
+	return n
+}
+
+// backend is a server that writes what its script says; each step is one
+// request's answer, and the connection ends after it.
+type backend struct {
+	address string
+
+	mu       sync.Mutex
+	requests []string
+}
+
+// hang as a step leaves the request unanswered until the caller goes.
+const hang = "hang"
+
+func newBackend(c *qt.C, steps ...string) *backend {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	b := &backend{address: listener.Addr().String()}
+	go func() {
+		for i := 0; ; i++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			step := ""
+			if i < len(steps) {
+				step = steps[i]
+			}
+			go b.serve(conn, step)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(conn net.Conn, step string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	r, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	b.mu.Lock()
+	b.requests = append(b.requests, fmt.Sprintf("%s %s account=%s after=%s body=%s", r.Method, r.RequestURI, r.Header.Get("Account"), r.Header.Get("After"), body))
+	b.mu.Unlock()
+	if step == hang {
+		_, _ = reader.ReadByte() // returns when the connection is closed
+		return
+	}
+	fmt.Fprint(conn, strings.ReplaceAll(step, "ID", r.Header.Get("Id")))
+}
+
+func (b *backend) seen() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.requests...)
+}
+
+// whole returns an answer with a body.
+func whole(status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nId: ID\r\nSeal: s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+const refused = "HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// streamed returns a streamed answer of raw text; ended tells whether its end comes.
+func streamed(text string, ended bool) string {
+	out := "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Type: text/event-stream\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+	out += fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+	if ended {
+		out += "0\r\n\r\n"
+	}
+	return out
+}
+
+// fakeSlots grants the given backends in turn.
+type fakeSlots struct {
+	mu       sync.Mutex
+	backends []*backend
+	next     int
+	refusal  *Refusal
+	outcomes []dispatch.Outcome
+}
+
+func (s *fakeSlots) Acquire(ctx context.Context, want dispatch.Want) (dispatch.Grant, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next >= len(s.backends) {
+		if s.refusal != nil {
+			return dispatch.Grant{}, s.refusal
+		}
+		return dispatch.Grant{}, NewRefusal(dispatch.ReasonBusy, 700*time.Millisecond)
+	}
+	b := s.backends[s.next]
+	s.next++
+	return dispatch.NewGrant(want.ID(), fmt.Sprint("s", s.next), b.address, nil, 0), nil
+}
+
+func (s *fakeSlots) Started(string, string) {}
+
+func (s *fakeSlots) Ended(_, _ string, outcome dispatch.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcomes = append(s.outcomes, outcome)
+}
+
+func (s *fakeSlots) Fault(string, string, dispatch.Outcome) {}
+
+// fakeViews shows one table and any server.
+type fakeViews struct{ view *routing.View }
+
+func (v fakeViews) View() *routing.View { return v.view }
+func (v fakeViews) Entries() int        { return 1 }
+
+type noRecorder struct{}
+
+func (noRecorder) Ended(routing.Kind, Result, time.Duration, time.Duration) {}
+
+// bed is a server with its routes, backends and callers.
+type bed struct {
+	c     *qt.C
+	slots *fakeSlots
+	http  *httptest.Server
+}
+
+func newBed(t *testing.T, backends ...*backend) *bed {
+	c := qt.New(t)
+	route := func(prefix string, kind routing.Kind) routing.Route {
+		return routing.NewRoute(prefix, "h.example", prefix, kind).
+			WithTimes(2*time.Second, 300*time.Millisecond, 250*time.Millisecond).
+			WithMaxSends(2).WithTargets(routing.NewTarget("desk", 1))
+	}
+	table := routing.NewTable(3, []routing.Route{
+		route("/once/", routing.KindOnce),
+		route("/again/", routing.KindIdempotent),
+		route("/stream/", routing.KindStream).WithResumable(true),
+		route("/stream/fixed/", routing.KindStream),
+		route("/public/", routing.KindOnce).WithPublic(true),
+	}, []routing.Service{routing.NewService("desk")}, map[string]routing.Account{"k1": routing.NewAccount("team", -1)},
+		routing.NewLimits(0, 1000, 0, 0))
+	return newBedOf(c, table, backends...)
+}
+
+func newBedOf(c *qt.C, table *routing.Table, backends ...*backend) *bed {
+	servers := make(map[string]routing.Server)
+	for i := range backends {
+		id := fmt.Sprint("s", i+1)
+		servers[id] = routing.NewServer(id, "desk", "", "a", 6)
+	}
+	timers := &timer.Service{}
+	b := &bed{c: c, slots: &fakeSlots{backends: backends}}
+	client := upstream.NewClient(fakeHeaders{}, timers)
+	server := NewServer(fakeViews{routing.NewView(1, table, servers, nil)}, b.slots, client, fakeHeaders{},
+		NewRetryBound(0.2, 100, 10*time.Second), 1<<20, noRecorder{}, hclog.NewNullLogger(), timers)
+	b.http = httptest.NewServer(server)
+	c.Cleanup(b.http.Close)
+	return b
+}
+
+// request returns a request of a caller with a key.
+func (b *bed) request(method, path, body string) *http.Request {
+	r, err := http.NewRequest(method, b.http.URL+path, strings.NewReader(body))
+	b.c.Assert(err, qt.IsNil)
+	r.Host = "h.example"
+	r.Header.Set("Id", "a1")
+	r.Header.Set("Key", "k1")
+	return r
+}
+
+// do sends a request; err is that of reading the body.
+func (b *bed) do(r *http.Request) (*http.Response, string, error) {
+	b.c.Helper()
+	response, err := http.DefaultClient.Do(r)
+	b.c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,104 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func serve(c *qt.C, handler Handler) (address string, server *Server) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server = NewServer(handler)
+	go func() { _ = server.Serve(listener) }()
+	c.Cleanup(func() {
+		listener.Close()
+		server.Close()
+	})
+	return listener.Addr().String(), server
+}
+
+func TestCallsAreAnsweredInAnyOrder(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	address, _ := serve(c, func(kind string, body []byte) (any, error) {
+		if kind == "slow" {
+			<-release
+		}
+		return kind, nil
+	})
+	var client Client
+	var waiting sync.WaitGroup
+	var slow string
+	var slowErr error
+	waiting.Go(func() { slowErr = client.Call(context.Background(), address, "slow", 1, &slow) })
+	var quick string
+	c.Assert(client.Call(context.Background(), address, "quick", 1, &quick), qt.IsNil)
+	c.Assert(quick, qt.Equals, "quick")
+	close(release)
+	waiting.Wait()
+	c.Assert(slowErr, qt.IsNil)
+	c.Assert(slow, qt.Equals, "slow")
+}
+
+func TestRefusedCall(t *testing.T) {
+	c := qt.New(t)
+	address, _ := serve(c, func(string, []byte) (any, error) { return nil, errors.New("no") })
+	var client Client
+	err := client.Call(context.Background(), address, "any", 1, new(string))
+	c.Assert(err, qt.ErrorIs, ErrRefused)
+}
+
+func TestLostConnectionEndsCallsAndIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	server := NewServer(func(string, []byte) (any, error) { return "ok", nil })
+	defer server.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		// The call has arrived when its first byte has.
+		_, _ = conn.Read(make([]byte, 1))
+		conn.Close()
+		_ = server.Serve(listener)
+	}()
+	var client Client
+	var reply string
+	c.Assert(client.Call(context.Background(), listener.Addr().String(), "any", 1, &reply), qt.ErrorIs, ErrUnreachable)
+	c.Assert(client.Call(context.Background(), listener.Addr().String(), "any", 1, &reply), qt.IsNil)
+	c.Assert(reply, qt.Equals, "ok")
+}
+
+func TestCallEndsWithItsContext(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	address, _ := serve(c, func(string, []byte) (any, error) {
+		<-release
+		return nil, nil
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	var client Client
+	c.Assert(client.Call(ctx, address, "any", 1, new(string)), qt.ErrorIs, ErrUnreachable)
+}
+
+func TestUnreachableEntryIsNotDialledAtOnceAgain(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := listener.Addr().String()
+	listener.Close()
+	var client Client
+	c.Assert(client.Call(context.Background(), address, "any", 1, new(string)), qt.ErrorMatches, ".*refused.*")
+	c.Assert(client.Call(context.Background(), address, "any", 1, new(string)), qt.ErrorMatches, ".*lately not reached.*")
+}
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,240 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagedock.example/timer"
+)
+
+// testHeaders names attempts "Attempt" and states nothing else.
+type testHeaders struct{}
+
+func (testHeaders) EncodeRequest(header http.Header, d Delivery) {
+	header.Set("To", d.Server())
+}
+
+func (testHeaders) DecodeAnswer(status int, header http.Header) Notice {
+	n := NewNotice(header.Get("Attempt"))
+	if header.Get("Refused") != "" {
+		n = n.WithNotRun(false, "")
+	}
+	return n
+}
+
+// rawServer answers each request on its connections by writing what answer
+// returns; an empty text closes the connection.
+type rawServer struct {
+	address     string
+	connections atomic.Int64
+}
+
+func newRawServer(c *qt.C, answer func(number int, r *http.Request, body string) string) *rawServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	s := &rawServer{address: listener.Addr().String()}
+	var number atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(r.Body)
+					text := answer(int(number.Add(1)), r, string(body))
+					if text == "" {
+						return
+					}
+					fmt.Fprint(conn, text)
+					if strings.Contains(text, "Connection: close") {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func answerText(attempt, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: %d\r\n\r\n%s", attempt, len(body), body)
+}
+
+func send(c *qt.C, client *Client, address, attempt string) (string, error) {
+	c.Helper()
+	r := NewRequest(attempt, http.MethodPost, "/a//b?x=%2f", "h.example", http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Kept": {"1"}}, []byte("in"))
+	answer, err := client.Send(context.Background(), address, r, NewDelivery("i-1", "", time.Second))
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return string(body), err
+}
+
+func TestRequestArrivesUnchanged(t *testing.T) {
+	c := qt.New(t)
+	server := newRawServer(c, func(_ int, r *http.Request, body string) string {
+		return answerText("a1", fmt.Sprint(r.Method, r.RequestURI, r.Host, r.Header, body))
+	})
+	client := NewClient(testHeaders{}, &timer.Service{})
+	body, err := send(c, client, server.address, "a1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "POST/a//b?x=%2fh.examplemap[Content-Length:[2] Kept:[1] To:[i-1]]in")
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	c := qt.New(t)
+	server := newRawServer(c, func(number int, _ *http.Request, _ string) string { return answerText(fmt.Sprint(number), "x") })
+	client := NewClient(testHeaders{}, &timer.Service{})
+	for i := 1; i <= 3; i++ {
+		_, err := send(c, client, server.address, fmt.Sprint(i))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(server.connections.Load(), qt.Equals, int64(1))
+	client.Sweep(func(string) bool { return false })
+	_, err := send(c, client, server.address, "4")
+	c.Assert(err, qt.IsNil)
+	c.Assert(server.connections.Load(), qt.Equals, int64(2))
+}
+
+// A second answer to an earlier request, late or at once, is nobody's.
+func TestStrayAnswersAreSkipped(t *testing.T) {
+	c := qt.New(t)
+	server := newRawServer(c, func(number int, _ *http.Request, _ string) string {
+		if number == 1 {
+			return answerText("1", "one") + answerText("1", "again")
+		}
+		return answerText("1", "late") + "HTTP/1.1 103 Early Hints\r\n\r\n" + answerText("2", "two")
+	})
+	client := NewClient(testHeaders{}, &timer.Service{})
+	body, err := send(c, client, server.address, "1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "one")
+	body, err = send(c, client, server.address, "2")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "two")
+}
+
+func TestAnswerOfAnotherRequestIsNoAnswer(t *testing.T) {
+	c := qt.New(t)
+	server := newRawServer(c, func(int, *http.Request, string) string {
+		return "HTTP/1.1 200 OK\r\nAttempt: other\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx"
+	})
+	_, err := send(c, NewClient(testHeaders{}, &timer.Service{}), server.address, "a1")
+	c.Assert(err, qt.ErrorIs, ErrNoAnswer)
+}
+
+func TestCutAndSpoiltAnswersAreNotWhole(t *testing.T) {
+	c := qt.New(t)
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nAttempt: a1\r\nConnection: close\r\nContent-Length: 10\r\n\r\nshort",
+		"HTTP/1.1 200 OK\r\nAttempt: a1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"no answer at all\r\nConnection: close\r\n\r\n",
+		"",
+	} {
+		server := newRawServer(c, func(int, *http.Request, string) string { return text })
+		_, err := send(c, NewClient(testHeaders{}, &timer.Service{}), server.address, "a1")
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%q", text))
+	}
+}
+
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	c := qt.New(t)
+	server := newRawServer(c, func(number int, _ *http.Request, _ string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: %d\r\nConnection: close\r\n\r\nwhole", number)
+	})
+	client := NewClient(testHeaders{}, &timer.Service{})
+	for i := 1; i <= 2; i++ {
+		body, err := send(c, client, server.address, fmt.Sprint(i))
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, "whole")
+	}
+	c.Assert(server.connections.Load(), qt.Equals, int64(2))
+}
+
+// Only a request of which no byte left may be said not to have run.
+func TestUnsentIsToldFromUnanswered(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	listener.Close()
+	client := NewClient(testHeaders{}, &timer.Service{})
+	_, err = send(c, client, listener.Addr().String(), "a1")
+	c.Assert(err, qt.ErrorIs, ErrNotSent)
+	server := newRawServer(c, func(int, *http.Request, string) string { return "" })
+	_, err = send(c, client, server.address, "a1")
+	c.Assert(err, qt.ErrorIs, ErrNoAnswer)
+}
+
+// A kept connection that the server has closed is not used: the request on it
+// would be lost, and might have run.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	client := NewClient(testHeaders{}, &timer.Service{})
+	local, remote := tcpPair(c)
+	conn := newConnection(local, "i-1")
+	client.put(conn)
+	c.Assert(client.take(local.RemoteAddr().String(), "i-1"), qt.Equals, conn)
+	client.put(conn)
+	remote.Close()
+	for !ended(local) {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(client.take(local.RemoteAddr().String(), "i-1"), qt.IsNil)
+}
+
+func tcpPair(c *qt.C) (local, remote net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	local, err = net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	remote, err = listener.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		local.Close()
+		remote.Close()
+	})
+	return local, remote
+}
+
+func TestSendEndsWithItsContext(t *testing.T) {
+	c := qt.New(t)
+	arrived := make(chan struct{})
+	release := make(chan struct{})
+	defer close(release)
+	server := newRawServer(c, func(int, *http.Request, string) string {
+		close(arrived)
+		<-release
+		return ""
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	client := NewClient(testHeaders{}, &timer.Service{})
+	_, err := client.Send(ctx, server.address, NewRequest("a1", http.MethodGet, "/", "h", http.Header{}, nil), NewDelivery("i-1", "", time.Second))
+	c.Assert(err, qt.ErrorIs, ErrNoAnswer)
+}
