Let five entries watch the store and tell the others

Ruled out: longer waits alone, since each change wakes every watch. Change: heartbeats list others only when digests of the known entries differ; the first five entries that the store answers watch it; the others fetch what changed from a peer whose heartbeat shows a newer revision.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -34,6 +34,10 @@
 	waiters map[string]chan dispatch.Decision
 	outbox  map[string]*eventsMessage
 
+	// answered is when the store last answered, zero if never.
+	answered time.Time
+	watching atomic.Bool
+
 	view    atomic.Pointer[routing.View]
 	entries atomic.Int64
 	state   atomic.Value // memberState
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// beatInterval is the time between two heartbeats to each entry.
+	// beatInterval is the time between two heartbeats to each entry; beyond
+	// beatEntries entries, those that place nothing for this one get fewer.
 	beatInterval = 400 * time.Millisecond
+	beatEntries  = 24
 	// beatTimeout bounds the wait for the answer to a heartbeat.
 	beatTimeout = 900 * time.Millisecond
 	// placerSilence is how long an entry that places requests may be silent
@@ -20,6 +22,14 @@
 	addressSilence = 2 * time.Second
 	// memberSilence is how long a silent entry is remembered and called.
 	memberSilence = 15 * time.Second
+	// watchers is how many entries watch the store: each call has a price, and
+	// the others hear of changes with the next heartbeat.
+	watchers = 5
+	// watcherAge is how long ago the store must have answered an entry that
+	// counts as a watcher: its longest wait, and a read that failed.
+	watcherAge = 4 * time.Second
+	// watchKey is what the order of the watchers is drawn from.
+	watchKey = "store"
 	// suspectTime is how long an entry that did not answer a call places nothing.
 	suspectTime = time.Second
 )
@@ -39,6 +49,8 @@
 	memberMessage
 	heardAt      time.Time
 	suspectUntil time.Time
+	// storeAt is when the store last answered the entry, zero if never.
+	storeAt time.Time
 }
 
 // members are the other entries.
@@ -105,6 +117,15 @@
 	return out
 }
 
+// digest returns a number that tells whether two entries know the same entries, themselves included.
+func (m *members) digest() uint64 {
+	digest := xxhash.Sum64String(m.self.ID)
+	for id := range m.byID {
+		digest ^= xxhash.Sum64String(id)
+	}
+	return digest
+}
+
 // placer returns the entry that places a service's requests, nil for this one:
 // the highest in rendezvous hashing of those that take requests.
 func (m *members) placer(now time.Time, service string) *member {
@@ -128,6 +149,36 @@
 	return xxhash.Sum64String(service + "\x00" + entry)
 }
 
+// placers returns the addresses of the entries that place requests of the services.
+func (m *members) placers(now time.Time, services []string) map[string]bool {
+	out := make(map[string]bool)
+	for _, service := range services {
+		if known := m.placer(now, service); known != nil {
+			out[known.Peers] = true
+		}
+	}
+	return out
+}
+
+// watches reports whether this entry is among those that watch the store: the
+// first few in an order that all entries share, where one that the store does
+// not answer counts for nothing.
+func (m *members) watches(now time.Time) bool {
+	audible := m.audible(now, placerSilence)
+	slices.SortFunc(audible, func(a, b *member) int { return cmp.Compare(placerRank(watchKey, a.ID), placerRank(watchKey, b.ID)) })
+	own := placerRank(watchKey, m.self.ID)
+	counted := 0
+	for _, known := range audible {
+		if placerRank(watchKey, known.ID) > own {
+			break
+		}
+		if known.State != memberLeaving && now.Sub(known.storeAt) < watcherAge {
+			counted++
+		}
+	}
+	return counted < watchers
+}
+
 // targets returns the addresses to send heartbeats to: known entries, and
 // seeds of which no entry is known.
 func (m *members) targets() []string {
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -43,11 +43,15 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	From     memberMessage
 	Revision int64
+	// StoreAge is how long ago the store last answered the sender, negative if never.
+	StoreAge time.Duration
 	// Places lists the services that the receiver places, and Holds the
 	// sender's requests on their servers.
 	Places []string
 	Holds  []holdMessage
-	// Others are the entries that the sender hears.
+	// Known is a digest of the entries that the sender knows; Others lists
+	// them if the receiver's digest differs.
+	Known  uint64
 	Others []memberMessage
 }
 
@@ -63,12 +67,25 @@
 	Key      string
 	Revision int64
 	Value    []byte
+	Removed  bool
 }
 
-// itemsReply holds all items of a revision, or none if it is not newer.
+func encodeItem(i Item) itemMessage {
+	return itemMessage{Key: i.key, Revision: i.revision, Value: i.value, Removed: i.removed}
+}
+
+func (m itemMessage) decode() Item {
+	return Item{key: m.Key, revision: m.Revision, value: m.Value, removed: m.Removed}
+}
+
+// itemsReply holds what is newer than the revision asked about: all items if
+// Whole, else those that changed. A revision of 0 tells that nothing is.
 type itemsReply struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Revision int64
+	Whole    bool
+	// Regained is how long ago the store came back after an outage, negative if there was none.
+	Regained time.Duration
 	Items    []itemMessage
 }
 
--- a/gateway/mirror.go
+++ b/gateway/mirror.go
@@ -21,15 +21,28 @@
 	revision int64
 	table    *routing.Table
 	// lapsing holds the servers that are missing, and until when they are kept.
-	lapsing map[string]time.Time
+	lapsing map[string]lapse
+	// removals are the last removals, in the order in which they were heard of;
+	// removedFrom is the revision above which they are complete.
+	removals    []Item
+	removedFrom int64
 	// regained is when the store came back after an outage.
 	regained time.Time
 }
 
+// lapse is the removal of a server that is used until a time.
+type lapse struct {
+	removal Item
+	until   time.Time
+}
+
+// maxRemovals bounds the removals that are remembered for peers.
+const maxRemovals = 512
+
 func newMirror(decode Decoder, log hclog.Logger) *mirror {
 	return &mirror{
 		decode: decode, log: log,
-		items: make(map[string]Item), says: make(map[string]Published), lapsing: make(map[string]time.Time),
+		items: make(map[string]Item), says: make(map[string]Published), lapsing: make(map[string]lapse),
 	}
 }
 
@@ -38,6 +51,9 @@
 	if revision <= m.revision {
 		return false
 	}
+	if m.revision == 0 {
+		m.removedFrom = revision
+	}
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.key] = true
@@ -105,12 +121,22 @@
 	if isServer && now.Before(until) {
 		if _, ok := m.lapsing[item.key]; !ok {
 			m.log.Info("server lapsed", "key", item.key, "revision", item.revision, "kept_for", until.Sub(now))
-			m.lapsing[item.key] = until
+			m.lapsing[item.key] = lapse{removal: item, until: until}
 		}
 		return
 	}
 	m.log.Info("item removed", "key", item.key, "revision", item.revision)
 	m.forget(item.key)
+	m.remember(item)
+}
+
+// remember keeps a removal for peers that lag.
+func (m *mirror) remember(removal Item) {
+	m.removals = append(m.removals, removal)
+	if len(m.removals) > maxRemovals {
+		m.removedFrom = max(m.removedFrom, m.removals[0].revision)
+		m.removals = m.removals[1:]
+	}
 }
 
 func (m *mirror) forget(key string) {
@@ -122,10 +148,11 @@
 // expire drops the servers that did not come back, and reports whether there were any.
 func (m *mirror) expire(now time.Time) bool {
 	dropped := false
-	for key, until := range m.lapsing {
-		if !now.Before(until) {
+	for key, lapsed := range m.lapsing {
+		if !now.Before(lapsed.until) {
 			m.log.Info("server gone", "key", key)
 			m.forget(key)
+			m.remember(lapsed.removal)
 			dropped = true
 		}
 	}
@@ -147,11 +174,26 @@
 	return routing.NewView(m.revision, m.table, servers, evacuated)
 }
 
-// all returns the items for a peer that lags.
-func (m *mirror) all() []Item {
-	out := make([]Item, 0, len(m.items))
+// since returns what changed after a revision, and all items with whole true
+// where that is no longer known. Removals that may be a lapse are among them:
+// whoever is told decides for itself how long to use those servers.
+func (m *mirror) since(revision int64) (items []Item, whole bool) {
+	whole = revision < m.removedFrom
+	for _, lapsed := range m.lapsing {
+		items = append(items, lapsed.removal)
+	}
 	for _, item := range m.items {
-		out = append(out, item)
+		if whole || item.revision > revision {
+			items = append(items, item)
+		}
+	}
+	if whole {
+		return items, true
+	}
+	for _, removal := range m.removals {
+		if removal.revision > revision {
+			items = append(items, removal)
+		}
 	}
-	return out
+	return items, false
 }
--- a/gateway/mirror_test.go
+++ b/gateway/mirror_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -33,7 +36,9 @@
 
 func testMirror() *mirror { return newMirror(testDecode, hclog.NewNullLogger()) }
 
-func item(key string, revision int64, value string) Item { return NewItem(key, revision, []byte(value)) }
+func item(key string, revision int64, value string) Item {
+	return NewItem(key, revision, []byte(value))
+}
 
 func TestMirrorNeverGoesBack(t *testing.T) {
 	c := qt.New(t)
@@ -108,3 +113,83 @@
 	m.replace(now, []Item{item("s1", 3, "10.0.0.1:1")}, 10)
 	c.Assert(m.view().Usable("s9"), qt.IsTrue)
 }
+
+// A peer that lags gets what changed, removals among them, and ends up with the same.
+func TestMirrorTellsPeersWhatChanged(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	ahead, behind := testMirror(), testMirror()
+	ahead.replace(now, []Item{item("config", 1, "1"), item("s1", 2, "10.0.0.1:1"), item("s2", 3, "10.0.0.2:1")}, 3)
+	tell := func() bool {
+		items, whole := ahead.since(behind.revision)
+		if whole {
+			behind.replace(now, items, ahead.revision)
+		} else {
+			behind.change(now, items, ahead.revision)
+		}
+		c.Assert(maps.Equal(behind.view().Servers(), ahead.view().Servers()), qt.IsTrue)
+		c.Assert(behind.revision, qt.Equals, ahead.revision)
+		return whole
+	}
+	c.Assert(tell(), qt.IsTrue)
+	ahead.change(now, []Item{NewRemoval("s1", 4), item("s3", 5, "10.0.0.3:1")}, 5)
+	c.Assert(tell(), qt.IsFalse)
+	c.Assert(behind.view().Servers(), qt.HasLen, 2)
+	for i := range maxRemovals + 2 {
+		key := "x" + strconv.Itoa(i)
+		ahead.change(now, []Item{item(key, int64(10+2*i), "10.0.0.9:1"), NewRemoval(key, int64(11+2*i))}, int64(11+2*i))
+	}
+	c.Assert(tell(), qt.IsTrue)
+}
+
+// A peer hears of a lapse as of a removal soon after an outage, and bears it as long.
+func TestMirrorTellsPeersOfLapses(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	ahead, behind := testMirror(), testMirror()
+	for _, m := range []*mirror{ahead, behind} {
+		m.replace(now, []Item{item("s1", 2, "10.0.0.1:1")}, 3)
+	}
+	ahead.regained = now
+	ahead.change(now, []Item{NewRemoval("s1", 4)}, 4)
+	items, whole := ahead.since(3)
+	c.Assert(whole, qt.IsFalse)
+	behind.regained = ahead.regained
+	behind.change(now, items, 4)
+	c.Assert(behind.view().Usable("s1"), qt.IsTrue)
+	c.Assert(behind.expire(now.Add(lapseGrace)), qt.IsTrue)
+	c.Assert(behind.view().Usable("s1"), qt.IsFalse)
+}
+
+func TestFewEntriesWatchTheStore(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	count := func(stale int) int {
+		n := 0
+		for i := range 20 {
+			m := testMembers(memberReady)
+			m.self = other("e"+strconv.Itoa(i), 1, memberReady)
+			for j := range 20 {
+				id := "e" + strconv.Itoa(j)
+				m.heard(now, other(id, 1, memberReady))
+				if known := m.byID[id]; known != nil {
+					known.storeAt = now
+				}
+			}
+			// The store does not answer those that come first in the order.
+			ranked := m.audible(now, placerSilence)
+			slices.SortFunc(ranked, func(a, b *member) int { return cmp.Compare(placerRank(watchKey, a.ID), placerRank(watchKey, b.ID)) })
+			for _, known := range ranked[:stale] {
+				known.storeAt = time.Time{}
+			}
+			if m.watches(now) {
+				n++
+			}
+		}
+		return n
+	}
+	c.Assert(count(0), qt.Equals, watchers)
+	c.Assert(count(7) >= watchers+7, qt.IsTrue)
+	alone := testMembers(memberReady)
+	c.Assert(alone.watches(now), qt.IsTrue)
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -52,6 +52,9 @@
 			c.book.Declare(now, owner, beat.Places, holds)
 		}
 		reply = c.ownBeat(now, "")
+		if beat.Known != reply.Known {
+			reply.Others = c.others(now)
+		}
 	})
 	if !ok {
 		return reply, eris.Wrap(errCall, "stopping")
@@ -65,6 +68,12 @@
 		c.log.Info("entry heard", "entry", beat.From.ID, "incarnation", beat.From.Incarnation, "state", string(beat.From.State), "revision", beat.Revision)
 		c.book.Forget(now, beat.From.ID, beat.From.Incarnation)
 	}
+	if known := c.members.byID[beat.From.ID]; known != nil {
+		known.storeAt = time.Time{}
+		if beat.StoreAge >= 0 {
+			known.storeAt = now.Add(-beat.StoreAge)
+		}
+	}
 	for _, other := range beat.Others {
 		if c.members.told(other) {
 			c.log.Info("entry learned", "entry", other.ID, "from", beat.From.ID)
@@ -80,10 +89,7 @@
 
 // ownBeat returns this entry's heartbeat for the entry at the address.
 func (c *control) ownBeat(now time.Time, to string) beatMessage {
-	beat := beatMessage{From: c.members.self, Revision: c.mirror.revision}
-	for _, known := range c.members.audible(now, addressSilence) {
-		beat.Others = append(beat.Others, known.memberMessage)
-	}
+	beat := beatMessage{From: c.members.self, Revision: c.mirror.revision, StoreAge: c.storeAge(now), Known: c.members.digest()}
 	if to == "" || c.mirror.table == nil {
 		return beat
 	}
@@ -105,15 +111,38 @@
 	return beat
 }
 
+// storeAge returns how long ago the store last answered, negative if never.
+func (c *control) storeAge(now time.Time) time.Duration {
+	if c.answered.IsZero() {
+		return -1
+	}
+	return now.Sub(c.answered)
+}
+
+// others returns the entries that this one hears.
+func (c *control) others(now time.Time) []memberMessage {
+	var out []memberMessage
+	for _, known := range c.members.audible(now, addressSilence) {
+		out = append(out, known.memberMessage)
+	}
+	return out
+}
+
 func (c *control) handleItems(call itemsMessage) (itemsReply, error) {
 	var reply itemsReply
-	ok := c.do(func(time.Time) {
+	ok := c.do(func(now time.Time) {
 		if c.mirror.revision <= call.Revision {
 			return
 		}
+		reply.Regained = -1
+		if !c.mirror.regained.IsZero() {
+			reply.Regained = now.Sub(c.mirror.regained)
+		}
 		reply.Revision = c.mirror.revision
-		for _, item := range c.mirror.all() {
-			reply.Items = append(reply.Items, itemMessage{Key: item.key, Revision: item.revision, Value: item.value})
+		var items []Item
+		items, reply.Whole = c.mirror.since(call.Revision)
+		for _, item := range items {
+			reply.Items = append(reply.Items, encodeItem(item))
 		}
 	})
 	if !ok {
@@ -157,10 +186,8 @@
 	tick := c.timers.Every(beatInterval)
 	defer tick.Stop()
 	busy := make(map[string]chan struct{})
-	for {
-		var targets []string
-		c.do(func(time.Time) { targets = c.members.targets() })
-		for _, address := range targets {
+	for round := 0; ; round++ {
+		for _, address := range c.beatTargets(round) {
 			if ended, ok := busy[address]; ok {
 				select {
 				case <-ended:
@@ -183,6 +210,26 @@
 	}
 }
 
+// beatTargets returns the addresses that get a heartbeat in this round: all of
+// them among few entries, else the placers and every other address.
+func (c *control) beatTargets(round int) []string {
+	var out []string
+	c.do(func(now time.Time) {
+		targets := c.members.targets()
+		if len(targets) < beatEntries || c.mirror.table == nil {
+			out = targets
+			return
+		}
+		placers := c.members.placers(now, c.mirror.table.Services())
+		for i, address := range targets {
+			if placers[address] || (i+round)%2 == 0 {
+				out = append(out, address)
+			}
+		}
+	})
+	return out
+}
+
 // beat sends one heartbeat.
 func (c *control) beat(ctx context.Context, client *mesh.Client, address string) {
 	var beat, reply beatMessage
@@ -213,11 +260,9 @@
 }
 
 func (c *control) fetch(ctx context.Context, client *mesh.Client, address string) {
-	// What the store itself is about to tell need not be fetched.
-	select {
-	case <-time.After(catchUpPause):
-	case <-ctx.Done():
-		return
+	if c.watching.Load() {
+		// What the store itself is about to tell need not be fetched.
+		sleep(ctx, catchUpPause)
 	}
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
@@ -228,16 +273,25 @@
 	}
 	items := make([]Item, 0, len(reply.Items))
 	for _, item := range reply.Items {
-		items = append(items, NewItem(item.Key, item.Revision, item.Value))
+		items = append(items, item.decode())
 	}
 	c.do(func(now time.Time) {
-		if reply.Revision > 0 && c.mirror.replace(now, items, reply.Revision) {
-			c.log.Info("items fetched", "entry", address, "revision", reply.Revision, "items", len(items))
-			c.published(now)
+		if reply.Revision <= c.mirror.revision {
+			return
+		}
+		if at := now.Add(-reply.Regained); reply.Regained >= 0 && at.After(c.mirror.regained) {
+			c.mirror.regained = at
+		}
+		if reply.Whole {
+			c.mirror.replace(now, items, reply.Revision)
+		} else {
+			c.mirror.change(now, items, reply.Revision)
 		}
+		c.log.Info("items fetched", "entry", address, "revision", reply.Revision, "items", len(items), "whole", reply.Whole)
+		c.published(now)
 	})
 }
 
-// catchUpPause is how long an entry that is ahead is left unasked: the store's
-// usual answer and a round trip.
+// catchUpPause is how long an entry that watches the store leaves one that is
+// ahead unasked: the store's usual answer and a round trip.
 const catchUpPause = 150 * time.Millisecond
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// watchWaitEach, for each entry, is how long one call waits for changes: a
-	// watch may go deaf, and some entry must soon ask anew. Each call has a price.
-	watchWaitEach  = 300 * time.Millisecond
-	watchWaitLeast = 1500 * time.Millisecond
-	watchWaitMost  = 8 * time.Second
+	// watchWait is the middle of the time that one call waits for changes: a
+	// watch may go deaf, and some watcher must soon ask anew. Each call has a price.
+	watchWait = 1600 * time.Millisecond
+	// standbyInterval is the time between two looks at whether to watch.
+	standbyInterval = 100 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed read.
 	retryLeast = 150 * time.Millisecond
 	retryMost  = 1200 * time.Millisecond
@@ -27,6 +27,11 @@
 	answered := c.timers.Now()
 	failing := false
 	for ctx.Err() == nil {
+		if !c.shallWatch(&revision) {
+			sleep(ctx, standbyInterval)
+			answered = c.timers.Now()
+			continue
+		}
 		next, err := c.read(ctx, source, revision, failing && c.timers.Now().Sub(answered) > outageLeast)
 		now := c.timers.Now()
 		if errors.Is(err, ErrHistoryGone) {
@@ -56,6 +61,22 @@
 	}
 }
 
+// shallWatch reports whether this entry watches the store, and from which
+// revision: what peers told meanwhile need not be read again.
+func (c *control) shallWatch(revision *int64) bool {
+	watches := true
+	c.do(func(now time.Time) {
+		watches = c.mirror.revision == 0 || c.members.watches(now)
+		if !c.watching.Load() {
+			*revision = c.mirror.revision
+		}
+	})
+	if watches != c.watching.Swap(watches) {
+		c.log.Info("store watched", "watching", watches, "revision", *revision)
+	}
+	return watches
+}
+
 // read reads all items at first, then waits for changes, and returns the revision to go on from.
 func (c *control) read(ctx context.Context, source Source, revision int64, outage bool) (int64, error) {
 	var items []Item
@@ -64,7 +85,7 @@
 	if revision == 0 {
 		items, next, err = source.List(ctx)
 	} else {
-		wait := c.watchWait()
+		wait := watchWait/2 + rand.N(watchWait)
 		if outage {
 			wait = time.Millisecond // tells at once that the store is back
 		}
@@ -74,6 +95,7 @@
 		return 0, err
 	}
 	c.do(func(now time.Time) {
+		c.answered = now
 		if outage {
 			c.mirror.regained = now
 		}
@@ -87,14 +109,6 @@
 	return next, nil
 }
 
-// watchWait returns how long the next call waits; chance keeps entries apart.
-func (c *control) watchWait() time.Duration {
-	audible := 0
-	c.do(func(now time.Time) { audible = len(c.members.audible(now, addressSilence)) })
-	wait := min(max(watchWaitLeast, time.Duration(audible+1)*watchWaitEach), watchWaitMost)
-	return wait/2 + rand.N(wait)
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
