Send late prompts away when what goes ahead leaves them no time

Cause: in a burst of long prompts those that were late waited up to ten seconds and were then refused; most of the price was worth held to the end. Ruled out: a shorter patience for all, which drops those that are served late. Change: a late want is refused as soon as the reading ahead of it would not let it be served before its caller leaves, with that time as the advice.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -161,10 +161,15 @@
 		p.arrange(now)
 		queue := p.queue
 		p.queue = nil
+		ahead := time.Duration(0)
 		for _, w := range queue {
 			decision := b.decide(now, p, w.owner, w.want, false)
+			if decision == nil {
+				decision = p.hopeless(now, w, ahead)
+			}
 			if decision == nil {
 				p.queue = append(p.queue, w)
+				ahead += p.reading(w.want)
 				continue
 			}
 			out = append(out, decision)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -15,6 +15,11 @@
 	// comeBackLeast and comeBackMost bound the advice when to come back.
 	comeBackLeast = 200 * time.Millisecond
 	comeBackMost  = 2 * time.Second
+	// comeBackLate bounds the advice to those that are late already.
+	comeBackLate = 5 * time.Second
+	// drainPart is the part of the servers' time that reads what waits already:
+	// prompts that come later and can be on time go ahead of those that can't.
+	drainPart = 0.3
 	// maxHelpers is how many servers a model engine lets read parts of one prompt.
 	maxHelpers = 16
 	// plainPatience is the part of the objective for which a plain call may wait.
@@ -71,6 +76,40 @@
 	return Refused{Owner: owner, ID: want.id, Reason: reason, ComeBack: p.comeBack(now)}
 }
 
+// reading returns the time that an engine takes to read a want's prompt alone.
+func (p *pool) reading(want Want) time.Duration {
+	if engine := p.service.Engine(); engine != nil {
+		return engine.ReadTime(want.prompt, 1)
+	}
+	return 0
+}
+
+// hopeless refuses a want that is late already and, behind the reading that
+// goes ahead of it, would not be served in time: its caller does better to come
+// back when that is read.
+func (p *pool) hopeless(now time.Time, w *waiting, ahead time.Duration) Decision {
+	engine := p.service.Engine()
+	if engine == nil || !w.want.late(now, engine) {
+		return nil
+	}
+	usable := 0
+	backlog := time.Duration(0)
+	for _, s := range p.order {
+		if s.usable {
+			usable++
+			backlog += s.backlog(now)
+		}
+	}
+	if usable == 0 {
+		return nil
+	}
+	wait := time.Duration(float64(ahead+backlog) / (float64(usable) * drainPart))
+	if now.Add(wait).Before(w.want.patience(engine)) {
+		return nil
+	}
+	return Refused{Owner: w.owner, ID: w.want.id, Reason: ReasonTooLate, ComeBack: min(max(wait, comeBackLeast), comeBackLate)}
+}
+
 // patience returns until when a want may wait for a place.
 func (w Want) patience(engine *routing.Engine) time.Time {
 	if engine == nil {
