--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -26,6 +26,8 @@
 	plainPatience = 0.5
 	// usualShare is the part of a prompt that one of its readers usually reads.
 	usualShare = 0.125
+	// leastPart is the fewest tokens that are worth a helper.
+	leastPart = 1024
 	// freeBacklog is the reading that a server may still have before it when a
 	// prompt is given to several: engines read what they have side by side, so
 	// what waits is kept in the book, which knows the order.
@@ -226,7 +228,7 @@
 	var best placement
 	for _, s := range firsts {
 		for _, count := range helperCounts {
-			if count > 0 && (alone || s.backlog(now) > freeBacklog) {
+			if count > 0 && (alone || s.backlog(now) > freeBacklog || want.prompt/(count+1) < leastPart) {
 				break
 			}
 			choice, ok := withHelpers(now, s, readers, want.prompt, count)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -85,9 +85,10 @@
 	incarnation := newIncarnation()
 	p.control = newControl(settings, incarnation, outside.Decode, log, &p.timers)
 	p.client = upstream.NewClient(outside.Headers, &p.timers)
-	bound := ingress.NewRetryBound(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
+	retries := ingress.NewRetryBound(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
+	limits := ingress.NewLimits(retries, settings.Memory()/bodyMemoryPart, settings.Stall())
 	slots := &slots{control: p.control, client: &p.peers}
-	p.callers = ingress.NewServer(p.control, slots, p.client, outside.Headers, bound, settings.Memory()/bodyMemoryPart, &p.metrics, log, &p.timers)
+	p.callers = ingress.NewServer(p.control, slots, p.client, outside.Headers, limits, &p.metrics, log, &p.timers)
 	p.server = mesh.NewServer(p.control.handle)
 	if err := p.listen(outside); err != nil {
 		return nil, err
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -18,6 +18,7 @@
 	retryRatio  float64
 	retrySlack  int
 	retryWindow time.Duration
+	stall       time.Duration
 	memory      int64
 	descriptors int
 }
@@ -57,6 +58,12 @@
 	return s
 }
 
+// WithStall returns the settings with how long a backend server waits for another that helps it.
+func (s Settings) WithStall(stall time.Duration) Settings {
+	s.stall = stall
+	return s
+}
+
 // WithResources returns the settings with the bytes of memory and the descriptors that the process may use.
 func (s Settings) WithResources(memory int64, descriptors int) Settings {
 	s.memory, s.descriptors = memory, descriptors
@@ -105,6 +112,9 @@
 // RetryWindow returns the time in which repeats are counted.
 func (s Settings) RetryWindow() time.Duration { return s.retryWindow }
 
+// Stall returns how long a backend server waits for another that helps it.
+func (s Settings) Stall() time.Duration { return s.stall }
+
 // Memory returns the bytes of memory that the process may use.
 func (s Settings) Memory() int64 { return s.memory }
 
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -203,7 +203,7 @@
 	b := &bed{c: c, slots: &fakeSlots{backends: backends}}
 	client := upstream.NewClient(fakeHeaders{}, timers)
 	server := NewServer(fakeViews{routing.NewView(1, table, servers, nil)}, b.slots, client, fakeHeaders{},
-		NewRetryBound(0.2, 100, 10*time.Second), 1<<20, noRecorder{}, hclog.NewNullLogger(), timers)
+		NewLimits(NewRetryBound(0.2, 100, 10*time.Second), 1<<20, 0), noRecorder{}, hclog.NewNullLogger(), timers)
 	b.http = httptest.NewServer(server)
 	c.Cleanup(b.http.Close)
 	return b
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -31,6 +31,8 @@
 	// silentLeast is the least time for which a server's silence is borne: a
 	// pass over a full engine's reading, and less than callers bear.
 	silentLeast = 1250 * time.Millisecond
+	// stallMargin is added to the time after which a server tells of a dead helper.
+	stallMargin = 150 * time.Millisecond
 	// silentFactor is how many times the expected time a server may take.
 	silentFactor = 3
 	// silentPart is the part of the time left that a plain call may take
@@ -100,7 +102,12 @@
 	if q.service.Engine() == nil {
 		return time.Duration(silentPart * float64(left))
 	}
-	return min(left, silentLeast+silentFactor*grant.First())
+	bears := silentLeast
+	if len(grant.Helpers()) > 0 {
+		// A server that waits for a dead helper tells which one it is.
+		bears = max(bears, q.server.stall+stallMargin)
+	}
+	return min(left, bears+silentFactor*grant.First())
 }
 
 func (q *request) lastEvent() string {
@@ -134,7 +141,7 @@
 	}
 	err := eris.Wrapf(errNotRun, "status %d, at fault %q", answer.Status(), notice.Fault())
 	if fault := notice.Fault(); fault != "" && fault != grant.Address() {
-		q.server.slots.Fault(q.service.Name(), fault, dispatch.OutcomeUnsent)
+		q.server.slots.Fault(q.service.Name(), fault, dispatch.OutcomeSilent)
 		return dispatch.OutcomeFull, err
 	}
 	return outcome, err
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -27,6 +27,19 @@
 	idleTimeout = 30 * time.Second
 )
 
+// Limits bound what one entry does.
+type Limits struct {
+	retries    RetryBound
+	bodyMemory int64
+	stall      time.Duration
+}
+
+// NewLimits returns limits: the bound on repeats, the bytes that all bodies may
+// take, and how long a server waits for another that helps it before it says so.
+func NewLimits(retries RetryBound, bodyMemory int64, stall time.Duration) Limits {
+	return Limits{retries: retries, bodyMemory: bodyMemory, stall: stall}
+}
+
 // Server answers callers at one entry.
 type Server struct {
 	views    Views
@@ -38,6 +51,7 @@
 	timers   *timer.Service
 	budget   budget
 	bodies   bodies
+	stall    time.Duration
 	http     *http.Server
 	open     atomic.Int64
 	serial   atomic.Uint64
@@ -45,10 +59,11 @@
 }
 
 // NewServer returns a server that routes by views, asks slots for places and sends through the client.
-func NewServer(views Views, slots Slots, client *upstream.Client, headers Headers, bound RetryBound, maxBodyMemory int64, recorder Recorder, log hclog.Logger, timers *timer.Service) *Server {
+func NewServer(views Views, slots Slots, client *upstream.Client, headers Headers, limits Limits, recorder Recorder, log hclog.Logger, timers *timer.Service) *Server {
 	s := &Server{views: views, slots: slots, client: client, headers: headers, recorder: recorder, log: log, timers: timers}
-	s.budget.bound = bound
-	s.bodies.free.Store(maxBodyMemory)
+	s.budget.bound = limits.retries
+	s.bodies.free.Store(limits.bodyMemory)
+	s.stall = limits.stall
 	s.http = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headerTimeout,
