Let the next placer know of the reading under way

Cause: when the entry that places requests ends, the next one took over places without their reading and gave loaded engines more. Ruled out: asking all entries before placing, which would stop placing. Change: a declared request whose first event has not come counts half of its reading on its servers (TestReadingUnderWayIsKnownToTheNextPlacer).

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -314,6 +314,35 @@
 	s.memory += d.prompt + d.answer
 	if started {
 		b.start(now, h)
+		return
+	}
+	b.adoptReading(now, p, h)
+}
+
+// adoptReading enters the reading of a request that another book placed; half
+// of it is taken to be done.
+func (b *Book) adoptReading(now time.Time, p *pool, h *hold) {
+	if h.on.engine == nil {
+		return
+	}
+	share := 1 / float64(1+len(h.helpers))
+	readers := []*server{h.on}
+	for _, id := range h.helpers {
+		if helper := p.servers[id]; helper != nil && helper != h.on {
+			readers = append(readers, helper)
+		}
+	}
+	for _, r := range readers {
+		r.give(now, h, r.readCost(h.prompt, share)/2)
+	}
+}
+
+// give enters a part of a request's reading on the server.
+func (s *server) give(now time.Time, h *hold, cost time.Duration) {
+	s.readyAt = later(now, s.readyAt).Add(cost)
+	h.parts = append(h.parts, part{server: s, cost: cost})
+	if s != h.on {
+		s.helping++
 	}
 }
 
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -284,3 +284,22 @@
 	c.Assert(decisions, qt.HasLen, 1)
 	c.Assert(decisions[0].(Refused).Reason, qt.Equals, ReasonTooLate)
 }
+
+// Pattern: the entry that places requests ends in a burst of long prompts. The
+// next one knows of the reading under way by what the others declare.
+func TestReadingUnderWayIsKnownToTheNextPlacer(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(8, 0)
+	grant := f.granted(c, f.long("long", 182_000))
+	c.Assert(len(grant.Helpers()) > 0, qt.IsTrue)
+	next := newFleet(8, 0)
+	next.book.Declare(next.now, next.owner, []string{"llm"}, f.book.Holds(f.owner))
+	for _, id := range append(next.book.holds["long"].helpers, grant.Server()) {
+		c.Assert(next.book.pools["llm"].servers[id].backlog(next.now) > freeBacklog, qt.IsTrue)
+	}
+	next.book.Ended(next.now, "long", OutcomeWhole)
+	for _, s := range next.book.pools["llm"].order {
+		c.Assert([]int{s.helping, s.memory, s.writers}, qt.DeepEquals, []int{0, 0, 0})
+		c.Assert(s.backlog(next.now), qt.Equals, time.Duration(0))
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -339,12 +339,7 @@
 		h.expect = now.Add(choice.first)
 		share := 1 / float64(1+len(choice.helpers))
 		for _, participant := range append([]*server{s}, choice.helpers...) {
-			cost := participant.readCost(want.prompt, share)
-			participant.readyAt = later(now, participant.readyAt).Add(cost)
-			h.parts = append(h.parts, part{server: participant, cost: cost})
-			if participant != s {
-				participant.helping++
-			}
+			participant.give(now, h, participant.readCost(want.prompt, share))
 		}
 	}
 	if now.Before(s.coldUntil) {
