Spread entries that place on their own, and use servers that broke off

And with all three servers of the small service halted after broken answers, calls were refused (no_server). Ruled out: slow starts (ready 10 ms after the start) and a slow store. Change: entries prefer different servers among equals and beat quickly at first; servers that broke off, but answer, are used when there are no others. Tests that failed first: TestEntriesOnTheirOwnSpread, TestServersThatBrokeOffAreUsedWhenThereAreNoOthers.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"greengagedock.example/routing"
 )
 
@@ -17,6 +20,7 @@
 
 // Book holds the backend servers and the requests on them; NewBook makes one.
 type Book struct {
+	entry string
 	pools map[string]*pool
 	holds map[string]*hold
 }
@@ -36,9 +40,10 @@
 	want  Want
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book {
-	return &Book{pools: make(map[string]*pool), holds: make(map[string]*hold)}
+// NewBook returns an empty book of an entry; books of different entries prefer
+// different servers among equals.
+func NewBook(entry string) *Book {
+	return &Book{entry: entry, pools: make(map[string]*pool), holds: make(map[string]*hold)}
 }
 
 // SetShare states the part of the bearing of a service's cold servers that this book may give out, up to 1.
@@ -72,7 +77,7 @@
 		}
 	}
 	for _, p := range b.pools {
-		p.sort()
+		p.sort(b.entry)
 	}
 }
 
@@ -106,17 +111,15 @@
 	s.coldRate = p.service.ColdRate()
 }
 
-func (p *pool) sort() {
+// sort puts the servers in the order in which an entry prefers equals. Entries
+// that place by themselves for a while so don't all choose the same server.
+func (p *pool) sort(entry string) {
 	p.order = p.order[:0]
 	for _, s := range p.servers {
 		p.order = append(p.order, s)
 	}
-	slices.SortFunc(p.order, func(a, b *server) int {
-		if a.info.ID() < b.info.ID() {
-			return -1
-		}
-		return 1
-	})
+	preference := func(s *server) uint64 { return xxhash.Sum64String(entry + "\x00" + s.info.ID()) }
+	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(preference(a), preference(b)) })
 }
 
 // Ask decides on a want; it is asked again with the same id while it is queued.
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -25,7 +25,7 @@
 }
 
 func newFleet(engines, plain int) *fleet {
-	f := &fleet{book: NewBook(), now: time.Unix(1000, 0), owner: NewOwner("entry-1", 1)}
+	f := &fleet{book: NewBook("entry-1"), now: time.Unix(1000, 0), owner: NewOwner("entry-1", 1)}
 	f.publish(f.servers(engines, plain)...)
 	return f
 }
@@ -181,6 +181,37 @@
 	c.Assert(f.book.Waiting(), qt.Equals, 0)
 }
 
+// Pattern: all entries restart at once, and each places by itself until it
+// hears the others. They do not all fill the same server.
+func TestEntriesOnTheirOwnSpread(t *testing.T) {
+	c := qt.New(t)
+	used := make(map[string]int)
+	for i := range 8 {
+		f := newFleet(0, 0)
+		f.book = NewBook(fmt.Sprint("entry-", i))
+		f.publish(f.servers(23, 0)...)
+		for j := range 4 {
+			used[f.granted(c, f.short(fmt.Sprint(j), 1000)).Server()]++
+		}
+	}
+	for server, count := range used {
+		c.Assert(count <= 16, qt.IsTrue, qt.Commentf("%s got %d", server, count))
+	}
+}
+
+// Pattern: every server of a small service broke off an answer. Calls are still
+// placed, since such a server can be reached.
+func TestServersThatBrokeOffAreUsedWhenThereAreNoOthers(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(0, 2)
+	for i := range 2 {
+		id := fmt.Sprint(i)
+		f.granted(c, f.call(id))
+		f.book.Ended(f.now, id, OutcomeBroken)
+	}
+	f.granted(c, f.call("next"))
+}
+
 func TestReleaseGivesAllBack(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(8, 2)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -163,11 +163,18 @@
 	return min(max(least, comeBackLeast), comeBackMost)
 }
 
-// open returns the servers that may get a request, those that were excluded if there are no others.
+// open returns the servers that may get a request, those that were excluded if
+// there are no others, and those that failed but can be reached if there are none at all.
 func (p *pool) open(now time.Time, want Want) []*server {
-	var out, excluded []*server
+	var out, excluded, failed []*server
 	for _, s := range p.order {
-		if !s.open(now) || !s.coldRoom(now, p.share) {
+		if !s.usable || !s.coldRoom(now, p.share) {
+			continue
+		}
+		if !s.open(now) {
+			if !s.lost {
+				failed = append(failed, s)
+			}
 			continue
 		}
 		if slices.Contains(want.exclude, s.info.ID()) {
@@ -176,10 +183,14 @@
 		}
 		out = append(out, s)
 	}
-	if len(out) == 0 {
+	switch {
+	case len(out) > 0:
+		return out
+	case len(excluded) > 0:
 		return excluded
+	default:
+		return failed
 	}
-	return out
 }
 
 // placement is a server for a request with its helpers, and the expected time to the first event.
@@ -221,7 +232,7 @@
 		return len(s.holds) >= s.slots() || s.memory+want.prompt+want.answer > s.engine.Memory()
 	})
 	slices.SortStableFunc(firsts, func(a, b *server) int {
-		return cmp.Or(affinity(a, want)-affinity(b, want), len(b.holds)-len(a.holds), a.readyAt.Compare(b.readyAt))
+		return cmp.Or(affinity(a, want)-affinity(b, want), len(b.holds)-len(a.holds), cmp.Compare(a.backlog(now), b.backlog(now)))
 	})
 	readers := p.readers(now, open)
 	target, acceptable := want.targets(now)
@@ -295,7 +306,7 @@
 			}
 			return -1
 		}
-		return later(now, a.readyAt).Compare(later(now, b.readyAt))
+		return cmp.Compare(a.backlog(now), b.backlog(now))
 	})
 	return readers
 }
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -47,6 +47,8 @@
 
 	haltedUntil time.Time
 	failures    int
+	// lost tells that the server was not reached or silent when it was last tried.
+	lost        bool
 	failureMean float64
 }
 
@@ -146,8 +148,10 @@
 		return
 	case OutcomeWhole:
 		s.failures = 0
+		s.lost = false
 	case OutcomeFailed:
 		s.failures = 0
+		s.lost = false
 		cost = failedCost
 	case OutcomeGone:
 		s.halt(now, haltMost)
@@ -155,6 +159,7 @@
 	case OutcomeUnsent, OutcomeBroken, OutcomeSilent:
 		cost = 1
 		s.failures++
+		s.lost = outcome != OutcomeBroken
 		pause := min(haltMost, haltFirst<<min(s.failures-1, 4))
 		if outcome == OutcomeSilent {
 			pause = max(pause, haltSilent)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -52,7 +52,7 @@
 		work:    make(chan func(time.Time), 256),
 		done:    make(chan struct{}),
 		mirror:  newMirror(decode, log.Named("store")),
-		book:    dispatch.NewBook(),
+		book:    dispatch.NewBook(settings.ID()),
 		waiters: make(map[string]chan dispatch.Decision),
 		outbox:  make(map[string]*eventsMessage),
 		behind:  make(chan string, 1),
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -13,6 +13,10 @@
 	// beatEntries entries, those that place nothing for this one get fewer.
 	beatInterval = 400 * time.Millisecond
 	beatEntries  = 24
+	// firstRounds heartbeats follow each other at firstInterval, so that entries
+	// that start together soon know each other.
+	firstRounds   = 10
+	firstInterval = 80 * time.Millisecond
 	// beatTimeout bounds the wait for the answer to a heartbeat.
 	beatTimeout = 900 * time.Millisecond
 	// placerSilence is how long an entry that places requests may be silent
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -202,6 +202,10 @@
 				c.beat(ctx, client, address)
 			}()
 		}
+		if round < firstRounds {
+			sleep(ctx, firstInterval)
+			continue
+		}
 		select {
 		case <-tick.C():
 		case <-ctx.Done():
