--- a/gateway/control.go
+++ b/gateway/control.go
@@ -17,6 +17,10 @@
 	// fewestEntries is the least number of entries that the bounds on all are
 	// shared by while few are known.
 	fewestEntries = 3
+	// manyEntries is taken as their number for learningTime after the start: all
+	// may have restarted, and none knows yet how many share the bounds.
+	manyEntries  = 100
+	learningTime = 2500 * time.Millisecond
 )
 
 // control owns what an entry believes: its loop runs one function at a time.
@@ -34,6 +38,7 @@
 	waiters map[string]chan dispatch.Decision
 	outbox  map[string]*eventsMessage
 
+	started time.Time
 	// answered is when the store last answered, zero if never.
 	answered time.Time
 	watching atomic.Bool
@@ -67,7 +72,8 @@
 	}
 	c.state.Store(memberStarting)
 	c.view.Store(c.mirror.view())
-	c.entries.Store(fewestEntries)
+	c.entries.Store(manyEntries)
+	c.started = timers.Now()
 	return c
 }
 
@@ -117,7 +123,11 @@
 		c.log.Info("entry forgotten", "entry", gone.ID, "silent", now.Sub(gone.heardAt))
 		c.book.Forget(now, gone.ID, 0)
 	}
-	c.entries.Store(int64(max(fewestEntries, len(c.members.byID)+1)))
+	entries := max(fewestEntries, len(c.members.byID)+1)
+	if now.Sub(c.started) < learningTime {
+		entries = max(entries, manyEntries)
+	}
+	c.entries.Store(int64(entries))
 	c.shareCold(now)
 	for _, decision := range c.book.Tick(now) {
 		c.decided(decision)
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -4,8 +4,12 @@
 	"time"
 
 	"greengagedock.example/dispatch"
+	"greengagedock.example/mesh"
 )
 
+// maxValueBytes bounds one published value (the store holds up to a megabyte).
+const maxValueBytes = 2 << 20
+
 // The kinds of calls between entries.
 const (
 	callBeat   = "beat"
@@ -67,15 +71,27 @@
 	Key      string
 	Revision int64
 	Value    []byte
+	Packed   []byte
 	Removed  bool
 }
 
-func encodeItem(i Item) itemMessage {
-	return itemMessage{Key: i.key, Revision: i.revision, Value: i.value, Removed: i.removed}
+// encodeItem returns the message of an item, with its value packed if that is not nil.
+func encodeItem(i Item, packed []byte) itemMessage {
+	m := itemMessage{Key: i.key, Revision: i.revision, Value: i.value, Packed: packed, Removed: i.removed}
+	if packed != nil {
+		m.Value = nil
+	}
+	return m
 }
 
-func (m itemMessage) decode() Item {
-	return Item{key: m.Key, revision: m.Revision, value: m.Value, removed: m.Removed}
+func (m itemMessage) decode() (Item, error) {
+	item := Item{key: m.Key, revision: m.Revision, value: m.Value, removed: m.Removed}
+	if m.Packed == nil {
+		return item, nil
+	}
+	value, err := mesh.Unpack(m.Packed, maxValueBytes)
+	item.value = []byte(value)
+	return item, err
 }
 
 // itemsReply holds what is newer than the revision asked about: all items if
--- a/gateway/mirror.go
+++ b/gateway/mirror.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"compress/flate"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"greengagedock.example/mesh"
 	"greengagedock.example/routing"
 )
 
@@ -20,6 +22,8 @@
 	says     map[string]Published
 	revision int64
 	table    *routing.Table
+	// packed holds long values compressed for peers, by key.
+	packed map[string]packedItem
 	// lapsing holds the servers that are missing, and until when they are kept.
 	lapsing map[string]lapse
 	// removals are the last removals, in the order in which they were heard of;
@@ -30,6 +34,16 @@
 	regained time.Time
 }
 
+// packedItem is the compressed value of an item at a revision.
+type packedItem struct {
+	revision int64
+	value    []byte
+}
+
+// packFrom is the length from which values are compressed for peers: the
+// configuration is, the entries of servers are not worth the time.
+const packFrom = 8 << 10
+
 // lapse is the removal of a server that is used until a time.
 type lapse struct {
 	removal Item
@@ -43,6 +57,7 @@
 	return &mirror{
 		decode: decode, log: log,
 		items: make(map[string]Item), says: make(map[string]Published), lapsing: make(map[string]lapse),
+		packed: make(map[string]packedItem),
 	}
 }
 
@@ -174,6 +189,19 @@
 	return routing.NewView(m.revision, m.table, servers, evacuated)
 }
 
+// pack returns an item's value compressed, nil if it is short.
+func (m *mirror) pack(item Item) []byte {
+	if len(item.value) < packFrom {
+		return nil
+	}
+	known := m.packed[item.key]
+	if known.revision != item.revision {
+		known = packedItem{revision: item.revision, value: mesh.Pack(string(item.value), flate.BestSpeed)}
+		m.packed[item.key] = known
+	}
+	return known.value
+}
+
 // since returns what changed after a revision, and all items with whole true
 // where that is no longer known. Removals that may be a lapse are among them:
 // whoever is told decides for itself how long to use those servers.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -142,7 +142,7 @@
 		var items []Item
 		items, reply.Whole = c.mirror.since(call.Revision)
 		for _, item := range items {
-			reply.Items = append(reply.Items, encodeItem(item))
+			reply.Items = append(reply.Items, encodeItem(item, c.mirror.pack(item)))
 		}
 	})
 	if !ok {
@@ -268,7 +268,7 @@
 		// What the store itself is about to tell need not be fetched.
 		sleep(ctx, catchUpPause)
 	}
-	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var reply itemsReply
 	if err := client.Call(ctx, address, callItems, itemsMessage{Revision: c.View().Revision()}, &reply); err != nil {
@@ -277,7 +277,12 @@
 	}
 	items := make([]Item, 0, len(reply.Items))
 	for _, item := range reply.Items {
-		items = append(items, item.decode())
+		decoded, err := item.decode()
+		if err != nil {
+			c.log.Warn("items not fetched", "entry", address, "key", item.Key, "error", err)
+			return
+		}
+		items = append(items, decoded)
 	}
 	c.do(func(now time.Time) {
 		if reply.Revision <= c.mirror.revision {
@@ -299,3 +304,6 @@
 // catchUpPause is how long an entry that watches the store leaves one that is
 // ahead unasked: the store's usual answer and a round trip.
 const catchUpPause = 150 * time.Millisecond
+
+// fetchTimeout bounds the fetching of items: a megabyte over the slowest link twice.
+const fetchTimeout = 1500 * time.Millisecond
