Serve prompts over one engine's memory

Tests: TestPromptOverOneMemoryIsSpread, TestSpreadPromptWaitsForALighterLoad, TestMemoryIsReservedForTheRequestOnly, TestMemoryThatIsNotThereIsNotRun. Also: a send that has all the time left is not called silent when that ends (502 in place of 504, seen once in TestTimeOverIsUnknownOnceSent).

--- a/cmd/greengagedockd/gateway.go
+++ b/cmd/greengagedockd/gateway.go
@@ -58,6 +58,7 @@
 	outside := gateway.Outside{
 		Source:  platform.NewStore(store),
 		Decode:  platform.Decode,
+		Memory:  platform.NewOrders(),
 		Headers: platform.Headers{},
 		Directory: func(d gateway.Directory) http.Handler {
 			return platform.DirectoryHandler(d)
--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -33,6 +33,9 @@
 	servers map[string]*server
 	order   []*server
 	queue   []*waiting
+	// given is the reading that was placed, forgotten over loadTime; givenAt is when it was last added to.
+	given   time.Duration
+	givenAt time.Time
 }
 
 type waiting struct {
@@ -249,12 +252,16 @@
 		part.server.readyAt = later(now, part.server.readyAt.Add(-part.cost))
 	}
 	b.unhelp(h)
+	for _, r := range h.reserved {
+		r.server.memory -= r.tokens
+	}
+	h.reserved = nil
 	s := b.serverOf(h)
 	if s == nil {
 		return
 	}
 	delete(s.holds, h.id)
-	s.memory -= h.prompt + h.answer
+	s.memory -= h.memory
 	if h.started {
 		s.writers--
 		s.context -= h.prompt
@@ -311,10 +318,13 @@
 	started := d.started
 	d.started = false
 	s := p.servers[d.server]
-	h := &hold{Hold: d, owner: owner, granted: now, on: s}
+	h := &hold{Hold: d, owner: owner, granted: now, on: s, memory: d.prompt + d.answer}
+	if s.engine != nil {
+		h.memory = min(h.memory, s.engine.Memory())
+	}
 	b.holds[d.id] = h
 	s.holds[d.id] = h
-	s.memory += d.prompt + d.answer
+	s.memory += h.memory
 	if started {
 		b.start(now, h)
 		return
@@ -383,6 +393,16 @@
 	return n
 }
 
+// reservedOn returns the memory that the request takes on a helper.
+func (h *hold) reservedOn(s *server) int {
+	for _, r := range h.reserved {
+		if r.server == s {
+			return r.tokens
+		}
+	}
+	return 0
+}
+
 // grantOf returns the grant of a request that is asked for again, and false if
 // its server is gone.
 func (b *Book) grantOf(h *hold) (Grant, bool) {
@@ -393,7 +413,7 @@
 	var helpers []Helper
 	for _, part := range h.parts {
 		if part.server != s {
-			helpers = append(helpers, NewHelper(part.server.info.ID(), part.server.info.Address()))
+			helpers = append(helpers, NewHelper(part.server.info.ID(), part.server.info.Address(), h.reservedOn(part.server)))
 		}
 	}
 	return NewGrant(h.id, h.server, s.info.Address(), helpers, max(0, h.expect.Sub(h.granted))), true
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -334,3 +334,69 @@
 		c.Assert(s.backlog(next.now), qt.Equals, time.Duration(0))
 	}
 }
+
+// Pattern: a prompt larger than one engine's memory. Helpers hold what the
+// first has no room for, and all of it is free when it ends.
+func TestPromptOverOneMemoryIsSpread(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(20, 0)
+	grant := f.granted(c, f.prompt("huge", 700_000, 4*time.Second, time.Second))
+	reserved := 0
+	for _, helper := range grant.Helpers() {
+		c.Assert(helper.Tokens() < testEngine.Memory(), qt.IsTrue)
+		reserved += helper.Tokens()
+	}
+	c.Assert(reserved >= 700_000+1266-testEngine.Memory(), qt.IsTrue)
+	total := 0
+	for _, s := range f.book.pools["llm"].order {
+		c.Assert(s.memory <= testEngine.Memory(), qt.IsTrue)
+		total += s.memory
+	}
+	c.Assert(total, qt.Equals, 700_000+1266)
+	f.book.Started(f.now, "huge")
+	f.book.Ended(f.now, "huge", OutcomeWhole)
+	for _, s := range f.book.pools["llm"].order {
+		c.Assert(s.memory, qt.Equals, 0)
+	}
+}
+
+// Pattern: no fleet has room for the prompt. Its caller is told so in time.
+func TestPromptOverAllMemoryIsRefused(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(2, 0)
+	_, queued := f.book.Ask(f.now, f.owner, f.long("huge", 900_000)).(Queued)
+	c.Assert(queued, qt.IsTrue)
+	f.now = f.now.Add(12 * time.Second)
+	decisions := f.book.Tick(f.now)
+	c.Assert(decisions, qt.HasLen, 1)
+	_, refused := decisions[0].(Refused)
+	c.Assert(refused, qt.IsTrue)
+}
+
+// Pattern: a prompt over one memory in a burst of long ones. It waits for a
+// lighter load, since it reads for longer than several that can be on time.
+func TestSpreadPromptWaitsForALighterLoad(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(23, 0)
+	for i := range 12 {
+		id := fmt.Sprint(i)
+		if _, ok := f.book.Ask(f.now, f.owner, f.long(id, 182_000)).(Granted); ok {
+			f.now = f.now.Add(250 * time.Millisecond)
+		}
+	}
+	huge := f.prompt("huge", 700_000, 4*time.Second, time.Second)
+	_, queued := f.book.Ask(f.now, f.owner, huge).(Queued)
+	c.Assert(queued, qt.IsTrue)
+	for i := range 12 {
+		f.book.Ended(f.now, fmt.Sprint(i), OutcomeWhole)
+		f.book.Withdraw(fmt.Sprint(i))
+	}
+	var decisions []Decision
+	for len(decisions) == 0 && f.now.Before(huge.FirstBy()) {
+		f.now = f.now.Add(25 * time.Millisecond)
+		decisions = f.book.Tick(f.now)
+	}
+	c.Assert(decisions, qt.HasLen, 1)
+	_, granted := decisions[0].(Granted)
+	c.Assert(granted, qt.IsTrue)
+}
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -43,14 +43,20 @@
 	ReasonTooLarge Reason = "too_large"
 )
 
-// Helper is a server that reads a part of a prompt.
+// Helper is a server that reads a part of a prompt, and may hold some of it.
 type Helper struct {
 	server  string
 	address string
+	tokens  int
 }
 
-// NewHelper returns a helper at an IP and port.
-func NewHelper(server, address string) Helper { return Helper{server: server, address: address} }
+// NewHelper returns a helper at an IP and port; tokens is the memory to reserve there, 0 for none.
+func NewHelper(server, address string, tokens int) Helper {
+	return Helper{server: server, address: address, tokens: tokens}
+}
+
+// Tokens returns the memory to reserve at the helper, 0 for none.
+func (h Helper) Tokens() int { return h.tokens }
 
 // Server returns the server's id.
 func (h Helper) Server() string { return h.server }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -26,6 +27,15 @@
 	plainPatience = 0.5
 	// usualShare is the part of a prompt that one of its readers usually reads.
 	usualShare = 0.125
+	// spreadPart is the part of a server's free memory that a spread prompt may
+	// take: what an engine counts in blocks, and for its answer, is more than its tokens.
+	spreadPart = 0.75
+	// A prompt that is spread reads for longer than several others that would be
+	// on time: it waits while the reading of loadTime and its own take more than
+	// spreadLoad of the servers' time, unless less than idleLoad was placed.
+	spreadLoad = 0.6
+	idleLoad   = 0.1
+	loadTime   = 3 * time.Second
 	// leastPart is the fewest tokens that are worth a helper.
 	leastPart = 1024
 	// freeBacklog is the reading that a server may still have before it when a
@@ -198,6 +208,8 @@
 	server  *server
 	helpers []*server
 	first   time.Duration
+	// reserve is the memory to reserve on each helper, nil for none.
+	reserve []int
 	// borne tells that answers on all these servers stay on time.
 	borne bool
 	why   string
@@ -227,6 +239,9 @@
 // that bear pauses alike are gathered on few servers: a pass takes as long with
 // one writer as with many, and what others read delays all of them.
 func (p *pool) chooseEngine(now time.Time, open []*server, want Want, alone bool) placement {
+	if want.prompt+want.answer > p.service.Engine().Memory() {
+		return p.chooseSpread(now, open, want)
+	}
 	firsts := slices.Clone(open)
 	firsts = slices.DeleteFunc(firsts, func(s *server) bool {
 		return len(s.holds) >= s.slots() || s.memory+want.prompt+want.answer > s.engine.Memory()
@@ -262,6 +277,64 @@
 	return best
 }
 
+// load returns the part of the servers' time that lately placed reading and
+// the given one take.
+func (p *pool) load(now time.Time, more time.Duration) float64 {
+	usable := 0
+	for _, s := range p.order {
+		if s.usable {
+			usable++
+		}
+	}
+	if usable == 0 {
+		return 1
+	}
+	return float64(p.lately(now)+more) / (float64(loadTime) * float64(usable))
+}
+
+// lately returns the reading that was placed, of which the older counts less.
+func (p *pool) lately(now time.Time) time.Duration {
+	return time.Duration(float64(p.given) * math.Exp(-float64(now.Sub(p.givenAt))/float64(loadTime)))
+}
+
+// chooseSpread returns where a prompt goes that is larger than one engine's
+// memory: a server with no answers, and helpers that hold what it has no room for.
+func (p *pool) chooseSpread(now time.Time, open []*server, want Want) placement {
+	if p.load(now, 0) > idleLoad && p.load(now, p.reading(want)) > spreadLoad {
+		return placement{}
+	}
+	readers := p.readers(now, open)
+	readers = slices.DeleteFunc(readers, func(s *server) bool { return len(s.holds) > 0 })
+	if len(readers) < 2 {
+		return placement{}
+	}
+	first := readers[0]
+	room := int(spreadPart*float64(first.engine.Memory()-first.memory)) - want.answer
+	choice, ok := withHelpers(now, first, readers, want.prompt, min(maxHelpers, len(readers)-1))
+	_, acceptable := want.targets(now)
+	if !ok || choice.first > max(acceptable, time.Duration(onTimePart*float64(want.objective.Sub(now)))) {
+		return placement{}
+	}
+	left := want.prompt - room
+	choice.reserve = make([]int, len(choice.helpers))
+	for i, helper := range choice.helpers {
+		if left <= 0 {
+			break
+		}
+		tokens := min(left, int(spreadPart*float64(helper.engine.Memory()-helper.memory)))
+		if tokens < leastPart {
+			continue
+		}
+		choice.reserve[i] = tokens
+		left -= tokens
+	}
+	if left > 0 {
+		return placement{}
+	}
+	choice.why = "spread"
+	return choice
+}
+
 // targets returns the expected time to the first event that a placement is to
 // meet, and that which is acceptable once the want has waited a little.
 func (w Want) targets(now time.Time) (target, acceptable time.Duration) {
@@ -336,18 +409,33 @@
 	s := choice.server
 	var helperIDs []string
 	var helpers []Helper
-	for _, helper := range choice.helpers {
+	var reserved []reservation
+	spread := 0
+	for i, helper := range choice.helpers {
+		tokens := 0
+		if choice.reserve != nil && choice.reserve[i] > 0 {
+			tokens = choice.reserve[i]
+			reserved = append(reserved, reservation{server: helper, tokens: tokens})
+			helper.memory += tokens
+			spread += tokens
+		}
 		helperIDs = append(helperIDs, helper.info.ID())
-		helpers = append(helpers, NewHelper(helper.info.ID(), helper.info.Address()))
+		helpers = append(helpers, NewHelper(helper.info.ID(), helper.info.Address(), tokens))
 	}
 	h := &hold{
 		Hold:    NewHold(want, s.info.ID(), helperIDs),
 		owner:   owner,
 		on:      s,
 		granted: now,
+
+		memory:   want.prompt + want.answer - spread,
+		reserved: reserved,
 	}
 	if s.engine != nil {
 		h.expect = now.Add(choice.first)
+		p := b.pools[want.service]
+		p.given = p.lately(now) + p.reading(want)
+		p.givenAt = now
 		share := 1 / float64(1+len(choice.helpers))
 		for _, participant := range append([]*server{s}, choice.helpers...) {
 			participant.give(now, h, participant.readCost(want.prompt, share))
@@ -358,7 +446,7 @@
 	}
 	b.holds[want.id] = h
 	s.holds[want.id] = h
-	s.memory += want.prompt + want.answer
+	s.memory += h.memory
 	why := fmt.Sprintf("%s of %d, writers %d, backlog %dms", choice.why, len(b.pools[want.service].order), s.writers, s.backlog(now).Milliseconds())
 	return NewGrant(want.id, s.info.ID(), s.info.Address(), helpers, choice.first).WithWhy(now.Sub(want.arrived), why)
 }
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -58,11 +58,20 @@
 	owner   Owner
 	on      *server
 	granted time.Time
+	// memory is what the request takes on its server, and reserved what it takes on others.
+	memory   int
+	reserved []reservation
 	// expect is when the first event is expected, zero if unknown.
 	expect time.Time
 	parts  []part
 }
 
+// reservation is memory that a request takes on a helper until it ends.
+type reservation struct {
+	server *server
+	tokens int
+}
+
 // part is the reading that a request gave to a server.
 type part struct {
 	server *server
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -142,6 +142,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	Server   string
 	Address  string
+	Tokens   int
 }
 
 // eventsMessage tells what became of places.
@@ -201,7 +202,7 @@
 			First: d.Grant.First(), Waited: d.Grant.Waited(), Why: d.Grant.Why(),
 		}
 		for _, h := range d.Grant.Helpers() {
-			reply.Helpers = append(reply.Helpers, helperMessage{Server: h.Server(), Address: h.Address()})
+			reply.Helpers = append(reply.Helpers, helperMessage{Server: h.Server(), Address: h.Address(), Tokens: h.Tokens()})
 		}
 		return reply
 	case dispatch.Refused:
@@ -216,7 +217,7 @@
 	case m.Server != "":
 		var helpers []dispatch.Helper
 		for _, h := range m.Helpers {
-			helpers = append(helpers, dispatch.NewHelper(h.Server, h.Address))
+			helpers = append(helpers, dispatch.NewHelper(h.Server, h.Address, h.Tokens))
 		}
 		return dispatch.Granted{Owner: owner, Grant: dispatch.NewGrant(id, m.Server, m.Address, helpers, m.First).WithWhy(m.Waited, m.Why)}
 	case m.Reason != "":
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -37,6 +37,7 @@
 type Outside struct {
 	Source  Source
 	Decode  Decoder
+	Memory  ingress.Memory
 	Headers interface {
 		ingress.Headers
 		upstream.Headers
@@ -88,7 +89,7 @@
 	retries := ingress.NewRetryBound(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
 	limits := ingress.NewLimits(retries, settings.Memory()/bodyMemoryPart, settings.Stall())
 	slots := &slots{control: p.control, client: &p.peers}
-	p.callers = ingress.NewServer(p.control, slots, p.client, outside.Headers, limits, &p.metrics, log, &p.timers)
+	p.callers = ingress.NewServer(p.control, slots, outside.Memory, p.client, outside.Headers, limits, &p.metrics, log, &p.timers)
 	p.server = mesh.NewServer(p.control.handle)
 	if err := p.listen(outside); err != nil {
 		return nil, err
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -131,6 +131,7 @@
 	backends []*backend
 	next     int
 	refusal  *Refusal
+	helpers  []dispatch.Helper
 	outcomes []dispatch.Outcome
 }
 
@@ -145,7 +146,7 @@
 	}
 	b := s.backends[s.next]
 	s.next++
-	return dispatch.NewGrant(want.ID(), fmt.Sprint("s", s.next), b.address, nil, 0), nil
+	return dispatch.NewGrant(want.ID(), fmt.Sprint("s", s.next), b.address, s.helpers, 0), nil
 }
 
 func (s *fakeSlots) Started(string, string) {}
@@ -158,6 +159,39 @@
 
 func (s *fakeSlots) Fault(string, string, dispatch.Outcome) {}
 
+// fakeMemory holds what is reserved, by address and ticket.
+type fakeMemory struct {
+	mu     sync.Mutex
+	held   map[string]int
+	refuse string
+}
+
+func (m *fakeMemory) Reserve(_ context.Context, address, ticket string, tokens int, _ time.Duration) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if address == m.refuse {
+		return errNotRun
+	}
+	if m.held == nil {
+		m.held = make(map[string]int)
+	}
+	m.held[address+" "+ticket] = tokens
+	return nil
+}
+
+func (m *fakeMemory) Release(_ context.Context, address, ticket string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.held, address+" "+ticket)
+	return nil
+}
+
+func (m *fakeMemory) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.held)
+}
+
 // fakeViews shows one table and any server.
 type fakeViews struct{ view *routing.View }
 
@@ -172,7 +206,9 @@
 type bed struct {
 	c     *qt.C
 	slots *fakeSlots
-	http  *httptest.Server
+	// memory records the orders about memory.
+	memory fakeMemory
+	http   *httptest.Server
 }
 
 func newBed(t *testing.T, backends ...*backend) *bed {
@@ -202,7 +238,7 @@
 	timers := &timer.Service{}
 	b := &bed{c: c, slots: &fakeSlots{backends: backends}}
 	client := upstream.NewClient(fakeHeaders{}, timers)
-	server := NewServer(fakeViews{routing.NewView(1, table, servers, nil)}, b.slots, client, fakeHeaders{},
+	server := NewServer(fakeViews{routing.NewView(1, table, servers, nil)}, b.slots, &b.memory, client, fakeHeaders{},
 		NewLimits(NewRetryBound(0.2, 100, 10*time.Second), 1<<20, 0), noRecorder{}, hclog.NewNullLogger(), timers)
 	b.http = httptest.NewServer(server)
 	c.Cleanup(b.http.Close)
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -261,3 +261,35 @@
 	c.Assert(count(10), qt.Equals, 7)
 	c.Assert(b.repeat(now, "other", 10), qt.IsTrue)
 }
+
+// waitForNoMemory returns when nothing is reserved; the test's own time limit ends it otherwise.
+func (b *bed) waitForNoMemory() {
+	for b.memory.count() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Memory is reserved before the prompt is sent and freed on every path.
+func TestMemoryIsReservedForTheRequestOnly(t *testing.T) {
+	c := qt.New(t)
+	for name, step := range map[string]string{"whole": streamed(threeEvents, true), "cut": "", "refused": refused} {
+		backend := newBackend(c, step)
+		b := newBed(t, backend)
+		b.slots.helpers = []dispatch.Helper{dispatch.NewHelper("s1", "10.0.0.1:1", 5000), dispatch.NewHelper("s1", "10.0.0.2:1", 0)}
+		_, _, _ = b.do(b.request("POST", "/stream/fixed/", ""))
+		c.Assert(backend.seen(), qt.HasLen, 1, qt.Commentf(name))
+		b.waitForNoMemory()
+	}
+}
+
+func TestMemoryThatIsNotThereIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	backend := newBackend(c, streamed(threeEvents, true))
+	b := newBed(t, backend)
+	b.memory.refuse = "10.0.0.2:1"
+	b.slots.helpers = []dispatch.Helper{dispatch.NewHelper("s1", "10.0.0.1:1", 5000), dispatch.NewHelper("s1", "10.0.0.2:1", 5000)}
+	response, _, _ := b.do(b.request("POST", "/stream/", ""))
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(backend.seen(), qt.HasLen, 0)
+	b.waitForNoMemory()
+}
--- a/ingress/ports.go
+++ b/ingress/ports.go
@@ -28,6 +28,15 @@
 	Fault(service, address string, outcome dispatch.Outcome)
 }
 
+// Memory reserves memory at model engines.
+type Memory interface {
+	// Reserve sets memory aside at an engine's address under a ticket for the
+	// hold time; the same ticket again prolongs it.
+	Reserve(ctx context.Context, address, ticket string, tokens int, hold time.Duration) error
+	// Release frees the memory of a ticket.
+	Release(ctx context.Context, address, ticket string) error
+}
+
 // Refusal tells that no place is to be had; the request has not run.
 type Refusal struct {
 	reason   dispatch.Reason
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -70,16 +70,20 @@
 	if q.sends == 1 {
 		q.server.budget.first(now, q.service.Name())
 	}
+	reserved, err := q.reserve(ctx, grant)
+	if err != nil {
+		return dispatch.OutcomeFull, err
+	}
+	defer reserved.release()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := time.AfterFunc(q.patience(grant, now), func() { cancel(errSilent) })
+	watch := time.AfterFunc(time.Hour, func() { cancel(errSilent) })
 	defer watch.Stop()
-	delivery := upstream.NewDelivery(grant.Server(), q.account.Name(), q.limit.Sub(now)).WithLastEvent(q.lastEvent())
-	var helpers []string
-	for _, helper := range grant.Helpers() {
-		helpers = append(helpers, helper.Address())
+	if patience := q.patience(grant, now); patience < q.limit.Sub(now) {
+		watch.Reset(patience)
 	}
-	answer, err := q.server.client.Send(ctx, grant.Address(), q.out, delivery.WithHelpers(helpers...))
+	delivery := upstream.NewDelivery(grant.Server(), q.account.Name(), q.limit.Sub(now)).WithLastEvent(q.lastEvent())
+	answer, err := q.server.client.Send(ctx, grant.Address(), q.out, delivery.WithHelpers(reserved.helpers(grant)...))
 	if err != nil {
 		return sendOutcome(ctx, err), err
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -44,6 +44,7 @@
 type Server struct {
 	views    Views
 	slots    Slots
+	memory   Memory
 	client   *upstream.Client
 	headers  Headers
 	recorder Recorder
@@ -58,9 +59,9 @@
 	leaving  atomic.Bool
 }
 
-// NewServer returns a server that routes by views, asks slots for places and sends through the client.
-func NewServer(views Views, slots Slots, client *upstream.Client, headers Headers, limits Limits, recorder Recorder, log hclog.Logger, timers *timer.Service) *Server {
-	s := &Server{views: views, slots: slots, client: client, headers: headers, recorder: recorder, log: log, timers: timers}
+// NewServer returns a server that routes by views, asks slots for places, reserves memory and sends through the client.
+func NewServer(views Views, slots Slots, memory Memory, client *upstream.Client, headers Headers, limits Limits, recorder Recorder, log hclog.Logger, timers *timer.Service) *Server {
+	s := &Server{views: views, slots: slots, memory: memory, client: client, headers: headers, recorder: recorder, log: log, timers: timers}
 	s.budget.bound = limits.retries
 	s.bodies.free.Store(limits.bodyMemory)
 	s.stall = limits.stall
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -8,13 +8,28 @@
 	"time"
 )
 
+// Helper is a server that reads a part of a prompt; a ticket names memory reserved there.
+type Helper struct {
+	address string
+	ticket  string
+}
+
+// NewHelper returns a helper at an IP and port; the ticket may be empty.
+func NewHelper(address, ticket string) Helper { return Helper{address: address, ticket: ticket} }
+
+// Address returns the helper's IP and port.
+func (h Helper) Address() string { return h.address }
+
+// Ticket returns the name of the memory reserved at the helper, empty for none.
+func (h Helper) Ticket() string { return h.ticket }
+
 // Delivery is what an entry itself states about a request that it sends.
 type Delivery struct {
 	account   string
 	server    string
 	timeLeft  time.Duration
 	lastEvent string
-	helpers   []string
+	helpers   []Helper
 	rank      int
 }
 
@@ -29,9 +44,9 @@
 	return d
 }
 
-// WithHelpers returns the delivery with the addresses of servers that read parts of the prompt.
-func (d Delivery) WithHelpers(addresses ...string) Delivery {
-	d.helpers = addresses
+// WithHelpers returns the delivery with the servers that read parts of the prompt.
+func (d Delivery) WithHelpers(helpers ...Helper) Delivery {
+	d.helpers = helpers
 	return d
 }
 
@@ -53,8 +68,8 @@
 // LastEvent returns the event after which a stream is to go on, empty for its start.
 func (d Delivery) LastEvent() string { return d.lastEvent }
 
-// Helpers returns the addresses of servers that read parts of the prompt.
-func (d Delivery) Helpers() []string { return d.helpers }
+// Helpers returns the servers that read parts of the prompt.
+func (d Delivery) Helpers() []Helper { return d.helpers }
 
 // Rank returns the urgency at the server, -1 for the usual one.
 func (d Delivery) Rank() int { return d.rank }
