--- a/gateway/message.go
+++ b/gateway/message.go
@@ -20,7 +20,6 @@
 
 // memberMessage is an entry as it tells of itself, or another tells of it.
 type memberMessage struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	ID          string
 	Incarnation uint64
 	Domain      string
@@ -31,20 +30,18 @@
 
 // holdMessage is a request on a backend server.
 type holdMessage struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	ID       string
-	Service  string
-	Server   string
-	Helpers  []string
-	Prompt   int
-	Answer   int
-	Pause    time.Duration
-	Started  bool
+	ID      string
+	Service string
+	Server  string
+	Helpers []string
+	Prompt  int
+	Answer  int
+	Pause   time.Duration
+	Started bool
 }
 
 // beatMessage is a heartbeat, and the answer to one.
 type beatMessage struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	From     memberMessage
 	Revision int64
 	// StoreAge is how long ago the store last answered the sender, negative if never.
@@ -61,13 +58,11 @@
 
 // itemsMessage asks for the items if the receiver's revision is above the one stated.
 type itemsMessage struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Revision int64
 }
 
 // itemMessage is one item of the store.
 type itemMessage struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Key      string
 	Revision int64
 	Value    []byte
@@ -97,7 +92,6 @@
 // itemsReply holds what is newer than the revision asked about: all items if
 // Whole, else those that changed. A revision of 0 tells that nothing is.
 type itemsReply struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Revision int64
 	Whole    bool
 	// Regained is how long ago the store came back after an outage, negative if there was none.
@@ -108,7 +102,6 @@
 // placeMessage asks for a place on a backend server. Times count from the
 // sending, since clocks differ.
 type placeMessage struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Entry       string
 	Incarnation uint64
 	ID          string
@@ -127,7 +120,6 @@
 
 // placeReply answers a placeMessage; neither Server nor Reason tells that the want waits.
 type placeReply struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Server   string
 	Address  string
 	Helpers  []helperMessage
@@ -139,15 +131,13 @@
 }
 
 type helperMessage struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Server   string
-	Address  string
-	Tokens   int
+	Server  string
+	Address string
+	Tokens  int
 }
 
 // eventsMessage tells what became of places.
 type eventsMessage struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Entry       string
 	Incarnation uint64
 	Started     []string
@@ -157,21 +147,18 @@
 }
 
 type endMessage struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	ID       string
-	Outcome  dispatch.Outcome
+	ID      string
+	Outcome dispatch.Outcome
 }
 
 type faultMessage struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Service  string
-	Address  string
-	Outcome  dispatch.Outcome
+	Service string
+	Address string
+	Outcome dispatch.Outcome
 }
 
 // emptyReply answers calls that need no answer.
 type emptyReply struct {
-	_msgpack struct{} `msgpack:",as_array"`
 }
 
 func encodeWant(owner dispatch.Owner, w dispatch.Want, now time.Time) placeMessage {
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -40,7 +40,7 @@
 
 // Call sends a call to the entry at the IP and port and decodes its answer into reply.
 func (c *Client) Call(ctx context.Context, address, kind string, call, reply any) error {
-	body, err := msgpack.Marshal(call)
+	body, err := encode(call)
 	if err != nil {
 		return eris.Wrapf(ErrRefused, "encode %s: %v", kind, err)
 	}
@@ -197,7 +197,7 @@
 }
 
 func writeEnvelope(conn net.Conn, e envelope) error {
-	message, err := msgpack.Marshal(&e)
+	message, err := encode(&e)
 	if err != nil {
 		return err
 	}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 
 	"github.com/rotisserie/eris"
@@ -21,11 +22,20 @@
 
 // envelope is one message; a call has a kind, its answer has none.
 type envelope struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	ID       uint64
-	Kind     string
-	Problem  string
-	Body     msgpack.RawMessage
+	ID      uint64
+	Kind    string
+	Problem string
+	Body    msgpack.RawMessage
+}
+
+// encode returns a value as msgpack, structs without the names of their fields.
+func encode(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	err := encoder.Encode(value)
+	return buffer.Bytes(), err
 }
 
 // limitedReader fails once a message is longer than it may be.
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -4,8 +4,6 @@
 	"errors"
 	"net"
 	"sync"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Handler carries out a call and returns its answer; it runs in a goroutine of its own.
@@ -93,7 +91,7 @@
 	if err != nil {
 		return envelope{ID: call.ID, Problem: err.Error()}
 	}
-	body, err := msgpack.Marshal(reply)
+	body, err := encode(reply)
 	if err != nil {
 		return envelope{ID: call.ID, Problem: err.Error()}
 	}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -30,7 +30,6 @@
 	server  string
 	idleAt  time.Time
 	keepFor time.Duration
-	used    bool
 	written chan error
 }
 
