--- /dev/null
+++ b/cmd/soak/faults.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+)
+
+const (
+	// faultPause is the mean time between two faults; they overlap.
+	faultPause = 450 * time.Millisecond
+	// settleTime is how long after a fault an entry counts as disturbed.
+	settleTime = 2500 * time.Millisecond
+	// drainTime is how long after its notice a leaving server may get requests.
+	drainTime = 3 * time.Second
+	// removeAfter is how long after its notice a leaving server is taken away.
+	removeAfter = 4500 * time.Millisecond
+)
+
+// fault is one kind of trouble; it returns what it did.
+type fault struct {
+	name string
+	do   func(ctx context.Context, f *fleet) string
+}
+
+var faults = []fault{
+	{"kill", func(_ context.Context, f *fleet) string {
+		e := f.anyEntry()
+		e.disturb(settleTime)
+		e.signal(syscall.SIGKILL)
+		return e.name
+	}},
+	{"kill_all", func(_ context.Context, f *fleet) string {
+		for _, e := range f.entries {
+			e.disturb(settleTime)
+			e.signal(syscall.SIGKILL)
+		}
+		return "all"
+	}},
+	{"pause", func(ctx context.Context, f *fleet) string {
+		e, d := f.anyEntry(), f.forTime(300*time.Millisecond, 3*time.Second)
+		e.disturb(d + settleTime)
+		e.signal(syscall.SIGSTOP)
+		later(ctx, d, func() { e.signal(syscall.SIGCONT) })
+		return fmt.Sprint(e.name, " for ", d)
+	}},
+	{"stop", func(_ context.Context, f *fleet) string {
+		e := f.anyEntry() // a planned stop is no excuse: nothing is disturbed
+		e.signal(syscall.SIGTERM)
+		return e.name
+	}},
+	{"reload", func(_ context.Context, f *fleet) string {
+		e := f.anyEntry()
+		e.signal(syscall.SIGHUP)
+		return e.name
+	}},
+	{"callers_proxy", func(ctx context.Context, f *fleet) string {
+		e, mode, d := f.anyEntry(), f.anyMode(), f.forTime(200*time.Millisecond, 2*time.Second)
+		e.disturb(d + settleTime)
+		e.callers.set(mode)
+		later(ctx, d, func() { e.callers.set(proxyPass) })
+		return fmt.Sprint(e.name, " ", mode, " for ", d)
+	}},
+	{"server_proxy", func(ctx context.Context, f *fleet) string {
+		servers := f.active()
+		s, mode, d := servers[f.random.IntN(len(servers))], f.anyMode(), f.forTime(200*time.Millisecond, 2*time.Second)
+		s.proxy.set(mode)
+		later(ctx, d, func() { s.proxy.set(proxyPass) })
+		return fmt.Sprint(s.ID(), " ", mode, " for ", d)
+	}},
+	{"server_faults", func(ctx context.Context, f *fleet) string {
+		servers := f.active()
+		s, d := servers[f.random.IntN(len(servers))], f.forTime(500*time.Millisecond, 3*time.Second)
+		s.SetFaults(40)
+		later(ctx, d, func() { s.SetFaults(0) })
+		return fmt.Sprint(s.ID(), " for ", d)
+	}},
+	{"server_drain", drainServer},
+	{"store_proxy", func(ctx context.Context, f *fleet) string {
+		mode, d := f.anyMode(), f.forTime(300*time.Millisecond, 3*time.Second)
+		f.disturbStore(d)
+		f.storeAt.set(mode)
+		later(ctx, d, func() { f.storeAt.set(proxyPass) })
+		return fmt.Sprint(mode, " for ", d)
+	}},
+	{"store_busy", func(ctx context.Context, f *fleet) string {
+		d := f.forTime(300*time.Millisecond, 3*time.Second)
+		f.disturbStore(d)
+		f.store.SetBusy(true)
+		later(ctx, d, func() { f.store.SetBusy(false) })
+		return fmt.Sprint("for ", d)
+	}},
+	{"store_forget", func(_ context.Context, f *fleet) string {
+		f.store.Forget()
+		return "history"
+	}},
+	{"config", func(_ context.Context, f *fleet) string {
+		f.publishConfig()
+		return fmt.Sprint("version ", f.newest())
+	}},
+}
+
+// drainServer replaces a server: the new one is published, the old one leaves.
+func drainServer(ctx context.Context, f *fleet) string {
+	servers := f.active()
+	s := servers[f.random.IntN(len(servers))]
+	if err := f.addServer(s.prompts); err != nil {
+		return err.Error()
+	}
+	f.mu.Lock()
+	s.drained = time.Now()
+	f.mu.Unlock()
+	f.store.PublishServer(s.ID(), s.proxy.address(), s.prompts, true, s.born)
+	later(ctx, removeAfter, func() {
+		last := s.LastRun()
+		calm := f.storeCalm(s.drained, last)
+		for _, e := range f.entries {
+			calm = calm && e.calm(s.drained, last)
+		}
+		if calm && last.Sub(s.drained) > drainTime {
+			f.checker.report("work for a leaving server: %s ran a request %v after its notice", s.ID(), last.Sub(s.drained))
+		}
+		f.store.RemoveServer(s.ID())
+	})
+	return s.ID()
+}
+
+func (f *fleet) anyEntry() *entry { return f.entries[f.random.IntN(len(f.entries))] }
+
+func (f *fleet) anyMode() proxyMode {
+	modes := []proxyMode{proxyDelay, proxyReset, proxySilent, proxyOneWay}
+	return modes[f.random.IntN(len(modes))]
+}
+
+func (f *fleet) forTime(least, most time.Duration) time.Duration {
+	return least + time.Duration(f.random.Int64N(int64(most-least)))
+}
+
+// disturbStore notes that the store is disturbed for a while from now on.
+func (f *fleet) disturbStore(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.storeBad = append(f.storeBad, span{now, now.Add(d + settleTime)})
+}
+
+// later does something after a time, or when ctx ends.
+func later(ctx context.Context, d time.Duration, do func()) {
+	go func() {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+		}
+		do()
+	}()
+}
+
+// disturb draws faults until ctx ends and returns what was done.
+func (f *fleet) disturb(ctx context.Context) []string {
+	var done []string
+	began := time.Now()
+	for {
+		select {
+		case <-time.After(time.Duration(f.random.ExpFloat64() * float64(faultPause))):
+		case <-ctx.Done():
+			return done
+		}
+		chosen := faults[f.random.IntN(len(faults))]
+		done = append(done, fmt.Sprintf("%.2fs %s %s", time.Since(began).Seconds(), chosen.name, chosen.do(ctx, f)))
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -305,5 +305,9 @@
 // ahead unasked: the store's usual answer and a round trip.
 const catchUpPause = 150 * time.Millisecond
 
-// fetchTimeout bounds the fetching of items: a megabyte over the slowest link twice.
-const fetchTimeout = 1500 * time.Millisecond
+// fetchTimeout bounds the fetching of items: a packed megabyte over the slowest
+// link, and short enough to ask several peers within a configuration's bound.
+const fetchTimeout = 700 * time.Millisecond
+
+// fetchers is how many peers are asked for items at once: one may be slow.
+const fetchers = 2
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -87,7 +87,7 @@
 	p.control = newControl(settings, incarnation, outside.Decode, log, &p.timers)
 	p.client = upstream.NewClient(outside.Headers, &p.timers)
 	retries := ingress.NewRetryBound(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
-	limits := ingress.NewLimits(retries, settings.Memory()/bodyMemoryPart, settings.Stall())
+	limits := ingress.NewLimits(retries, settings.Memory()/bodyMemoryPart, settings.Stall(), settings.Free())
 	slots := &slots{control: p.control, client: &p.peers}
 	p.callers = ingress.NewServer(p.control, slots, outside.Memory, p.client, outside.Headers, limits, &p.metrics, log, &p.timers)
 	p.server = mesh.NewServer(p.control.handle)
@@ -99,7 +99,9 @@
 	p.running.Go(func() { p.control.run(p.stop) })
 	p.running.Go(func() { p.control.watch(ctx, outside.Source) })
 	p.running.Go(func() { p.control.beats(ctx, &p.peers) })
-	p.running.Go(func() { p.control.catchUp(ctx, &p.peers) })
+	for range fetchers {
+		p.running.Go(func() { p.control.catchUp(ctx, &p.peers) })
+	}
 	p.running.Go(func() { p.sweep(ctx) })
 	log.Info("started", "entry", settings.ID(), "domain", settings.Domain(), "incarnation", incarnation, "callers", settings.Callers(), "peers", settings.Peers())
 	return p, nil
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -19,6 +19,7 @@
 	retrySlack  int
 	retryWindow time.Duration
 	stall       time.Duration
+	free        time.Duration
 	memory      int64
 	descriptors int
 }
@@ -58,9 +59,10 @@
 	return s
 }
 
-// WithStall returns the settings with how long a backend server waits for another that helps it.
-func (s Settings) WithStall(stall time.Duration) Settings {
-	s.stall = stall
+// WithEngines returns the settings with how long a backend server waits for
+// another that helps it, and how soon unused memory must be free.
+func (s Settings) WithEngines(stall, free time.Duration) Settings {
+	s.stall, s.free = stall, free
 	return s
 }
 
@@ -115,6 +117,9 @@
 // Stall returns how long a backend server waits for another that helps it.
 func (s Settings) Stall() time.Duration { return s.stall }
 
+// Free returns how soon memory that no request uses must be free at the engines.
+func (s Settings) Free() time.Duration { return s.free }
+
 // Memory returns the bytes of memory that the process may use.
 func (s Settings) Memory() int64 { return s.memory }
 
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -164,11 +164,16 @@
 	mu     sync.Mutex
 	held   map[string]int
 	refuse string
+	// orders counts reservations, and longest is the longest hold time of any.
+	orders  int
+	longest time.Duration
 }
 
-func (m *fakeMemory) Reserve(_ context.Context, address, ticket string, tokens int, _ time.Duration) error {
+func (m *fakeMemory) Reserve(_ context.Context, address, ticket string, tokens int, hold time.Duration) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.orders++
+	m.longest = max(m.longest, hold)
 	if address == m.refuse {
 		return errNotRun
 	}
@@ -239,7 +244,7 @@
 	b := &bed{c: c, slots: &fakeSlots{backends: backends}}
 	client := upstream.NewClient(fakeHeaders{}, timers)
 	server := NewServer(fakeViews{routing.NewView(1, table, servers, nil)}, b.slots, &b.memory, client, fakeHeaders{},
-		NewLimits(NewRetryBound(0.2, 100, 10*time.Second), 1<<20, 0), noRecorder{}, hclog.NewNullLogger(), timers)
+		NewLimits(NewRetryBound(0.2, 100, 10*time.Second), 1<<20, 0, 100*time.Millisecond), noRecorder{}, hclog.NewNullLogger(), timers)
 	b.http = httptest.NewServer(server)
 	c.Cleanup(b.http.Close)
 	return b
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -293,3 +293,19 @@
 	c.Assert(backend.seen(), qt.HasLen, 0)
 	b.waitForNoMemory()
 }
+
+// An entry that dies can't free what it reserved: a reservation lasts for less
+// than memory may stay unused, and is prolonged while it is used.
+func TestReservationEndsByItself(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(t, newBackend(c, hang))
+	b.slots.helpers = []dispatch.Helper{dispatch.NewHelper("s1", "10.0.0.1:1", 5000)}
+	r := b.request("POST", "/once/", "")
+	r.Header.Set("Left", "400ms")
+	_, _, _ = b.do(r)
+	b.waitForNoMemory()
+	b.memory.mu.Lock()
+	defer b.memory.mu.Unlock()
+	c.Assert(b.memory.longest < 100*time.Millisecond, qt.IsTrue)
+	c.Assert(b.memory.orders > 1, qt.IsTrue)
+}
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"time"
@@ -10,11 +11,13 @@
 )
 
 const (
-	// holdTime is how long memory stays set aside without another word. It is
-	// short enough that what a dead entry reserved is free soon after.
-	holdTime = 5500 * time.Millisecond
-	// renewAfter is when memory that is still used is reserved anew.
-	renewAfter = 3500 * time.Millisecond
+	// holdPart is the part of the time within which unused memory must be free
+	// that a reservation lasts: what a dead entry reserved ends by itself.
+	holdPart = 0.92
+	// renewPart is the part of a reservation's time after which it is prolonged.
+	renewPart = 0.45
+	// usualFree is that time where none is stated.
+	usualFree = 4 * time.Second
 	// releaseTries and releasePause bound the tries to free memory; the hold
 	// time frees what can't be told.
 	releaseTries = 3
@@ -26,6 +29,7 @@
 	server  *Server
 	id      string
 	tickets []ticket
+	hold    time.Duration
 	stop    chan struct{}
 }
 
@@ -38,7 +42,8 @@
 // reserve sets aside the memory that a grant's helpers are to hold. On an error
 // nothing stays reserved.
 func (q *request) reserve(ctx context.Context, grant dispatch.Grant) (*reservations, error) {
-	r := &reservations{server: q.server, id: q.id, stop: make(chan struct{})}
+	hold := time.Duration(holdPart * float64(cmp.Or(q.server.free, usualFree)))
+	r := &reservations{server: q.server, id: q.id, hold: hold, stop: make(chan struct{})}
 	for _, helper := range grant.Helpers() {
 		if helper.Tokens() == 0 {
 			continue
@@ -46,7 +51,7 @@
 		t := ticket{address: helper.Address(), name: strings.ReplaceAll(grant.ID(), "/", "-"), tokens: helper.Tokens()}
 		// An order without an answer may have been carried out: it is released too.
 		r.tickets = append(r.tickets, t)
-		if err := q.server.memory.Reserve(ctx, t.address, t.name, t.tokens, holdTime); err != nil {
+		if err := q.server.memory.Reserve(ctx, t.address, t.name, t.tokens, r.hold); err != nil {
 			q.server.log.Info("memory not reserved", "id", q.id, "address", t.address, "tokens", t.tokens, "error", err)
 			r.release()
 			return nil, err
@@ -76,7 +81,7 @@
 
 // renew prolongs the reservations until they are released.
 func (r *reservations) renew(ctx context.Context) {
-	tick := time.NewTicker(renewAfter)
+	tick := time.NewTicker(time.Duration(renewPart * float64(r.hold)))
 	defer tick.Stop()
 	for {
 		select {
@@ -87,7 +92,7 @@
 			return
 		}
 		for _, t := range r.tickets {
-			if err := r.server.memory.Reserve(ctx, t.address, t.name, t.tokens, holdTime); err != nil {
+			if err := r.server.memory.Reserve(ctx, t.address, t.name, t.tokens, r.hold); err != nil {
 				r.server.log.Info("memory not prolonged", "id", r.id, "address", t.address, "error", err)
 			}
 		}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -32,12 +32,14 @@
 	retries    RetryBound
 	bodyMemory int64
 	stall      time.Duration
+	free       time.Duration
 }
 
 // NewLimits returns limits: the bound on repeats, the bytes that all bodies may
-// take, and how long a server waits for another that helps it before it says so.
-func NewLimits(retries RetryBound, bodyMemory int64, stall time.Duration) Limits {
-	return Limits{retries: retries, bodyMemory: bodyMemory, stall: stall}
+// take, how long a server waits for another that helps it before it says so, and
+// how soon memory that no request uses must be free.
+func NewLimits(retries RetryBound, bodyMemory int64, stall, free time.Duration) Limits {
+	return Limits{retries: retries, bodyMemory: bodyMemory, stall: stall, free: free}
 }
 
 // Server answers callers at one entry.
@@ -53,6 +55,7 @@
 	budget   budget
 	bodies   bodies
 	stall    time.Duration
+	free     time.Duration
 	http     *http.Server
 	open     atomic.Int64
 	serial   atomic.Uint64
@@ -65,6 +68,7 @@
 	s.budget.bound = limits.retries
 	s.bodies.free.Store(limits.bodyMemory)
 	s.stall = limits.stall
+	s.free = limits.free
 	s.http = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headerTimeout,
