Split the book by what it does, and close the values of decisions

Cause: reading the change as a newcomer: place.go and book.go held the queue, the spread prompts and what is published; decisions had open fields; two interfaces described the directory; settings held what nothing uses. Change: queue.go, spread.go, view.go and declare.go; constructors and accessors; one Directory. No behaviour.

--- a/cmd/greengagedockd/gateway.go
+++ b/cmd/greengagedockd/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -56,13 +55,11 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	outside := gateway.Outside{
-		Source:  platform.NewStore(store),
-		Decode:  platform.Decode,
-		Memory:  platform.NewOrders(),
-		Headers: platform.Headers{},
-		Directory: func(d gateway.Directory) http.Handler {
-			return platform.DirectoryHandler(d)
-		},
+		Source:    platform.NewStore(store),
+		Decode:    platform.Decode,
+		Memory:    platform.NewOrders(),
+		Headers:   platform.Headers{},
+		Directory: platform.DirectoryHandler,
 	}
 	process, err := gateway.Start(settings, outside, output, log)
 	if err != nil {
--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -1,12 +1,9 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"greengagedock.example/routing"
 )
 
@@ -56,86 +53,17 @@
 	}
 }
 
-// SetView takes what is published now.
-func (b *Book) SetView(now time.Time, view *routing.View) {
-	table := view.Table()
-	if table == nil {
-		return
-	}
-	for _, name := range table.Services() {
-		service, _ := table.Service(name)
-		p := b.pools[name]
-		if p == nil {
-			p = &pool{servers: make(map[string]*server), share: 1}
-			b.pools[name] = p
-		}
-		p.service = service
-	}
-	for _, p := range b.pools {
-		p.drop(view)
-	}
-	for id, info := range view.Servers() {
-		if p := b.pools[info.Service()]; p != nil {
-			p.set(now, info, view.Usable(id))
-		}
-	}
-	for _, p := range b.pools {
-		p.sort(b.entry)
-	}
-}
-
-// drop marks the servers that are published no more, and forgets those without requests.
-func (p *pool) drop(view *routing.View) {
-	for id, s := range p.servers {
-		info, ok := view.Servers()[id]
-		if ok && info.Service() == p.service.Name() {
-			continue
-		}
-		s.usable = false
-		if len(s.holds) == 0 && s.helping == 0 {
-			delete(p.servers, id)
-		}
-	}
-}
-
-// set takes a server as it is published.
-func (p *pool) set(now time.Time, info routing.Server, usable bool) {
-	s := p.servers[info.ID()]
-	if s == nil || s.info.Born() != info.Born() {
-		s = &server{holds: make(map[string]*hold)}
-		p.servers[info.ID()] = s
-	}
-	if s.info.Revision() != info.Revision() && info.ColdFor() > 0 {
-		s.coldUntil = now.Add(info.ColdFor())
-	}
-	s.info = info
-	s.usable = usable
-	s.engine = p.service.Engine()
-	s.coldRate = p.service.ColdRate()
-}
-
-// sort puts the servers in the order in which an entry prefers equals. Entries
-// that place by themselves for a while so don't all choose the same server.
-func (p *pool) sort(entry string) {
-	p.order = p.order[:0]
-	for _, s := range p.servers {
-		p.order = append(p.order, s)
-	}
-	preference := func(s *server) uint64 { return xxhash.Sum64String(entry + "\x00" + s.info.ID()) }
-	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(preference(a), preference(b)) })
-}
-
 // Ask decides on a want; it is asked again with the same id while it is queued.
 func (b *Book) Ask(now time.Time, owner Owner, want Want) Decision {
 	if h := b.holds[want.id]; h != nil {
 		if grant, ok := b.grantOf(h); ok {
-			return Granted{Owner: owner, Grant: grant}
+			return NewGranted(grant)
 		}
 		b.release(now, h)
 	}
 	p := b.pools[want.service]
 	if p == nil {
-		return Refused{Owner: owner, ID: want.id, Reason: ReasonNoServer, ComeBack: comeBackNoServer}
+		return NewRefused(want.id, ReasonNoServer, comeBackNoServer)
 	}
 	if slices.ContainsFunc(p.queue, func(w *waiting) bool { return w.want.id == want.id }) {
 		return Queued{}
@@ -144,7 +72,7 @@
 		return decision
 	}
 	if len(p.queue) >= maxQueue {
-		return Refused{Owner: owner, ID: want.id, Reason: ReasonBusy, ComeBack: p.comeBack(now)}
+		return NewRefused(want.id, ReasonBusy, p.comeBack(now))
 	}
 	p.queue = append(p.queue, &waiting{owner: owner, want: want})
 	return Queued{}
@@ -287,92 +215,6 @@
 	return nil
 }
 
-// Declare takes all requests that an owner has on the servers of some services;
-// what it was granted a while ago and does not declare is released.
-func (b *Book) Declare(now time.Time, owner Owner, services []string, holds []Hold) {
-	declared := make(map[string]bool, len(holds))
-	for _, d := range holds {
-		declared[d.id] = true
-		if h := b.holds[d.id]; h == nil {
-			b.Adopt(now, owner, d)
-		} else if d.started && !h.started {
-			b.start(now, h)
-		}
-	}
-	for id, h := range b.holds {
-		if h.owner == owner && !declared[id] && slices.Contains(services, h.service) && now.Sub(h.granted) > undeclaredGrace {
-			b.release(now, h)
-		}
-	}
-}
-
-// Adopt takes a request that another book placed.
-func (b *Book) Adopt(now time.Time, owner Owner, d Hold) {
-	if b.holds[d.id] != nil {
-		return
-	}
-	p := b.pools[d.service]
-	if p == nil || p.servers[d.server] == nil {
-		return
-	}
-	started := d.started
-	d.started = false
-	s := p.servers[d.server]
-	h := &hold{Hold: d, owner: owner, granted: now, on: s, memory: d.prompt + d.answer}
-	if s.engine != nil {
-		h.memory = min(h.memory, s.engine.Memory())
-	}
-	b.holds[d.id] = h
-	s.holds[d.id] = h
-	s.memory += h.memory
-	if started {
-		b.start(now, h)
-		return
-	}
-	b.adoptReading(now, p, h)
-}
-
-// adoptReading enters the reading of a request that another book placed; half
-// of it is taken to be done.
-func (b *Book) adoptReading(now time.Time, p *pool, h *hold) {
-	if h.on.engine == nil {
-		return
-	}
-	share := 1 / float64(1+len(h.helpers))
-	readers := []*server{h.on}
-	for _, id := range h.helpers {
-		if helper := p.servers[id]; helper != nil && helper != h.on {
-			readers = append(readers, helper)
-		}
-	}
-	for _, r := range readers {
-		r.give(now, h, r.readCost(h.prompt, share)/2)
-	}
-}
-
-// give enters a part of a request's reading on the server.
-func (s *server) give(now time.Time, h *hold, cost time.Duration) {
-	s.readyAt = later(now, s.readyAt).Add(cost)
-	h.parts = append(h.parts, part{server: s, cost: cost})
-	if s != h.on {
-		s.helping++
-	}
-}
-
-// Forget releases what the other incarnations of an entry hold; keep 0 releases all.
-func (b *Book) Forget(now time.Time, entry string, keep uint64) {
-	for _, h := range b.holds {
-		if h.owner.entry == entry && h.owner.incarnation != keep {
-			b.release(now, h)
-		}
-	}
-	for _, p := range b.pools {
-		p.queue = slices.DeleteFunc(p.queue, func(w *waiting) bool {
-			return w.owner.entry == entry && w.owner.incarnation != keep
-		})
-	}
-}
-
 // Holds returns the requests that an owner has on servers, as the book knows them.
 func (b *Book) Holds(owner Owner) []Hold {
 	var out []Hold
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -77,7 +77,7 @@
 	c.Helper()
 	decision, ok := f.book.Ask(f.now, f.owner, want).(Granted)
 	c.Assert(ok, qt.IsTrue, qt.Commentf("want %s not granted", want.ID()))
-	return decision.Grant
+	return decision.Grant()
 }
 
 // Pattern: short prompts alone. Their answers are gathered on one server, since
@@ -170,10 +170,10 @@
 		for _, decision := range f.book.Tick(f.now) {
 			switch d := decision.(type) {
 			case Granted:
-				ended[d.Grant.ID()] = true
+				ended[d.Grant().ID()] = true
 			case Refused:
-				ended[d.ID] = true
-				c.Assert(d.ComeBack > 0, qt.IsTrue)
+				ended[d.ID()] = true
+				c.Assert(d.ComeBack() > 0, qt.IsTrue)
 			}
 		}
 	}
@@ -313,7 +313,7 @@
 	f.now = f.now.Add(time.Second)
 	decisions := f.book.Tick(f.now)
 	c.Assert(decisions, qt.HasLen, 1)
-	c.Assert(decisions[0].(Refused).Reason, qt.Equals, ReasonTooLate)
+	c.Assert(decisions[0].(Refused).Reason(), qt.Equals, ReasonTooLate)
 }
 
 // Pattern: the entry that places requests ends in a burst of long prompts. The
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -9,21 +9,39 @@
 
 // Granted tells where a request goes.
 type Granted struct {
-	Owner Owner
-	Grant Grant
+	grant Grant
 }
 
+// NewGranted returns the decision that grants a place.
+func NewGranted(grant Grant) Granted { return Granted{grant: grant} }
+
+// Grant returns the place.
+func (g Granted) Grant() Grant { return g.grant }
+
 // Queued tells that a want waits.
 type Queued struct{}
 
 // Refused tells that a request can't be served; it has not run.
 type Refused struct {
-	Owner    Owner
-	ID       string
-	Reason   Reason
-	ComeBack time.Duration
+	id       string
+	reason   Reason
+	comeBack time.Duration
+}
+
+// NewRefused returns the decision that refuses a want, with when to try again.
+func NewRefused(id string, reason Reason, comeBack time.Duration) Refused {
+	return Refused{id: id, reason: reason, comeBack: comeBack}
 }
 
+// ID returns the id of the want.
+func (r Refused) ID() string { return r.id }
+
+// Reason returns why the want was refused.
+func (r Refused) Reason() Reason { return r.reason }
+
+// ComeBack returns when to try again.
+func (r Refused) ComeBack() time.Duration { return r.comeBack }
+
 func (Granted) decision() {}
 func (Queued) decision()  {}
 func (Refused) decision() {}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -3,39 +3,13 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"time"
-
-	"greengagedock.example/routing"
 )
 
 const (
-	// comeBackNoServer is when to try again while no server is known.
-	comeBackNoServer = 500 * time.Millisecond
-	// comeBackLeast and comeBackMost bound the advice when to come back.
-	comeBackLeast = 200 * time.Millisecond
-	comeBackMost  = 2 * time.Second
-	// comeBackLate bounds the advice to those that are late already.
-	comeBackLate = 5 * time.Second
-	// drainPart is the part of the servers' time that reads what waits already:
-	// prompts that come later and can be on time go ahead of those that can't.
-	drainPart = 0.3
 	// maxHelpers is how many servers a model engine lets read parts of one prompt.
 	maxHelpers = 16
-	// plainPatience is the part of the objective for which a plain call may wait.
-	plainPatience = 0.5
-	// usualShare is the part of a prompt that one of its readers usually reads.
-	usualShare = 0.125
-	// spreadPart is the part of a server's free memory that a spread prompt may
-	// take: what an engine counts in blocks, and for its answer, is more than its tokens.
-	spreadPart = 0.75
-	// A prompt that is spread reads for longer than several others that would be
-	// on time: it waits while the reading of loadTime and its own take more than
-	// spreadLoad of the servers' time, unless less than idleLoad was placed.
-	spreadLoad = 0.6
-	idleLoad   = 0.1
-	loadTime   = 3 * time.Second
 	// leastPart is the fewest tokens that are worth a helper.
 	leastPart = 1024
 	// freeBacklog is the reading that a server may still have before it when a
@@ -62,7 +36,7 @@
 // want may take no helpers, since others wait for them.
 func (b *Book) decide(now time.Time, p *pool, owner Owner, want Want, alone bool) Decision {
 	if !now.Before(want.deadline) {
-		return Refused{Owner: owner, ID: want.id, Reason: ReasonTooLate, ComeBack: p.comeBack(now)}
+		return NewRefused(want.id, ReasonTooLate, p.comeBack(now))
 	}
 	open := p.open(now, want)
 	if len(open) == 0 {
@@ -77,100 +51,7 @@
 	if choice.server == nil {
 		return p.wait(now, owner, want, ReasonBusy)
 	}
-	return Granted{Owner: owner, Grant: b.place(now, owner, want, choice)}
-}
-
-// wait refuses a want that has no time left to wait, else lets it wait.
-func (p *pool) wait(now time.Time, owner Owner, want Want, reason Reason) Decision {
-	if now.Before(want.patience(p.service.Engine())) {
-		return nil
-	}
-	return Refused{Owner: owner, ID: want.id, Reason: reason, ComeBack: p.comeBack(now)}
-}
-
-// reading returns the time that an engine takes to read a want's prompt alone.
-func (p *pool) reading(want Want) time.Duration {
-	if engine := p.service.Engine(); engine != nil {
-		return engine.ReadTime(want.prompt, 1)
-	}
-	return 0
-}
-
-// hopeless refuses a want that is late already and, behind the reading that
-// goes ahead of it, would not be served in time: its caller does better to come
-// back when that is read.
-func (p *pool) hopeless(now time.Time, w *waiting, ahead time.Duration) Decision {
-	engine := p.service.Engine()
-	if engine == nil || !w.want.late(now, engine) {
-		return nil
-	}
-	usable := 0
-	backlog := time.Duration(0)
-	for _, s := range p.order {
-		if s.usable {
-			usable++
-			backlog += s.backlog(now)
-		}
-	}
-	if usable == 0 {
-		return nil
-	}
-	wait := time.Duration(float64(ahead+backlog) / (float64(usable) * drainPart))
-	if now.Add(wait).Before(w.want.patience(engine)) {
-		return nil
-	}
-	return Refused{Owner: w.owner, ID: w.want.id, Reason: ReasonTooLate, ComeBack: min(max(wait, comeBackLeast), comeBackLate)}
-}
-
-// patience returns until when a want may wait for a place.
-func (w Want) patience(engine *routing.Engine) time.Time {
-	if engine == nil {
-		return w.arrived.Add(time.Duration(plainPatience * float64(w.objective.Sub(w.arrived))))
-	}
-	soonest := engine.ReadTime(w.prompt, 1.0/(1+maxHelpers)) + engine.StrideTime(1, w.prompt)
-	bears := w.firstBy.Sub(w.arrived)
-	return w.arrived.Add(time.Duration(firstPart*float64(bears)) - soonest)
-}
-
-// late reports whether a want can't meet its objective any more.
-func (w Want) late(now time.Time, engine *routing.Engine) bool {
-	return now.Add(engine.ReadTime(w.prompt, 1.0/(1+maxHelpers))).After(w.objective)
-}
-
-// response returns the ratio by which waiting prolongs a want's reading; the
-// highest goes first, so that short prompts pass long ones for a while only.
-func (w Want) response(now time.Time, engine *routing.Engine) float64 {
-	reading := max(float64(engine.ReadTime(w.prompt, usualShare)), float64(time.Millisecond))
-	return 1 + float64(now.Sub(w.arrived))/reading
-}
-
-// arrange sorts the wants that wait: first those that can be on time, by rank
-// and then by response ratio.
-func (p *pool) arrange(now time.Time) {
-	engine := p.service.Engine()
-	slices.SortStableFunc(p.queue, func(a, b *waiting) int {
-		if engine == nil {
-			return cmp.Or(a.want.rank-b.want.rank, a.want.arrived.Compare(b.want.arrived))
-		}
-		if aLate, bLate := a.want.late(now, engine), b.want.late(now, engine); aLate != bLate {
-			if aLate {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(a.want.rank-b.want.rank, cmp.Compare(b.want.response(now, engine), a.want.response(now, engine)))
-	})
-}
-
-// comeBack returns when a place is likely to be free.
-func (p *pool) comeBack(now time.Time) time.Duration {
-	least := time.Duration(-1)
-	for _, s := range p.order {
-		if s.usable && (least < 0 || s.backlog(now) < least) {
-			least = s.backlog(now)
-		}
-	}
-	return min(max(least, comeBackLeast), comeBackMost)
+	return NewGranted(b.place(now, owner, want, choice))
 }
 
 // open returns the servers that may get a request, those that were excluded if
@@ -277,64 +158,6 @@
 	return best
 }
 
-// load returns the part of the servers' time that lately placed reading and
-// the given one take.
-func (p *pool) load(now time.Time, more time.Duration) float64 {
-	usable := 0
-	for _, s := range p.order {
-		if s.usable {
-			usable++
-		}
-	}
-	if usable == 0 {
-		return 1
-	}
-	return float64(p.lately(now)+more) / (float64(loadTime) * float64(usable))
-}
-
-// lately returns the reading that was placed, of which the older counts less.
-func (p *pool) lately(now time.Time) time.Duration {
-	return time.Duration(float64(p.given) * math.Exp(-float64(now.Sub(p.givenAt))/float64(loadTime)))
-}
-
-// chooseSpread returns where a prompt goes that is larger than one engine's
-// memory: a server with no answers, and helpers that hold what it has no room for.
-func (p *pool) chooseSpread(now time.Time, open []*server, want Want) placement {
-	if p.load(now, 0) > idleLoad && p.load(now, p.reading(want)) > spreadLoad {
-		return placement{}
-	}
-	readers := p.readers(now, open)
-	readers = slices.DeleteFunc(readers, func(s *server) bool { return len(s.holds) > 0 })
-	if len(readers) < 2 {
-		return placement{}
-	}
-	first := readers[0]
-	room := int(spreadPart*float64(first.engine.Memory()-first.memory)) - want.answer
-	choice, ok := withHelpers(now, first, readers, want.prompt, min(maxHelpers, len(readers)-1))
-	_, acceptable := want.targets(now)
-	if !ok || choice.first > max(acceptable, time.Duration(onTimePart*float64(want.objective.Sub(now)))) {
-		return placement{}
-	}
-	left := want.prompt - room
-	choice.reserve = make([]int, len(choice.helpers))
-	for i, helper := range choice.helpers {
-		if left <= 0 {
-			break
-		}
-		tokens := min(left, int(spreadPart*float64(helper.engine.Memory()-helper.memory)))
-		if tokens < leastPart {
-			continue
-		}
-		choice.reserve[i] = tokens
-		left -= tokens
-	}
-	if left > 0 {
-		return placement{}
-	}
-	choice.why = "spread"
-	return choice
-}
-
 // targets returns the expected time to the first event that a placement is to
 // meet, and that which is acceptable once the want has waited a little.
 func (w Want) targets(now time.Time) (target, acceptable time.Duration) {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -154,9 +154,9 @@
 	id := ""
 	switch d := decision.(type) {
 	case dispatch.Granted:
-		id = d.Grant.ID()
+		id = d.Grant().ID()
 	case dispatch.Refused:
-		id = d.ID
+		id = d.ID()
 	}
 	if waiter := c.waiters[id]; waiter != nil {
 		delete(c.waiters, id)
@@ -185,7 +185,7 @@
 	c.do(func(time.Time) { c.setState(memberLeaving) })
 }
 
-// Addresses returns where callers are to connect, and how long they may keep that.
+// Addresses returns where callers of any failure domain are to connect, and how long they may keep that.
 func (c *control) Addresses(string) ([]string, time.Duration) {
 	var out []string
 	c.do(func(now time.Time) { out = c.members.addresses(now) })
--- a/gateway/item.go
+++ b/gateway/item.go
@@ -60,13 +60,35 @@
 }
 
 // PublishedTable is a version of the configuration.
-type PublishedTable struct{ Table *routing.Table }
+type PublishedTable struct{ table *routing.Table }
+
+// NewPublishedTable returns what an item with a configuration says.
+func NewPublishedTable(table *routing.Table) PublishedTable { return PublishedTable{table: table} }
+
+// Table returns the configuration.
+func (p PublishedTable) Table() *routing.Table { return p.table }
 
 // PublishedServer is a backend server.
-type PublishedServer struct{ Server routing.Server }
+type PublishedServer struct{ server routing.Server }
+
+// NewPublishedServer returns what an item with a backend server says.
+func NewPublishedServer(server routing.Server) PublishedServer {
+	return PublishedServer{server: server}
+}
+
+// Server returns the backend server.
+func (p PublishedServer) Server() routing.Server { return p.server }
 
 // PublishedEvacuation asks that a failure domain's servers get no new work.
-type PublishedEvacuation struct{ Domain string }
+type PublishedEvacuation struct{ domain string }
+
+// NewPublishedEvacuation returns what an item says that empties a failure domain.
+func NewPublishedEvacuation(domain string) PublishedEvacuation {
+	return PublishedEvacuation{domain: domain}
+}
+
+// Domain returns the failure domain.
+func (p PublishedEvacuation) Domain() string { return p.domain }
 
 // PublishedNothing is an item of no concern.
 type PublishedNothing struct{}
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -184,31 +184,32 @@
 func encodeDecision(d dispatch.Decision) placeReply {
 	switch d := d.(type) {
 	case dispatch.Granted:
+		grant := d.Grant()
 		reply := placeReply{
-			Server: d.Grant.Server(), Address: d.Grant.Address(),
-			First: d.Grant.First(), Waited: d.Grant.Waited(), Why: d.Grant.Why(),
+			Server: grant.Server(), Address: grant.Address(),
+			First: grant.First(), Waited: grant.Waited(), Why: grant.Why(),
 		}
-		for _, h := range d.Grant.Helpers() {
+		for _, h := range grant.Helpers() {
 			reply.Helpers = append(reply.Helpers, helperMessage{Server: h.Server(), Address: h.Address(), Tokens: h.Tokens()})
 		}
 		return reply
 	case dispatch.Refused:
-		return placeReply{Reason: string(d.Reason), ComeBack: d.ComeBack}
+		return placeReply{Reason: string(d.Reason()), ComeBack: d.ComeBack()}
 	default:
 		return placeReply{}
 	}
 }
 
-func (m placeReply) decode(owner dispatch.Owner, id string) dispatch.Decision {
+func (m placeReply) decode(id string) dispatch.Decision {
 	switch {
 	case m.Server != "":
 		var helpers []dispatch.Helper
 		for _, h := range m.Helpers {
 			helpers = append(helpers, dispatch.NewHelper(h.Server, h.Address, h.Tokens))
 		}
-		return dispatch.Granted{Owner: owner, Grant: dispatch.NewGrant(id, m.Server, m.Address, helpers, m.First).WithWhy(m.Waited, m.Why)}
+		return dispatch.NewGranted(dispatch.NewGrant(id, m.Server, m.Address, helpers, m.First).WithWhy(m.Waited, m.Why))
 	case m.Reason != "":
-		return dispatch.Refused{Owner: owner, ID: id, Reason: dispatch.Reason(m.Reason), ComeBack: m.ComeBack}
+		return dispatch.NewRefused(id, dispatch.Reason(m.Reason), m.ComeBack)
 	default:
 		return dispatch.Queued{}
 	}
--- a/gateway/mirror.go
+++ b/gateway/mirror.go
@@ -115,7 +115,7 @@
 	}
 	m.says[item.key] = says
 	if published, ok := says.(PublishedTable); ok {
-		m.takeTable(published.Table, item.revision)
+		m.takeTable(published.table, item.revision)
 	}
 }
 
@@ -181,9 +181,9 @@
 	for _, says := range m.says {
 		switch p := says.(type) {
 		case PublishedServer:
-			servers[p.Server.ID()] = p.Server
+			servers[p.server.ID()] = p.server
 		case PublishedEvacuation:
-			evacuated[p.Domain] = true
+			evacuated[p.domain] = true
 		}
 	}
 	return routing.NewView(m.revision, m.table, servers, evacuated)
--- a/gateway/mirror_test.go
+++ b/gateway/mirror_test.go
@@ -26,11 +26,11 @@
 		return nil, errTest
 	case item.Key() == "config":
 		version, err := strconv.ParseInt(value, 10, 64)
-		return PublishedTable{Table: routing.NewTable(version, nil, []routing.Service{routing.NewService("desk")}, nil, routing.Limits{})}, err
+		return NewPublishedTable(routing.NewTable(version, nil, []routing.Service{routing.NewService("desk")}, nil, routing.Limits{})), err
 	case strings.HasPrefix(item.Key(), "domain/"):
-		return PublishedEvacuation{Domain: strings.TrimPrefix(item.Key(), "domain/")}, nil
+		return NewPublishedEvacuation(strings.TrimPrefix(item.Key(), "domain/")), nil
 	default:
-		return PublishedServer{Server: routing.NewServer(item.Key(), "desk", value, "a", 6).WithIncarnation(1, item.Revision())}, nil
+		return NewPublishedServer(routing.NewServer(item.Key(), "desk", value, "a", 6).WithIncarnation(1, item.Revision())), nil
 	}
 }
 
@@ -109,7 +109,7 @@
 	now := time.Unix(100, 0)
 	m := testMirror()
 	m.items["s9"] = item("s9", 12, "10.0.0.9:1")
-	m.says["s9"] = PublishedServer{Server: routing.NewServer("s9", "desk", "10.0.0.9:1", "a", 6)}
+	m.says["s9"] = NewPublishedServer(routing.NewServer("s9", "desk", "10.0.0.9:1", "a", 6))
 	m.replace(now, []Item{item("s1", 3, "10.0.0.1:1")}, 10)
 	c.Assert(m.view().Usable("s9"), qt.IsTrue)
 }
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -48,7 +48,10 @@
 
 // Directory tells where callers are to connect.
 type Directory interface {
+	// Addresses returns IPs and ports for a caller in the failure domain, and
+	// how long it may keep them.
 	Addresses(domain string) ([]string, time.Duration)
+	// Ready reports whether this entry takes requests.
 	Ready() bool
 }
 
@@ -103,7 +106,7 @@
 		p.running.Go(func() { p.control.catchUp(ctx, &p.peers) })
 	}
 	p.running.Go(func() { p.sweep(ctx) })
-	log.Info("started", "entry", settings.ID(), "domain", settings.Domain(), "incarnation", incarnation, "callers", settings.Callers(), "peers", settings.Peers())
+	log.Info("started", "entry", settings.ID(), "domain", settings.Domain(), "region", settings.Region(), "incarnation", incarnation, "callers", settings.Callers(), "peers", settings.Peers())
 	return p, nil
 }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -21,7 +21,6 @@
 	stall       time.Duration
 	free        time.Duration
 	memory      int64
-	descriptors int
 }
 
 // NewSettings returns the settings of an entry in a failure domain of a region.
@@ -66,9 +65,9 @@
 	return s
 }
 
-// WithResources returns the settings with the bytes of memory and the descriptors that the process may use.
-func (s Settings) WithResources(memory int64, descriptors int) Settings {
-	s.memory, s.descriptors = memory, descriptors
+// WithMemory returns the settings with the bytes of memory that the process may use.
+func (s Settings) WithMemory(memory int64) Settings {
+	s.memory = memory
 	return s
 }
 
@@ -122,6 +121,3 @@
 
 // Memory returns the bytes of memory that the process may use.
 func (s Settings) Memory() int64 { return s.memory }
-
-// Descriptors returns the file descriptors that the process may use.
-func (s Settings) Descriptors() int { return s.descriptors }
--- a/gateway/slots.go
+++ b/gateway/slots.go
@@ -37,9 +37,9 @@
 		}
 		switch d := decision.(type) {
 		case dispatch.Granted:
-			return d.Grant, nil
+			return d.Grant(), nil
 		case dispatch.Refused:
-			return dispatch.Grant{}, ingress.NewRefusal(d.Reason, d.ComeBack)
+			return dispatch.Grant{}, ingress.NewRefusal(d.Reason(), d.ComeBack())
 		case dispatch.Queued:
 		}
 	}
@@ -76,9 +76,9 @@
 		s.suspect(placer, err)
 		return dispatch.Queued{}, nil
 	}
-	decision := reply.decode(s.control.owner, want.ID())
+	decision := reply.decode(want.ID())
 	if granted, ok := decision.(dispatch.Granted); ok {
-		s.adopt(want, granted.Grant)
+		s.adopt(want, granted.Grant())
 	}
 	return decision, nil
 }
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -45,7 +45,7 @@
 
 func (fakeHeaders) DecodeAnswer(status int, header http.Header) upstream.Notice {
 	n := upstream.NewNotice(header.Get("Id"))
-	if header.Get("Not-Run") != "" {
+	if header.Get("Refused") != "" {
 		n = n.WithNotRun(false, "")
 	}
 	return n
@@ -113,7 +113,7 @@
 	return fmt.Sprintf("HTTP/1.1 %d X\r\nId: ID\r\nSeal: s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 }
 
-const refused = "HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+const refused = "HTTP/1.1 503 X\r\nId: ID\r\nRefused: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // streamed returns a streamed answer of raw text; ended tells whether its end comes.
 func streamed(text string, ended bool) string {
