Pass a stream's header on with its first event

Cause: a stream's header was copied into the answer before its first event came; when the stream broke off then, the caller's 502 bore the seal of that server. Ruled out: plain answers, whose header goes with their body. Change: the header goes with the first event that is passed on. Test that failed first: TestFailureBearsNoSealOfAServer.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -309,3 +309,20 @@
 	c.Assert(b.memory.longest < 100*time.Millisecond, qt.IsTrue)
 	c.Assert(b.memory.orders > 1, qt.IsTrue)
 }
+
+// A stream that breaks off before its first event leaves nothing of its server
+// in the failure that the caller gets, nor in the answer of the next server.
+func TestFailureBearsNoSealOfAServer(t *testing.T) {
+	c := qt.New(t)
+	sealed := strings.Replace(streamed("id: 1\nda", false), "Content-Type", "Seal: first\r\nContent-Type", 1)
+	b := newBed(t, newBackend(c, sealed))
+	response, _, _ := b.do(b.request("POST", "/stream/fixed/", ""))
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+	c.Assert(response.Header.Get("Seal"), qt.Equals, "")
+
+	b = newBed(t, newBackend(c, sealed), newBackend(c, streamed(threeEvents, true)))
+	response, body, err := b.do(b.request("POST", "/stream/", ""))
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, threeEvents)
+	c.Assert(response.Header.Get("Seal"), qt.Equals, "")
+}
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -205,10 +205,6 @@
 
 // stream passes the events of an answer on as they come.
 func (q *request) stream(ctx context.Context, cancel context.CancelCauseFunc, watch *time.Timer, grant dispatch.Grant, answer *upstream.Answer) (dispatch.Outcome, error) {
-	if !q.wrote {
-		header := answer.Header()
-		copyHeader(q.w.Header(), header)
-	}
 	control := http.NewResponseController(q.w)
 	_ = control.SetWriteDeadline(q.limit.Add(endMargin)) // without it the caller's silence is borne longer
 	reader := newEventReader(answer)
@@ -217,7 +213,7 @@
 	for {
 		event, err := reader.next()
 		if err == io.EOF {
-			return q.streamEnd(reader)
+			return q.streamEnd(answer, reader)
 		}
 		if err != nil {
 			return brokenOutcome(ctx), eris.Wrapf(errSpoilt, "after event %q: %v", q.events.last, err)
@@ -238,7 +234,7 @@
 			continue
 		}
 		q.events.passed(q.server.timers.Now())
-		q.wrote = true
+		q.begin(answer)
 		if _, err := q.w.Write(event.text); err != nil {
 			return dispatch.OutcomeLeft, fmt.Errorf("caller: %w", err)
 		}
@@ -256,13 +252,22 @@
 }
 
 // streamEnd returns the outcome of a stream whose body ended whole.
-func (q *request) streamEnd(reader *eventReader) (dispatch.Outcome, error) {
+func (q *request) streamEnd(answer *upstream.Answer, reader *eventReader) (dispatch.Outcome, error) {
 	if reader.partial() {
 		return dispatch.OutcomeBroken, eris.Wrap(errSpoilt, "ended within an event")
 	}
-	if !q.wrote {
-		q.wrote = true
-		q.w.WriteHeader(http.StatusOK)
-	}
+	q.begin(answer)
 	return dispatch.OutcomeWhole, nil
 }
+
+// begin passes on the header of the answer that the caller's stream begins
+// with. Until its first event the stream may end as a failure of this entry, or
+// begin at another server, and then bears nothing of this one.
+func (q *request) begin(answer *upstream.Answer) {
+	if q.wrote {
+		return
+	}
+	q.wrote = true
+	copyHeader(q.w.Header(), answer.Header())
+	q.w.WriteHeader(answer.Status())
+}
