--- a/ingress/request.go
+++ b/ingress/request.go
@@ -85,18 +85,18 @@
 
 // accept finds the route and the account, and answers what is not allowed.
 func (q *request) accept() bool {
+	order, err := q.server.headers.DecodeRequest(q.r.Header)
+	q.order = order
+	q.id = order.attempt
 	q.table = q.server.views.View().Table()
 	if q.table == nil {
 		q.refuse("no_configuration", retryAfterUnready)
 		return false
 	}
-	order, err := q.server.headers.DecodeRequest(q.r.Header)
 	if err != nil {
 		q.invalid(http.StatusBadRequest, err.Error())
 		return false
 	}
-	q.order = order
-	q.id = order.attempt
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
 	if !strings.HasPrefix(path, "/") {
 		path = q.r.URL.EscapedPath()
