--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -11,6 +11,9 @@
 	// undeclaredGrace is how long a grant may be missing from its owner's
 	// declarations: a round trip and two heartbeats.
 	undeclaredGrace = 1500 * time.Millisecond
+	// maxMisses is how many wants that find no place are tried at each look:
+	// those behind them in the order would hardly find one.
+	maxMisses = 24
 	// maxQueue bounds the wants that wait for one service.
 	maxQueue = 512
 )
@@ -96,9 +99,14 @@
 		queue := p.queue
 		p.queue = nil
 		ahead := time.Duration(0)
+		misses := 0
 		for _, w := range queue {
-			decision := b.decide(now, p, w.owner, w.want, false)
+			var decision Decision
+			if misses < maxMisses || !now.Before(w.want.patience(p.service.Engine())) {
+				decision = b.decide(now, p, w.owner, w.want, false)
+			}
 			if decision == nil {
+				misses++
 				decision = p.hopeless(now, w, ahead)
 			}
 			if decision == nil {
@@ -188,8 +196,7 @@
 	if s == nil {
 		return
 	}
-	delete(s.holds, h.id)
-	s.memory -= h.memory
+	s.remove(h)
 	if h.started {
 		s.writers--
 		s.context -= h.prompt
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -400,3 +400,26 @@
 	_, granted := decisions[0].(Granted)
 	c.Assert(granted, qt.IsTrue)
 }
+
+// BenchmarkTick measures a look at 40 prompts that wait for 78 busy engines.
+func BenchmarkTick(b *testing.B) {
+	f := newFleet(78, 0)
+	for i := range 400 {
+		id := fmt.Sprint(i)
+		want := f.short(id, 4000)
+		if i%4 == 0 {
+			want = f.long(id, 200_000)
+		}
+		f.book.Ask(f.now, f.owner, want)
+		if i%3 != 0 {
+			f.book.Started(f.now, id)
+		}
+	}
+	for i := range 40 {
+		f.book.Ask(f.now, f.owner, f.long(fmt.Sprint("w", i), 200_000))
+	}
+	b.ReportMetric(float64(f.book.Waiting()), "waiting")
+	for b.Loop() {
+		f.book.Tick(f.now)
+	}
+}
--- a/dispatch/declare.go
+++ b/dispatch/declare.go
@@ -41,8 +41,7 @@
 		h.memory = min(h.memory, s.engine.Memory())
 	}
 	b.holds[d.id] = h
-	s.holds[d.id] = h
-	s.memory += h.memory
+	s.add(h)
 	if started {
 		b.start(now, h)
 		return
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -177,7 +177,7 @@
 // affinity returns 0 for a server whose answers bear the same pauses, 1 for an
 // empty one and 2 for others.
 func affinity(s *server, want Want) int {
-	switch s.tolerance() {
+	switch s.tolerance {
 	case want.pause:
 		return 0
 	case 0:
@@ -213,6 +213,9 @@
 	share := 1 / float64(1+count)
 	cost := s.readCost(prompt, share)
 	choice := placement{server: s, first: s.backlog(now) + cost + s.stride(), borne: s.bears(now, cost)}
+	if count > 0 {
+		choice.helpers = make([]*server, 0, count)
+	}
 	for _, r := range readers {
 		if len(choice.helpers) == count {
 			break
@@ -268,8 +271,7 @@
 		s.coldSpent++
 	}
 	b.holds[want.id] = h
-	s.holds[want.id] = h
-	s.memory += h.memory
+	s.add(h)
 	why := fmt.Sprintf("%s of %d, writers %d, backlog %dms", choice.why, len(b.pools[want.service].order), s.writers, s.backlog(now).Milliseconds())
 	return NewGrant(want.id, s.info.ID(), s.info.Address(), helpers, choice.first).WithWhy(now.Sub(want.arrived), why)
 }
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -37,6 +37,8 @@
 	memory  int
 	writers int
 	context int
+	// tolerance is the shortest pause that is on time for any request on the server, 0 if there is none.
+	tolerance time.Duration
 	// readyAt is when the prompts that were given to the server are read.
 	readyAt time.Time
 
@@ -96,26 +98,38 @@
 	return s.engine.StrideTime(s.writers, s.context)
 }
 
-// tolerance returns the shortest pause that is on time for any request on the server, 0 if there is none.
-func (s *server) tolerance() time.Duration {
-	shortest := time.Duration(0)
+// add enters a request on the server.
+func (s *server) add(h *hold) {
+	s.holds[h.id] = h
+	s.memory += h.memory
+	s.setTolerance()
+}
+
+// remove takes a request off the server.
+func (s *server) remove(h *hold) {
+	delete(s.holds, h.id)
+	s.memory -= h.memory
+	s.setTolerance()
+}
+
+// setTolerance finds the shortest pause that is on time for any request on the server.
+func (s *server) setTolerance() {
+	s.tolerance = 0
 	for _, h := range s.holds {
-		if h.pause > 0 && (shortest == 0 || h.pause < shortest) {
-			shortest = h.pause
+		if h.pause > 0 && (s.tolerance == 0 || h.pause < s.tolerance) {
+			s.tolerance = h.pause
 		}
 	}
-	return shortest
 }
 
 // bears reports whether the server's answers stay on time while it reads so
 // much more: a pass reads all that waits, and its events come at its end.
 func (s *server) bears(now time.Time, cost time.Duration) bool {
-	tolerance := s.tolerance()
-	if tolerance == 0 {
+	if s.tolerance == 0 {
 		return true
 	}
 	pass := s.backlog(now) + cost + s.engine.StrideTime(len(s.holds), s.memory)
-	return pass <= time.Duration(pausePart*float64(tolerance))
+	return pass <= time.Duration(pausePart*float64(s.tolerance))
 }
 
 // slots returns how many requests the server runs at once.
