--- a/ingress/request.go
+++ b/ingress/request.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"math/rand/v2"
-
 	"greengagedock.example/dispatch"
 	"greengagedock.example/routing"
 	"greengagedock.example/upstream"
