Drop what stood twice on the platform's path

Cause: reading the whole change again. Settings were also read beside the control loop that a reload changes them in, a data race that no test meets. Change: one function for each; the race goes, as the failure domain is read from what never changes and the address's time within the loop. No behaviour.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -38,6 +38,17 @@
 	givenAt time.Time
 }
 
+// usable returns how many servers may get work, and the time that their prompts still take to read.
+func (p *pool) usable(now time.Time) (count int, backlog time.Duration) {
+	for _, s := range p.order {
+		if s.usable {
+			count++
+			backlog += s.backlog(now)
+		}
+	}
+	return count, backlog
+}
+
 type waiting struct {
 	owner Owner
 	want  Want
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -40,7 +40,7 @@
 	}
 	open := p.open(now, want)
 	if len(open) == 0 {
-		return p.wait(now, owner, want, ReasonNoServer)
+		return p.wait(now, want, ReasonNoServer)
 	}
 	var choice placement
 	if p.service.Engine() == nil {
@@ -49,7 +49,7 @@
 		choice = p.chooseEngine(now, open, want, alone)
 	}
 	if choice.server == nil {
-		return p.wait(now, owner, want, ReasonBusy)
+		return p.wait(now, want, ReasonBusy)
 	}
 	return NewGranted(b.place(now, owner, want, choice))
 }
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -26,7 +26,7 @@
 )
 
 // wait refuses a want that has no time left to wait, else lets it wait.
-func (p *pool) wait(now time.Time, owner Owner, want Want, reason Reason) Decision {
+func (p *pool) wait(now time.Time, want Want, reason Reason) Decision {
 	if now.Before(want.patience(p.service.Engine())) {
 		return nil
 	}
@@ -49,14 +49,7 @@
 	if engine == nil || !w.want.late(now, engine) {
 		return nil
 	}
-	usable := 0
-	backlog := time.Duration(0)
-	for _, s := range p.order {
-		if s.usable {
-			usable++
-			backlog += s.backlog(now)
-		}
-	}
+	usable, backlog := p.usable(now)
 	if usable == 0 {
 		return nil
 	}
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -21,12 +21,7 @@
 // load returns the part of the servers' time that lately placed reading and
 // the given one take.
 func (p *pool) load(now time.Time, more time.Duration) float64 {
-	usable := 0
-	for _, s := range p.order {
-		if s.usable {
-			usable++
-		}
-	}
+	usable, _ := p.usable(now)
 	if usable == 0 {
 		return 1
 	}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -188,8 +188,12 @@
 // Addresses returns where callers of any failure domain are to connect, and how long they may keep that.
 func (c *control) Addresses(string) ([]string, time.Duration) {
 	var out []string
-	c.do(func(now time.Time) { out = c.members.addresses(now) })
-	return out, addressTTL(c.settings)
+	var ttl time.Duration
+	c.do(func(now time.Time) {
+		out = c.members.addresses(now)
+		ttl = addressTTL(c.settings)
+	})
+	return out, ttl
 }
 
 // addressTTL is short, so that callers soon leave an entry that stops.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -93,18 +94,16 @@
 	if to == "" || c.mirror.table == nil {
 		return beat
 	}
-	placed := make(map[string]bool)
 	for _, service := range c.mirror.table.Services() {
 		if placer := c.members.placer(now, service); placer != nil && placer.Peers == to {
 			beat.Places = append(beat.Places, service)
-			placed[service] = true
 		}
 	}
-	if len(placed) == 0 {
+	if len(beat.Places) == 0 {
 		return beat
 	}
 	for _, hold := range c.book.Holds(c.owner) {
-		if placed[hold.Service()] {
+		if slices.Contains(beat.Places, hold.Service()) {
 			beat.Holds = append(beat.Holds, encodeHold(hold))
 		}
 	}
--- a/gateway/slots.go
+++ b/gateway/slots.go
@@ -28,7 +28,7 @@
 
 // Acquire returns a place, or an ingress.Refusal.
 func (s *slots) Acquire(ctx context.Context, want dispatch.Want) (dispatch.Grant, error) {
-	want = want.WithDomain(s.control.settings.Domain())
+	want = want.WithDomain(s.control.members.self.Domain)
 	for {
 		decision, err := s.ask(ctx, want)
 		if err != nil {
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -44,7 +44,6 @@
 	route   routing.Route
 	account routing.Account
 	service routing.Service
-	body    []byte
 	out     upstream.Request
 	limit   time.Time
 
@@ -66,8 +65,8 @@
 		return
 	}
 	limits := q.table.Limits()
-	var err error
-	q.body, taken, err = q.server.bodies.read(q.r, limits.BodyBytes())
+	body, held, err := q.server.bodies.read(q.r, limits.BodyBytes())
+	taken = held
 	if err != nil {
 		q.rejectBody(err)
 		return
@@ -76,7 +75,7 @@
 	if !strings.HasPrefix(target, "/") {
 		target = q.r.URL.RequestURI()
 	}
-	q.out = upstream.NewRequest(q.order.attempt, q.r.Method, target, q.r.Host, q.r.Header, q.body)
+	q.out = upstream.NewRequest(q.order.attempt, q.r.Method, target, q.r.Host, q.r.Header, body)
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.limit)
 	defer cancel()
 	q.attempt(ctx)
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -92,7 +92,7 @@
 		return q.notRun(grant, answer)
 	}
 	if q.route.Kind() == routing.KindStream && answer.Status() == http.StatusOK {
-		return q.stream(ctx, cancel, watch, grant, answer)
+		return q.stream(ctx, watch, grant, answer)
 	}
 	return q.passWhole(ctx, answer)
 }
@@ -123,16 +123,10 @@
 
 // sendOutcome returns the outcome of a send without an answer.
 func sendOutcome(ctx context.Context, err error) dispatch.Outcome {
-	switch {
-	case errors.Is(err, upstream.ErrNotSent):
+	if errors.Is(err, upstream.ErrNotSent) {
 		return dispatch.OutcomeUnsent
-	case errors.Is(context.Cause(ctx), errSilent):
-		return dispatch.OutcomeSilent
-	case ctx.Err() != nil:
-		return dispatch.OutcomeLeft
-	default:
-		return dispatch.OutcomeBroken
 	}
+	return brokenOutcome(ctx)
 }
 
 // notRun returns the outcome of a request that a server refused.
@@ -193,6 +187,7 @@
 	return dispatch.OutcomeWhole, nil
 }
 
+// brokenOutcome returns the outcome of a request that was sent and got no whole answer.
 func brokenOutcome(ctx context.Context) dispatch.Outcome {
 	if errors.Is(context.Cause(ctx), errSilent) {
 		return dispatch.OutcomeSilent
@@ -204,7 +199,7 @@
 }
 
 // stream passes the events of an answer on as they come.
-func (q *request) stream(ctx context.Context, cancel context.CancelCauseFunc, watch *time.Timer, grant dispatch.Grant, answer *upstream.Answer) (dispatch.Outcome, error) {
+func (q *request) stream(ctx context.Context, watch *time.Timer, grant dispatch.Grant, answer *upstream.Answer) (dispatch.Outcome, error) {
 	control := http.NewResponseController(q.w)
 	_ = control.SetWriteDeadline(q.limit.Add(endMargin)) // without it the caller's silence is borne longer
 	reader := newEventReader(answer)
