--- a/gateway/control.go
+++ b/gateway/control.go
@@ -66,6 +66,7 @@
 		self: memberMessage{
 			ID: settings.ID(), Incarnation: incarnation, Domain: settings.Domain(),
 			Peers: settings.Peers(), Callers: settings.Callers(), State: memberStarting,
+			Processor: settings.Processor(),
 		},
 		byID:  make(map[string]*member),
 		seeds: settings.Seeds(),
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -22,6 +22,9 @@
 	// placerSilence is how long an entry that places requests may be silent
 	// before another does: three heartbeats.
 	placerSilence = 1200 * time.Millisecond
+	// placerPart is the part of the largest processor that an entry needs to
+	// place requests: one entry places all requests of a service.
+	placerPart = 0.5
 	// addressSilence is how long the directory names a silent entry.
 	addressSilence = 2 * time.Second
 	// memberSilence is how long a silent entry is remembered and called.
@@ -131,15 +134,27 @@
 }
 
 // placer returns the entry that places a service's requests, nil for this one:
-// the highest in rendezvous hashing of those that take requests.
+// the highest in rendezvous hashing of those that take requests and have a
+// large part of a processor.
 func (m *members) placer(now time.Time, service string) *member {
+	selfReady := m.self.State == memberReady
+	largest := 0.0
+	if selfReady {
+		largest = m.self.Processor
+	}
+	for _, known := range m.byID {
+		if known.mayPlace(now) {
+			largest = max(largest, known.Processor)
+		}
+	}
+	least := placerPart * largest
 	var best *member
 	bestRank := uint64(0)
-	if m.self.State == memberReady {
+	if selfReady && m.self.Processor >= least {
 		bestRank = placerRank(service, m.self.ID)
 	}
 	for _, known := range m.byID {
-		if known.State != memberReady || now.Sub(known.heardAt) > placerSilence || now.Before(known.suspectUntil) {
+		if !known.mayPlace(now) || known.Processor < least {
 			continue
 		}
 		if rank := placerRank(service, known.ID); rank > bestRank {
@@ -149,6 +164,11 @@
 	return best
 }
 
+// mayPlace reports whether the entry takes requests, as far as is known.
+func (m *member) mayPlace(now time.Time) bool {
+	return m.State == memberReady && now.Sub(m.heardAt) <= placerSilence && !now.Before(m.suspectUntil)
+}
+
 func placerRank(service, entry string) uint64 {
 	return xxhash.Sum64String(service + "\x00" + entry)
 }
--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -92,6 +92,35 @@
 	c.Assert(next, qt.Not(qt.Equals), chosen)
 }
 
+// Among machines of uneven size the small ones place nothing, as long as a
+// large one is there.
+func TestPlacerHasALargeProcessor(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	m := testMembers(memberReady)
+	m.self.Processor = 0.2
+	for i := range 40 {
+		small := other(fmt.Sprint("small", i), 1, memberReady)
+		small.Processor = 0.2
+		m.heard(now, small)
+	}
+	for i := range 3 {
+		large := other(fmt.Sprint("large", i), 1, memberReady)
+		large.Processor = 0.8 - 0.1*float64(i)
+		m.heard(now, large)
+	}
+	for i := range 20 {
+		placer := m.placer(now, fmt.Sprint("service", i))
+		c.Assert(placer, qt.IsNotNil)
+		c.Assert(placer.Processor >= 0.6, qt.IsTrue, qt.Commentf("%s", placer.ID))
+	}
+	// Without the large ones all others count.
+	for i := range 3 {
+		m.byID[fmt.Sprint("large", i)].State = memberLeaving
+	}
+	c.Assert(m.placers(now, []string{"a", "b", "c", "d", "e", "f"}), qt.HasLen, 6)
+}
+
 func TestSeedsAreAskedUntilTheirEntriesAreKnown(t *testing.T) {
 	c := qt.New(t)
 	m := testMembers(memberStarting)
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -26,6 +26,8 @@
 	Peers       string
 	Callers     string
 	State       memberState
+	// Processor is the part of a processor that the entry may use, in cores.
+	Processor float64
 }
 
 // holdMessage is a request on a backend server.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -154,6 +154,7 @@
 	}
 	p.control.do(func(now time.Time) {
 		values["waiting"] = p.control.book.Waiting()
+		values["processor"] = p.control.members.self.Processor
 		values["entries"] = len(p.control.members.audible(now, addressSilence)) + 1
 		values["revision"] = p.control.mirror.revision
 		if table := p.control.mirror.table; table != nil {
@@ -178,13 +179,14 @@
 	}
 }
 
-// Reload takes changed settings: the seeds, and the log line tells the rest.
+// Reload takes changed settings: the seeds, the size of the processor, and what is looked up anew.
 func (p *Process) Reload(settings Settings) {
 	p.control.do(func(time.Time) {
 		p.control.members.seeds = settings.Seeds()
+		p.control.members.self.Processor = settings.Processor()
 		p.control.settings = settings
 	})
-	p.log.Info("settings reloaded", "seeds", len(settings.Seeds()))
+	p.log.Info("settings reloaded", "seeds", len(settings.Seeds()), "processor", settings.Processor())
 }
 
 // Shutdown stops being an address, serves on while callers learn of it, ends
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -21,6 +21,7 @@
 	stall       time.Duration
 	free        time.Duration
 	memory      int64
+	processor   float64
 }
 
 // NewSettings returns the settings of an entry in a failure domain of a region.
@@ -71,6 +72,13 @@
 	return s
 }
 
+// WithProcessor returns the settings with the part of a processor that the
+// process may use, in cores.
+func (s Settings) WithProcessor(cores float64) Settings {
+	s.processor = cores
+	return s
+}
+
 // ID returns the entry's id.
 func (s Settings) ID() string { return s.id }
 
@@ -121,3 +129,6 @@
 
 // Memory returns the bytes of memory that the process may use.
 func (s Settings) Memory() int64 { return s.memory }
+
+// Processor returns the part of a processor that the process may use, in cores; 0 if unknown.
+func (s Settings) Processor() float64 { return s.processor }
