Rank entries with xxhash everywhere

Cause: peer/rendezvous.go mixed FNV by hand, and gateway had a second copy of the same ranking. Ruled out: leaving both, since one ranking that all entries must agree on is best written once. Change: mesh.Rank on xxhash is the one copy; caller/body.go hashes prefixes with it too. Before and after: tests of peer, caller, entry, gateway and mesh pass. Conclusion: entries of both versions must not run side by side on the product's own interface, as they would rank differently; nothing of it is deployed.

--- a/caller/body.go
+++ b/caller/body.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"hash/fnv"
 	"io"
 	"net/http"
 	"os"
@@ -12,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"greengagedock.example/backend"
@@ -153,9 +153,7 @@
 }
 
 func (s *completionScan) prompt(field string, value []byte) error {
-	hash := fnv.New64a()
-	hash.Write(value[:min(len(value), prefixBytes)])
-	s.found.prefix = hash.Sum64()
+	s.found.prefix = xxhash.Sum64(value[:min(len(value), prefixBytes)])
 	if field == "prompt" {
 		if value[0] != '"' {
 			return s.refuse("prompt must be a string")
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"greengagedock.example/mesh"
 )
 
 const (
@@ -151,13 +153,13 @@
 	var best *member
 	bestRank := uint64(0)
 	if selfReady && m.self.Processor >= least {
-		bestRank = placerRank(service, m.self.ID)
+		bestRank = mesh.Rank(service, m.self.ID)
 	}
 	for _, known := range m.byID {
 		if !known.mayPlace(now) || known.Processor < least {
 			continue
 		}
-		if rank := placerRank(service, known.ID); rank > bestRank {
+		if rank := mesh.Rank(service, known.ID); rank > bestRank {
 			best, bestRank = known, rank
 		}
 	}
@@ -169,10 +171,6 @@
 	return m.State == memberReady && now.Sub(m.heardAt) <= placerSilence && !now.Before(m.suspectUntil)
 }
 
-func placerRank(service, entry string) uint64 {
-	return xxhash.Sum64String(service + "\x00" + entry)
-}
-
 // placers returns the addresses of the entries that place requests of the services.
 func (m *members) placers(now time.Time, services []string) map[string]bool {
 	out := make(map[string]bool)
@@ -189,11 +187,11 @@
 // not answer counts for nothing.
 func (m *members) watches(now time.Time) bool {
 	audible := m.audible(now, placerSilence)
-	slices.SortFunc(audible, func(a, b *member) int { return cmp.Compare(placerRank(watchKey, a.ID), placerRank(watchKey, b.ID)) })
-	own := placerRank(watchKey, m.self.ID)
+	slices.SortFunc(audible, func(a, b *member) int { return cmp.Compare(mesh.Rank(watchKey, a.ID), mesh.Rank(watchKey, b.ID)) })
+	own := mesh.Rank(watchKey, m.self.ID)
 	counted := 0
 	for _, known := range audible {
-		if placerRank(watchKey, known.ID) > own {
+		if mesh.Rank(watchKey, known.ID) > own {
 			break
 		}
 		if known.State != memberLeaving && now.Sub(known.storeAt) < watcherAge {
--- a/peer/older.go
+++ b/peer/older.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"strconv"
 	"time"
 
+	"greengagedock.example/mesh"
 	"greengagedock.example/registry"
 )
 
@@ -70,7 +72,7 @@
 	var digest uint64
 	for version := range m.older.known {
 		if version >= m.older.floor && version <= m.list.Version() {
-			digest ^= mix(uint64(version))
+			digest ^= mesh.Rank("list", strconv.FormatInt(version, 10))
 		}
 	}
 	return digest
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -1,10 +1,12 @@
 package peer
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"greengagedock.example/mesh"
 	"greengagedock.example/registry"
 )
 
@@ -116,5 +118,5 @@
 // exclusive or of its members' hashes, as in RFC017 section 5.1.1: two
 // entries compare all they hold in eight bytes, and a change costs two hashes.
 func digestOf(item registry.Item) uint64 {
-	return mix(rank(item.Key(), "") + uint64(item.Version())*0x9e3779b97f4a7c15)
+	return mesh.Rank(item.Key(), strconv.FormatUint(uint64(item.Version()), 10))
 }
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"greengagedock.example/mesh"
 )
 
 const (
@@ -24,12 +26,12 @@
 		return true
 	}
 	var region, domain []uint64
-	own := rank("watch", n.self.ID())
+	own := mesh.Rank("watch", n.self.ID())
 	for _, entry := range list.All() {
 		if entry.ID() != n.self.ID() && !n.reachable(now, entry.ID()) {
 			continue
 		}
-		r := rank("watch", entry.ID())
+		r := mesh.Rank("watch", entry.ID())
 		region = append(region, r)
 		if entry.Place().Domain() == n.self.Place().Domain() {
 			domain = append(domain, r)
