Move the loop of virtual time from a test to timer

Cause: the experiments of the users' platform need the loop that backend's experiment had in its test file. Ruled out: a second copy. Before and after: backend's tests pass.

--- a/backend/experiment_domain_test.go
+++ b/backend/experiment_domain_test.go
@@ -47,11 +47,11 @@
 	f := newFleet(*experimentSeed, true, 0, experimentWarmUp+domainUntil)
 	k := newKept(f)
 	busy := map[int]int{}
-	f.every(domainSlice, func() { busy[int(f.now/domainSlice)] = f.busyIn() })
-	f.after(experimentWarmUp+domainOut+domainLag, func() { k.closeDomain(true) })
-	f.after(experimentWarmUp+domainBack+domainLag, func() { k.closeDomain(false) })
+	f.every(domainSlice, func() { busy[int(f.Now()/domainSlice)] = f.busyIn() })
+	f.After(experimentWarmUp+domainOut+domainLag, func() { k.closeDomain(true) })
+	f.After(experimentWarmUp+domainBack+domainLag, func() { k.closeDomain(false) })
 	f.traffic(domainLoad, allPrompts, k)
-	f.run(f.until + 5*time.Minute)
+	f.Run(f.until + 5*time.Minute)
 	var text strings.Builder
 	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "arrived\tfirst p95: short\tmedium\tlong\tlate\tbusy\trequests in the domain")
--- a/backend/experiment_engine_test.go
+++ b/backend/experiment_engine_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
+
+	"greengagedock.example/timer"
 )
 
 // The engine of the experiment: continuous batching with chunked prefill. It
@@ -17,47 +18,6 @@
 	engineStream      = 200 * time.Microsecond
 )
 
-// event is something that happens at a moment of virtual time.
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
-// loop is a discrete-event loop.
-type loop struct {
-	now    time.Duration
-	order  int
-	events events
-}
-
-func (l *loop) after(d time.Duration, run func()) {
-	l.order++
-	heap.Push(&l.events, event{l.now + d, l.order, run})
-}
-
-func (l *loop) run(until time.Duration) {
-	for len(l.events) > 0 && l.events[0].at <= until {
-		e := heap.Pop(&l.events).(event)
-		l.now = e.at
-		e.run()
-	}
-}
-
 // job is one request of the experiment.
 type job struct {
 	id       string
@@ -82,7 +42,7 @@
 // fakeEngine works on jobs in the order of their arrival or, where priority is
 // honoured, of their class first.
 type fakeEngine struct {
-	loop     *loop
+	loop     *timer.Loop
 	id       string
 	priority bool
 	stepping bool
@@ -105,7 +65,7 @@
 	}
 	if !e.stepping {
 		e.stepping = true
-		e.loop.after(0, e.step)
+		e.loop.After(0, e.step)
 	}
 }
 
@@ -162,7 +122,7 @@
 		}
 	}
 	took := engineStep + time.Duration(engineChunk-chunk)*enginePromptToken + time.Duration(len(writing))*engineStream
-	e.loop.after(took, func() {
+	e.loop.After(took, func() {
 		e.read(reading, parts)
 		e.write(writing)
 		e.step()
@@ -202,7 +162,7 @@
 	}
 	state := testReport(e.id, "a", held...)
 	state.capacity = engineMemory
-	e.history = append(e.history, engineReport{e.loop.now, e.load().tokens, state})
+	e.history = append(e.history, engineReport{e.loop.Now(), e.load().tokens, state})
 	if len(e.history) > 16 {
 		e.history = e.history[1:]
 	}
@@ -212,7 +172,7 @@
 func (e *fakeEngine) reported(lag time.Duration) engineReport {
 	best := e.history[0]
 	for _, r := range e.history {
-		if r.at <= e.loop.now-lag {
+		if r.at <= e.loop.Now()-lag {
 			best = r
 		}
 	}
--- a/backend/experiment_fleet_test.go
+++ b/backend/experiment_fleet_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"greengagedock.example/timer"
 )
 
 // Size and network of the experiment's fleet.
@@ -37,7 +39,7 @@
 
 // fleet is one run of the experiment.
 type fleet struct {
-	loop
+	timer.Loop
 	seed    uint64
 	random  *rand.Rand
 	engines []*fakeEngine
@@ -54,7 +56,7 @@
 func newFleet(seed uint64, priority bool, from, until time.Duration) *fleet {
 	f := &fleet{seed: seed, random: rand.New(rand.NewPCG(seed, 1)), from: from, until: until}
 	for i := range *fleetEngines {
-		e := &fakeEngine{loop: &f.loop, id: fmt.Sprintf("engine-%02d", i), priority: priority}
+		e := &fakeEngine{loop: &f.Loop, id: fmt.Sprintf("engine-%02d", i), priority: priority}
 		f.engines = append(f.engines, e)
 	}
 	f.every(reportPeriod/2, func() {
@@ -65,11 +67,11 @@
 	return f
 }
 
-func (f *fleet) measures() bool { return f.now >= f.from && f.now < f.until }
+func (f *fleet) measures() bool { return f.Now() >= f.from && f.Now() < f.until }
 
 func (f *fleet) every(period time.Duration, run func()) {
 	run()
-	f.after(period, func() { f.every(period, run) })
+	f.After(period, func() { f.every(period, run) })
 }
 
 // traffic lets jobs arrive at a multiple of the full rate; longest bounds
@@ -84,7 +86,7 @@
 			continue
 		}
 		f.jobs = append(f.jobs, j)
-		f.after(j.arrived-f.now, func() { to.send(j) })
+		f.After(j.arrived-f.Now(), func() { to.send(j) })
 	}
 }
 
@@ -138,15 +140,15 @@
 		f.end(j, outcome)
 		ended(outcome)
 	}
-	j.ready = func() { f.after(*fleetHop+callerHop, func() { j.first = f.now }) }
-	j.done = func() { f.after(*fleetHop, func() { end(OutcomeFinished) }) }
-	f.after(*fleetHop, func() {
+	j.ready = func() { f.After(*fleetHop+callerHop, func() { j.first = f.Now() }) }
+	j.done = func() { f.After(*fleetHop, func() { end(OutcomeFinished) }) }
+	f.After(*fleetHop, func() {
 		e.submit(j)
 		if !e.load().Within(fleetBearing.warm) {
 			f.over++
 		}
 	})
-	f.after(max(j.deadline-f.now, 0), func() {
+	f.After(max(j.deadline-f.Now(), 0), func() {
 		if !over {
 			e.remove(j)
 			end(OutcomeCancelled)
@@ -155,7 +157,7 @@
 }
 
 func (f *fleet) end(j *job, outcome Outcome) {
-	j.outcome, j.ended = outcome, f.now
+	j.outcome, j.ended = outcome, f.Now()
 	if outcome == OutcomeFinished && f.measures() {
 		f.tokens += j.spent()
 	}
@@ -173,7 +175,7 @@
 	if two.reported(baselineLag).load < one.reported(baselineLag).load {
 		one = two
 	}
-	a.after(callerHop, func() { a.launch(j, one, func(Outcome) {}) })
+	a.After(callerHop, func() { a.launch(j, one, func(Outcome) {}) })
 }
 
 // kept asks the keepers of the engines for slots.
@@ -203,18 +205,18 @@
 	f.every(summaryPeriod, func() {
 		for i, l := range k.ledgers {
 			summary := l.Summaries(k.at())
-			f.after(*fleetHop, func() { k.summaries[i] = summary })
+			f.After(*fleetHop, func() { k.summaries[i] = summary })
 		}
 	})
 	return k
 }
 
-func (k *kept) at() time.Time { return testStart.Add(k.now) }
+func (k *kept) at() time.Time { return testStart.Add(k.Now()) }
 
 func (k *kept) report() {
 	for i, e := range k.engines {
 		r := e.reported(keeperLag)
-		k.take(k.ledgers[i%fleetEntries].Report(k.at(), r.state.WithHeld(k.now-r.at, r.state.held...)))
+		k.take(k.ledgers[i%fleetEntries].Report(k.at(), r.state.WithHeld(k.Now()-r.at, r.state.held...)))
 	}
 }
 
@@ -232,12 +234,12 @@
 		}
 		if answer := k.pending[id]; answer != nil {
 			delete(k.pending, id)
-			k.after(*fleetHop, func() { answer(d) })
+			k.After(*fleetHop, func() { answer(d) })
 		}
 	}
 }
 
-func (k *kept) send(j *job) { k.after(callerHop, func() { k.ask(j, k.rank(j), 0) }) }
+func (k *kept) send(j *job) { k.After(callerHop, func() { k.ask(j, k.rank(j), 0) }) }
 
 // rank orders the keepers by their expected wait for the job, then by free memory.
 func (k *kept) rank(j *job) []int {
@@ -280,13 +282,13 @@
 			}
 		}
 	}
-	k.after(*fleetHop, func() { k.take(l.Ask(k.at(), want)) })
+	k.After(*fleetHop, func() { k.take(l.Ask(k.at(), want)) })
 }
 
 func (k *kept) use(j *job, l *Ledger, slot Slot) {
 	j.refusal = ""
 	e := k.engines[slices.IndexFunc(k.engines, func(e *fakeEngine) bool { return e.id == slot.server })]
 	k.launch(j, e, func(outcome Outcome) {
-		k.after(*fleetHop, func() { k.take(l.Release(k.at(), slot.owner, slot.server, slot.id, outcome)) })
+		k.After(*fleetHop, func() { k.take(l.Release(k.at(), slot.owner, slot.server, slot.id, outcome)) })
 	})
 }
