--- a/backend/ledger_fuzz_test.go
+++ b/backend/ledger_fuzz_test.go
@@ -1,12 +1,13 @@
 package backend
 
 import (
-	"flag"
 	"math/rand/v2"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"greengagedock.example/flagtest"
 )
 
 const (
@@ -14,15 +15,6 @@
 	fuzzSteps  = 1000
 )
 
-// fixSeed sets a rapid flag unless the command line does.
-func fixSeed(t *testing.T, name, value string) {
-	set := false
-	flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
-	if !set {
-		qt.Assert(t, flag.Set(name, value), qt.IsNil)
-	}
-}
-
 func run(make func() keeping, pick source, steps int) (*machine, error) {
 	m := &machine{oracle: newOracle(make), pick: pick}
 	for range steps {
@@ -36,8 +28,8 @@
 func newKeeping() keeping { return NewLedger("entry-1") }
 
 func TestLedgerAgainstOracle(t *testing.T) {
-	fixSeed(t, "rapid.seed", "4")
-	fixSeed(t, "rapid.checks", "30")
+	flagtest.Default(t, "rapid.seed", "4")
+	flagtest.Default(t, "rapid.checks", "30")
 	granted := 0
 	rapid.Check(t, func(r *rapid.T) {
 		pick := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(r, label) }
--- a/caller/home_test.go
+++ b/caller/home_test.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"flag"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -11,21 +10,9 @@
 	"pgregory.net/rapid"
 
 	"greengagedock.example/backend"
+	"greengagedock.example/flagtest"
 )
 
-// setFlag sets a flag of rapid's that the command line leaves out, until the test ends.
-func setFlag(t *testing.T, name, value string) {
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
-	if given {
-		return
-	}
-	f := flag.Lookup(name)
-	old := f.Value.String()
-	f.Value.Set(value)
-	t.Cleanup(func() { f.Value.Set(old) })
-}
-
 const (
 	homeSeed     = "20261203"
 	homeSteps    = 20_000
@@ -37,9 +24,9 @@
 // crashes, delayed and repeated calls and callers that try any entry.
 func TestHomeRunsAtMostOnce(t *testing.T) {
 	c := qt.New(t)
-	setFlag(t, "rapid.seed", homeSeed)
-	setFlag(t, "rapid.checks", "1000")
-	setFlag(t, "rapid.steps", "200")
+	flagtest.Default(t, "rapid.seed", homeSeed)
+	flagtest.Default(t, "rapid.checks", "1000")
+	flagtest.Default(t, "rapid.steps", "200")
 	steps, runs, full := 0, 0, 0
 	heard := make(map[Outcome]int)
 	rapid.Check(t, func(t *rapid.T) {
--- a/mesh/pack_test.go
+++ b/mesh/pack_test.go
@@ -7,12 +7,15 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"greengagedock.example/flagtest"
 )
 
 // testLimit is the most bytes that the tests unpack.
 const testLimit = 2 << 20
 
 func TestPack(t *testing.T) {
+	flagtest.Default(t, "rapid.seed", "1")
 	rapid.Check(t, func(t *rapid.T) {
 		value := strings.Repeat(rapid.String().Draw(t, "text"), rapid.IntRange(0, 200).Draw(t, "times"))
 		level := rapid.SampledFrom([]int{flate.BestSpeed, flate.BestCompression}).Draw(t, "level")
