Play loads against modelled engines in virtual time

Ruled out: growing backend's experiment, which is in a test and has its own engine. Change: package experiment drives dispatch.Book and engine.Engine by loads in JSON with comments (deploy/loads), standin experiment prints worth by kind, first event, pauses, refusals and plots queue, engines and memory. Baselines in the same run: each entry alone, and blind.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -26,7 +26,7 @@
 		Short:        "Run stand-ins of the platform, engines, plain services and callers",
 		SilenceUsage: true,
 	}
-	cmd.AddCommand(newPlatformCommand(), newEngineCommand(), newServiceCommand(), newLoadCommand(), newDemoCommand())
+	cmd.AddCommand(newPlatformCommand(), newEngineCommand(), newServiceCommand(), newLoadCommand(), newDemoCommand(), newExperimentCommand())
 	return cmd
 }
 
--- a/jsonc/value.go
+++ b/jsonc/value.go
@@ -136,6 +136,21 @@
 	return number, true
 }
 
+// Number returns the value's number from least to most, with a fraction or
+// without; it is not ok if absent or something else, which is a problem.
+func (v Value) Number(least, most float64) (number float64, ok bool) {
+	literal, ok := v.literal('0', "a number")
+	if !ok {
+		return 0, false
+	}
+	number, err := strconv.ParseFloat(string(literal), 64)
+	if err != nil || number < least || number > most {
+		v.Report("is %s, want %g to %g", shorten(string(literal)), least, most)
+		return 0, false
+	}
+	return number, true
+}
+
 // Duration returns the value's duration from least to most, written as a
 // string such as "1.5s"; it is not ok if absent or something else, which is a problem.
 func (v Value) Duration(least, most time.Duration) (duration time.Duration, ok bool) {
