--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -21,6 +21,8 @@
 	var plots string
 	var only []string
 	var servers int
+	var rate float64
+	var brief bool
 	cmd := &cobra.Command{
 		Use:   "experiment LOAD",
 		Short: "Play a load against modelled engines in virtual time",
@@ -39,6 +41,10 @@
 			if len(only) > 0 {
 				load = load.WithOnly(only...)
 			}
+			if rate <= 0 {
+				return eris.Errorf("--rate is %g, want more than 0", rate)
+			}
+			load = load.WithRate(rate)
 			if servers > 0 {
 				load = load.WithServers(servers)
 			}
@@ -50,8 +56,13 @@
 				if !ok {
 					return eris.Errorf("--placing is %q, want shared, alone or blind", name)
 				}
+				var reports []*experiment.Report
 				for s := seed; s < seed+seeds; s++ {
 					report := experiment.Run(load, placing, s)
+					reports = append(reports, report)
+					if brief {
+						continue
+					}
 					if err := report.Print(cmd.OutOrStdout()); err != nil {
 						return err
 					}
@@ -64,6 +75,9 @@
 						return err
 					}
 				}
+				if err := experiment.PrintMean(cmd.OutOrStdout(), reports); err != nil {
+					return err
+				}
 			}
 			return nil
 		},
@@ -73,7 +87,9 @@
 	flags.Uint64Var(&seed, "seed", 1, "first seed")
 	flags.Uint64Var(&seeds, "seeds", 1, "how many seeds")
 	flags.StringSliceVar(&only, "only", nil, "play these kinds of prompts only")
+	flags.Float64Var(&rate, "rate", 1, "times the load's rates")
 	flags.IntVar(&servers, "servers", 0, "number of engines in place of the load's")
+	flags.BoolVar(&brief, "brief", false, "print the means of the seeds only")
 	flags.StringVar(&plots, "plots", "", "directory for plots of queues, memory and engines")
 	return cmd
 }
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -3,8 +3,11 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"greengagedock.example/jsonc"
 	"greengagedock.example/routing"
 )
@@ -78,14 +81,22 @@
 	return l
 }
 
+// WithRate returns the load with all rates multiplied.
+func (l Load) WithRate(factor float64) Load {
+	kinds := slices.Clone(l.kinds)
+	for i := range kinds {
+		kinds[i].perSecond *= factor
+	}
+	l.kinds = kinds
+	return l
+}
+
 // WithOnly returns the load with prompts of the named kinds only.
 func (l Load) WithOnly(names ...string) Load {
 	var kinds []Kind
 	for _, k := range l.kinds {
-		for _, name := range names {
-			if k.name == name {
-				kinds = append(kinds, k)
-			}
+		if slices.Contains(names, k.name) {
+			kinds = append(kinds, k)
 		}
 	}
 	l.kinds = kinds
@@ -135,7 +146,11 @@
 	l.servers = whole(root.Required("servers"), maxServers)
 	l.engine = parseEngine(root.Required("engine").Object())
 	names := make(map[string]bool)
-	for _, value := range root.Required("kinds").Array() {
+	kinds := root.Required("kinds")
+	if kinds.IsArray() && kinds.Len() == 0 {
+		kinds.Report("holds no kind")
+	}
+	for _, value := range kinds.Array() {
 		k := parseKind(value.Object())
 		if names[k.name] {
 			value.Report("names %s again", jsonc.Quote(k.name))
@@ -147,7 +162,7 @@
 		l.windows = append(l.windows, parseWindow(value.Object(), names))
 	}
 	if err := reader.Err(); err != nil {
-		return Load{}, err
+		return Load{}, eris.Wrap(err, "experiment: load refused")
 	}
 	return l, nil
 }
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -197,3 +197,31 @@
 	fmt.Fprintf(out, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%v\t%v\t%v\t\n", name, s.requests, s.onTime, s.lateFirst, s.latePause, refused, s.left, s.deadline,
 		s.Worth(), s.First(0.5).Round(time.Millisecond), s.First(0.95).Round(time.Millisecond), s.Pause(0.95).Round(time.Millisecond))
 }
+
+// PrintMean writes the means of several reports of one load and placing.
+func PrintMean(out io.Writer, reports []*Report) error {
+	if len(reports) == 0 {
+		return nil
+	}
+	worth, worst := 0.0, 0.0
+	for _, r := range reports {
+		worth += r.Of("").Worth() / float64(len(reports))
+		worst += r.Worst() / float64(len(reports))
+	}
+	_, err := fmt.Fprintf(out, "placing %s, mean of %d seeds: worth %.3f, worst spans %.3f", reports[0].placing, len(reports), worth, worst)
+	if err != nil {
+		return err
+	}
+	for _, k := range reports[0].load.kinds {
+		of, largest := 0.0, 0.0
+		for _, r := range reports {
+			of += r.Of(k.name).Worth() / float64(len(reports))
+			largest += r.Largest(k.name, 0.1).Worth() / float64(len(reports))
+		}
+		if _, err := fmt.Fprintf(out, ", %s %.3f (largest tenth %.3f)", k.name, of, largest); err != nil {
+			return err
+		}
+	}
+	_, err = fmt.Fprintln(out)
+	return err
+}
