Draw the order of the directory's addresses

Cause: an answer holds 64 addresses at most, taken in the order of ids, so 20 of 84 entries were named by themselves only. Change: the order is drawn anew for each answer, weighed by the entries' processors.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -68,8 +69,9 @@
 			Peers: settings.Peers(), Callers: settings.Callers(), State: memberStarting,
 			Processor: settings.Processor(),
 		},
-		byID:  make(map[string]*member),
-		seeds: settings.Seeds(),
+		byID:   make(map[string]*member),
+		seeds:  settings.Seeds(),
+		random: rand.New(rand.NewPCG(incarnation, 0)),
 	}
 	c.state.Store(memberStarting)
 	c.view.Store(c.mirror.view())
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -27,6 +28,8 @@
 	// placerPart is the part of the largest processor that an entry needs to
 	// place requests: one entry places all requests of a service.
 	placerPart = 0.5
+	// leastProcessor, in cores, is what an entry that states none counts as.
+	leastProcessor = 0.05
 	// addressSilence is how long the directory names a silent entry.
 	addressSilence = 2 * time.Second
 	// memberSilence is how long a silent entry is remembered and called.
@@ -67,6 +70,8 @@
 	self  memberMessage
 	byID  map[string]*member
 	seeds []string
+	// random draws the order of the directory's addresses.
+	random *rand.Rand
 }
 
 // heard takes what an entry says of itself, and reports whether it is news.
@@ -217,16 +222,28 @@
 	return out
 }
 
-// addresses returns where callers of a failure domain are to connect.
+// addresses returns where callers are to connect, in a drawn order: who can't
+// use all takes the first, among whom entries with much of a processor come
+// more often.
 func (m *members) addresses(now time.Time) []string {
-	var out []string
-	if m.self.State == memberReady {
-		out = append(out, m.self.Callers)
+	type place struct {
+		address string
+		key     float64
+	}
+	var places []place
+	add := func(entry memberMessage) {
+		if entry.State == memberReady {
+			places = append(places, place{entry.Callers, m.random.ExpFloat64() / max(leastProcessor, entry.Processor)})
+		}
 	}
+	add(m.self)
 	for _, known := range m.audible(now, addressSilence) {
-		if known.State == memberReady {
-			out = append(out, known.Callers)
-		}
+		add(known.memberMessage)
+	}
+	slices.SortFunc(places, func(a, b place) int { return cmp.Compare(a.key, b.key) })
+	var out []string
+	for _, p := range places {
+		out = append(out, p.address)
 	}
 	return out
 }
