Send heartbeats to few entries in a large fleet

Cause: every entry sent heartbeats to every other, half of them in each round: 105 a second from each of 84 entries, 700 of 560. Ruled out: fewer rounds, since silence must show within two seconds; ages of what others heard, since an entry that wakes from a freeze would tell old ones as new. Change: from 24 entries on, a round goes to those who place, one that watches the store and seven drawn ones, and carries pulses, the counts of the heartbeats of all that the sender heard of; only a higher count is news. The digest covers incarnations, and an incarnation that another tells of ends the earlier one's requests.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -70,6 +70,7 @@
 			Processor: settings.Processor(),
 		},
 		byID:   make(map[string]*member),
+		byKey:  make(map[uint64]*member),
 		seeds:  settings.Seeds(),
 		random: rand.New(rand.NewPCG(incarnation, 0)),
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -6,16 +6,12 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"greengagedock.example/mesh"
 )
 
 const (
-	// beatInterval is the time between two heartbeats to each entry; beyond
-	// beatEntries entries, those that place nothing for this one get fewer.
+	// beatInterval is the time between two rounds of heartbeats.
 	beatInterval = 400 * time.Millisecond
-	beatEntries  = 24
 	// firstRounds heartbeats follow each other at firstInterval, so that entries
 	// that start together soon know each other.
 	firstRounds   = 10
@@ -59,6 +55,10 @@
 // member is another entry as this one knows it.
 type member struct {
 	memberMessage
+	// key is what pulses call the entry.
+	key uint64
+	// heardAt is when the entry was last heard itself, or its count of
+	// heartbeats from another.
 	heardAt      time.Time
 	suspectUntil time.Time
 	// storeAt is when the store last answered the entry, zero if never.
@@ -69,6 +69,7 @@
 type members struct {
 	self  memberMessage
 	byID  map[string]*member
+	byKey map[uint64]*member
 	seeds []string
 	// random draws the order of the directory's addresses.
 	random *rand.Rand
@@ -81,13 +82,14 @@
 	}
 	known := m.byID[from.ID]
 	if known == nil || known.Incarnation < from.Incarnation {
-		m.byID[from.ID] = &member{memberMessage: from, heardAt: now}
+		m.remember(from).heardAt = now
 		return true
 	}
 	if known.Incarnation > from.Incarnation {
 		return false
 	}
 	changed := known.State != from.State
+	from.Beats = max(from.Beats, known.Beats)
 	if known.State != memberLeaving {
 		known.memberMessage = from
 	}
@@ -95,12 +97,26 @@
 	return changed
 }
 
-// told takes what another entry says of an entry that this one does not know.
+// remember adds an entry, in place of its earlier incarnation.
+func (m *members) remember(entry memberMessage) *member {
+	if earlier := m.byID[entry.ID]; earlier != nil {
+		delete(m.byKey, earlier.key)
+	}
+	added := &member{memberMessage: entry, key: entry.pulseKey()}
+	m.byID[entry.ID] = added
+	m.byKey[added.key] = added
+	return added
+}
+
+// told takes what another entry says of an incarnation that this one does not know.
 func (m *members) told(other memberMessage) bool {
-	if other.ID == m.self.ID || m.byID[other.ID] != nil {
+	if other.ID == m.self.ID {
 		return false
 	}
-	m.byID[other.ID] = &member{memberMessage: other}
+	if known := m.byID[other.ID]; known != nil && known.Incarnation >= other.Incarnation {
+		return false
+	}
+	m.remember(other)
 	return true
 }
 
@@ -113,6 +129,7 @@
 		}
 		if now.Sub(known.heardAt) > memberSilence {
 			delete(m.byID, id)
+			delete(m.byKey, known.key)
 			gone = append(gone, known)
 		}
 	}
@@ -131,11 +148,12 @@
 	return out
 }
 
-// digest returns a number that tells whether two entries know the same entries, themselves included.
+// digest returns a number that tells whether two entries know the same
+// incarnations, themselves included.
 func (m *members) digest() uint64 {
-	digest := xxhash.Sum64String(m.self.ID)
-	for id := range m.byID {
-		digest ^= xxhash.Sum64String(id)
+	digest := m.self.pulseKey()
+	for key := range m.byKey {
+		digest ^= key
 	}
 	return digest
 }
@@ -191,19 +209,20 @@
 // first few in an order that all entries share, where one that the store does
 // not answer counts for nothing.
 func (m *members) watches(now time.Time) bool {
+	ahead := m.watchers(now)
+	own := mesh.Rank(watchKey, m.self.ID)
+	return len(ahead) < watchers || mesh.Rank(watchKey, ahead[len(ahead)-1].ID) > own
+}
+
+// watchers returns the first few other entries that the store answers, in the
+// order that all entries share.
+func (m *members) watchers(now time.Time) []*member {
 	audible := m.audible(now, placerSilence)
+	audible = slices.DeleteFunc(audible, func(known *member) bool {
+		return known.State == memberLeaving || now.Sub(known.storeAt) >= watcherAge
+	})
 	slices.SortFunc(audible, func(a, b *member) int { return cmp.Compare(mesh.Rank(watchKey, a.ID), mesh.Rank(watchKey, b.ID)) })
-	own := mesh.Rank(watchKey, m.self.ID)
-	counted := 0
-	for _, known := range audible {
-		if mesh.Rank(watchKey, known.ID) > own {
-			break
-		}
-		if known.State != memberLeaving && now.Sub(known.storeAt) < watcherAge {
-			counted++
-		}
-	}
-	return counted < watchers
+	return audible[:min(watchers, len(audible))]
 }
 
 // targets returns the addresses to send heartbeats to: known entries, and
--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -13,6 +13,7 @@
 	return &members{
 		self:   memberMessage{ID: "self", Incarnation: 1, Peers: "10.0.0.1:1", Callers: "10.0.0.1:2", State: state},
 		byID:   make(map[string]*member),
+		byKey:  make(map[uint64]*member),
 		random: rand.New(rand.NewPCG(1, 1)),
 		seeds:  []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.7:1"},
 	}
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -28,6 +28,8 @@
 	State       memberState
 	// Processor is the part of a processor that the entry may use, in cores.
 	Processor float64
+	// Beats counts the entry's rounds of heartbeats.
+	Beats uint32
 }
 
 // holdMessage is a request on a backend server.
@@ -56,6 +58,8 @@
 	// them if the receiver's digest differs.
 	Known  uint64
 	Others []memberMessage
+	// Pulses tells of the entries that the sender heard of.
+	Pulses []byte
 }
 
 // itemsMessage asks for the items if the receiver's revision is above the one stated.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -75,9 +75,11 @@
 			known.storeAt = now.Add(-beat.StoreAge)
 		}
 	}
+	c.members.takePulses(now, beat.Pulses)
 	for _, other := range beat.Others {
 		if c.members.told(other) {
-			c.log.Info("entry learned", "entry", other.ID, "from", beat.From.ID)
+			c.log.Info("entry learned", "entry", other.ID, "incarnation", other.Incarnation, "from", beat.From.ID)
+			c.book.Forget(now, other.ID, other.Incarnation)
 		}
 	}
 	if beat.Revision > c.mirror.revision {
@@ -90,7 +92,7 @@
 
 // ownBeat returns this entry's heartbeat for the entry at the address.
 func (c *control) ownBeat(now time.Time, to string) beatMessage {
-	beat := beatMessage{From: c.members.self, Revision: c.mirror.revision, StoreAge: c.storeAge(now), Known: c.members.digest()}
+	beat := beatMessage{From: c.members.self, Revision: c.mirror.revision, StoreAge: c.storeAge(now), Known: c.members.digest(), Pulses: c.members.pulses(now)}
 	if to == "" || c.mirror.table == nil {
 		return beat
 	}
@@ -186,7 +188,7 @@
 	defer tick.Stop()
 	busy := make(map[string]chan struct{})
 	for round := 0; ; round++ {
-		for _, address := range c.beatTargets(round) {
+		for _, address := range c.beatTargets() {
 			if ended, ok := busy[address]; ok {
 				select {
 				case <-ended:
@@ -213,22 +215,16 @@
 	}
 }
 
-// beatTargets returns the addresses that get a heartbeat in this round: all of
-// them among few entries, else the placers and every other address.
-func (c *control) beatTargets(round int) []string {
+// beatTargets begins a round of heartbeats and returns the addresses that get one.
+func (c *control) beatTargets() []string {
 	var out []string
 	c.do(func(now time.Time) {
-		targets := c.members.targets()
-		if len(targets) < beatEntries || c.mirror.table == nil {
-			out = targets
-			return
-		}
-		placers := c.members.placers(now, c.mirror.table.Services())
-		for i, address := range targets {
-			if placers[address] || (i+round)%2 == 0 {
-				out = append(out, address)
-			}
+		c.members.self.Beats++
+		var services []string
+		if c.mirror.table != nil {
+			services = c.mirror.table.Services()
 		}
+		out = c.members.roundTargets(now, services)
 	})
 	return out
 }
--- /dev/null
+++ b/gateway/pulse.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// In a large fleet an entry sends heartbeats to few others. What it knows of
+// the rest goes along as pulses: the count of the last heartbeat that anyone
+// had of an entry. Only a count above the known one tells that the entry lives,
+// so what a frozen entry says when it wakes is of no harm.
+
+const (
+	// pulseEntries is the number of other entries from which on an entry sends
+	// its heartbeats to some of them only.
+	pulseEntries = 24
+	// pulseTargets is how many entries are drawn for each round of heartbeats:
+	// news reaches 560 entries in three rounds.
+	pulseTargets = 7
+	// pulseBytes is the length of one pulse: the entry's key, its count, its
+	// state and how long ago the store answered it.
+	pulseBytes = 8 + 4 + 1 + 1
+	// storeAgeUnit is the unit of that age, and storeAgeNone stands for longer ones.
+	storeAgeUnit = 100 * time.Millisecond
+	storeAgeNone = math.MaxUint8
+)
+
+// memberStates are the states in the order of their numbers in pulses.
+var memberStates = []memberState{memberStarting, memberReady, memberLeaving}
+
+// pulseKey returns the key of an entry's incarnation.
+func (m memberMessage) pulseKey() uint64 {
+	return xxhash.Sum64String(m.ID + "\x00" + strconv.FormatUint(m.Incarnation, 10))
+}
+
+// pulses returns what this entry knows of those that it heard of lately.
+func (m *members) pulses(now time.Time) []byte {
+	if len(m.byID) < pulseEntries {
+		return nil
+	}
+	out := make([]byte, 0, pulseBytes*len(m.byID))
+	for _, known := range m.byID {
+		if now.Sub(known.heardAt) > addressSilence {
+			continue
+		}
+		age := byte(storeAgeNone)
+		if since := now.Sub(known.storeAt) / storeAgeUnit; since < storeAgeNone {
+			age = byte(since)
+		}
+		out = binary.BigEndian.AppendUint64(out, known.key)
+		out = binary.BigEndian.AppendUint32(out, known.Beats)
+		out = append(out, byte(slices.Index(memberStates, known.State)), age)
+	}
+	return out
+}
+
+// takePulses takes what another entry knows of third ones.
+func (m *members) takePulses(now time.Time, pulses []byte) {
+	for ; len(pulses) >= pulseBytes; pulses = pulses[pulseBytes:] {
+		known := m.byKey[binary.BigEndian.Uint64(pulses)]
+		beats := binary.BigEndian.Uint32(pulses[8:])
+		if known == nil || beats <= known.Beats {
+			continue
+		}
+		known.Beats = beats
+		known.heardAt = now
+		if state := int(pulses[12]); state < len(memberStates) && known.State != memberLeaving {
+			known.State = memberStates[state]
+		}
+		known.storeAt = time.Time{}
+		if age := pulses[13]; age != storeAgeNone {
+			known.storeAt = now.Add(-time.Duration(age) * storeAgeUnit)
+		}
+	}
+}
+
+// roundTargets returns the addresses that get a heartbeat in this round: all of
+// them in a small fleet, else those that place the services' requests, one that
+// watches the store, seeds of which no entry is known, and some that are drawn.
+func (m *members) roundTargets(now time.Time, services []string) []string {
+	all := m.targets()
+	if len(all) < pulseEntries || m.self.State == memberLeaving {
+		return all
+	}
+	chosen := m.placers(now, services)
+	if watchers := m.watchers(now); len(watchers) > 0 {
+		chosen[watchers[m.random.IntN(len(watchers))].Peers] = true
+	}
+	addresses := make(map[string]bool, len(m.byID))
+	for _, known := range m.byID {
+		addresses[known.Peers] = true
+	}
+	for _, address := range all {
+		if !addresses[address] {
+			chosen[address] = true
+		}
+	}
+	for _, i := range m.random.Perm(len(all))[:pulseTargets] {
+		chosen[all[i]] = true
+	}
+	return slices.DeleteFunc(all, func(address string) bool { return !chosen[address] })
+}
