--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -13,7 +13,7 @@
 	// A prompt that is spread reads for longer than several others that would be
 	// on time: it waits while the reading of loadTime and its own take more than
 	// spreadLoad of the servers' time, unless less than idleLoad was placed.
-	spreadLoad = 0.8
+	spreadLoad = 0.6
 	idleLoad   = 0.1
 	loadTime   = 3 * time.Second
 )
