--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -113,13 +113,13 @@
 	f.mu.Unlock()
 	f.store.PublishServer(s.ID(), s.proxy.address(), s.prompts, true, s.born)
 	later(ctx, removeAfter, func() {
-		last := s.LastRun()
+		last := s.LastTaken()
 		calm := f.storeCalm(s.drained, last)
 		for _, e := range f.entries {
 			calm = calm && e.calm(s.drained, last)
 		}
 		if calm && last.Sub(s.drained) > drainTime {
-			f.checker.report("work for a leaving server: %s ran a request %v after its notice", s.ID(), last.Sub(s.drained))
+			f.checker.report("work for a leaving server: %s got a request %v after its notice", s.ID(), last.Sub(s.drained))
 		}
 		f.store.RemoveServer(s.ID())
 	})
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -37,6 +37,7 @@
 	storeAt *proxy
 	entries []*entry
 	runs    platformtest.Runs
+	engines platformtest.Engines
 	checker checker
 
 	mu       sync.Mutex
@@ -88,6 +89,9 @@
 	if s.proxy, err = newProxy(strings.TrimPrefix(s.http.URL, "http://")); err != nil {
 		return err
 	}
+	if prompts {
+		s.Model(&f.engines, s.proxy.address())
+	}
 	f.servers = append(f.servers, s)
 	f.store.PublishServer(s.ID(), s.proxy.address(), prompts, false, s.born)
 	return nil
@@ -211,7 +215,7 @@
 	}
 	time.Sleep(freeTime)
 	for _, s := range f.servers {
-		if n := s.Reserved(time.Now()); n > 0 {
+		if n := s.Reserved(); n > 0 {
 			f.checker.report("memory not freed: %s holds %d tickets", s.ID(), n)
 		}
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -88,6 +88,9 @@
 	return nil
 }
 
+// Reserved returns the tokens that are held under an id.
+func (e *Engine) Reserved(id string) int { return e.reserved[id] }
+
 // Release ends a reservation.
 func (e *Engine) Release(id string) { delete(e.reserved, id) }
 
