Bound headers and idle connections by the configuration

Cause: the configuration's limits on header size, header time and idle time were read and not used; the entry's own were wider. Ruled out: the fields of http.Server, which are fixed before a configuration is known. Change: a caller's connection is closed when it stays idle, or a header unfinished, for longer than the configuration in force allows; a header over its size is answered 431.

--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -230,7 +230,7 @@
 		route("/stream/fixed/", routing.KindStream),
 		route("/public/", routing.KindOnce).WithPublic(true),
 	}, []routing.Service{routing.NewService("desk")}, map[string]routing.Account{"k1": routing.NewAccount("team", -1)},
-		routing.NewLimits(0, 1000, 0, 0))
+		routing.NewLimits(2000, 1000, 0, 0))
 	return newBedOf(c, table, backends...)
 }
 
@@ -240,16 +240,20 @@
 		id := fmt.Sprint("s", i+1)
 		servers[id] = routing.NewServer(id, "desk", "", "a", 6)
 	}
-	timers := &timer.Service{}
 	b := &bed{c: c, slots: &fakeSlots{backends: backends}}
-	client := upstream.NewClient(fakeHeaders{}, timers)
-	server := NewServer(fakeViews{routing.NewView(1, table, servers, nil)}, b.slots, &b.memory, client, fakeHeaders{},
-		NewLimits(NewRetryBound(0.2, 100, 10*time.Second), 1<<20, 0, 100*time.Millisecond), noRecorder{}, hclog.NewNullLogger(), timers)
-	b.http = httptest.NewServer(server)
+	b.http = httptest.NewServer(b.server(table, servers))
 	c.Cleanup(b.http.Close)
 	return b
 }
 
+// server returns a server that routes by the table.
+func (b *bed) server(table *routing.Table, servers map[string]routing.Server) *Server {
+	timers := &timer.Service{}
+	client := upstream.NewClient(fakeHeaders{}, timers)
+	return NewServer(fakeViews{routing.NewView(1, table, servers, nil)}, b.slots, &b.memory, client, fakeHeaders{},
+		NewLimits(NewRetryBound(0.2, 100, 10*time.Second), 1<<20, 0, 100*time.Millisecond), noRecorder{}, hclog.NewNullLogger(), timers)
+}
+
 // request returns a request of a caller with a key.
 func (b *bed) request(method, path, body string) *http.Request {
 	r, err := http.NewRequest(method, b.http.URL+path, strings.NewReader(body))
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -37,6 +37,7 @@
 		{func(r *http.Request) { r.Header.Set("Key", "unknown") }, http.StatusUnauthorized},
 		{func(r *http.Request) { r.Header.Del("Key") }, http.StatusUnauthorized},
 		{func(r *http.Request) { r.Header.Set("Left", "soon") }, http.StatusBadRequest},
+		{func(r *http.Request) { r.Header.Set("More", strings.Repeat("x", 1990)) }, http.StatusRequestHeaderFieldsTooLarge},
 		{func(r *http.Request) {
 			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 1001)))
 			r.ContentLength = -1
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -95,6 +95,10 @@
 		q.invalid(http.StatusBadRequest, err.Error())
 		return false
 	}
+	if most := q.table.Limits().HeaderBytes(); most > 0 && headerSize(q.r) > most {
+		q.invalid(http.StatusRequestHeaderFieldsTooLarge, "header over the limit")
+		return false
+	}
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
 	if !strings.HasPrefix(path, "/") {
 		path = q.r.URL.EscapedPath()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -18,15 +18,6 @@
 // ErrServer is the error that every failure of a Server wraps.
 var ErrServer = eris.New("ingress: server")
 
-const (
-	// maxHeaderBytes bounds a request's header until the configuration is read: net/http's own default is far above it.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout bounds the reading of a header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout bounds an idle connection; callers reuse theirs for less than the configuration's bound.
-	idleTimeout = 30 * time.Second
-)
-
 // Limits bound what one entry does.
 type Limits struct {
 	retries    RetryBound
@@ -74,6 +65,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         s.connState,
+		ConnContext:       withConnection,
 		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	return s
@@ -84,7 +77,7 @@
 
 // Serve answers callers on the listener until Shutdown, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
-	if err := s.http.Serve(listener); err != http.ErrServerClosed {
+	if err := s.http.Serve(connections{listener, s}); err != http.ErrServerClosed {
 		return eris.Wrap(ErrServer, err.Error())
 	}
 	return nil
@@ -109,6 +102,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.open.Add(1)
 	defer s.open.Add(-1)
+	if !reading(r) {
+		panic(http.ErrAbortHandler) // closed as the last byte of its header came
+	}
 	q := &request{server: s, w: w, r: r, began: s.timers.Now()}
 	q.serve()
 }
