--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -37,6 +37,10 @@
 	given   time.Duration
 	givenAt time.Time
 	kinds   map[kindKey]*kind
+	// ticking tells that a look at what waits is under way, and opened holds the
+	// servers that are open to any want until the next place is given.
+	ticking bool
+	opened  []*server
 }
 
 // usable returns how many servers may get work, and the time that their prompts still take to read.
@@ -113,6 +117,7 @@
 			continue
 		}
 		p.arrange(now)
+		p.ticking = true
 		queue := p.queue
 		p.queue = nil
 		ahead := time.Duration(0)
@@ -133,6 +138,7 @@
 			}
 			out = append(out, decision)
 		}
+		p.ticking, p.opened = false, nil
 	}
 	return out
 }
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -403,8 +403,14 @@
 
 // BenchmarkTick measures a look at 40 prompts that wait for 78 busy engines.
 func BenchmarkTick(b *testing.B) {
-	f := newFleet(78, 0)
-	for i := range 400 {
+	for _, engines := range []int{78, 1000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) { benchmarkTick(b, engines) })
+	}
+}
+
+func benchmarkTick(b *testing.B, engines int) {
+	f := newFleet(engines, 0)
+	for i := range 5 * engines {
 		id := fmt.Sprint(i)
 		want := f.short(id, 4000)
 		if i%4 == 0 {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -57,7 +57,20 @@
 // open returns the servers that may get a request, those that were excluded if
 // there are no others, and those that failed but can be reached if there are none at all.
 func (p *pool) open(now time.Time, want Want) []*server {
-	var out, excluded, failed []*server
+	if len(want.exclude) == 0 && p.opened != nil {
+		return p.opened
+	}
+	out := p.look(now, want)
+	if len(want.exclude) == 0 && p.ticking {
+		p.opened = out
+	}
+	return out
+}
+
+// look finds what open returns.
+func (p *pool) look(now time.Time, want Want) []*server {
+	out := make([]*server, 0, len(p.order))
+	var excluded, failed []*server
 	for _, s := range p.order {
 		if !s.usable || !s.coldRoom(now, p.share) {
 			continue
@@ -123,17 +136,29 @@
 	if want.prompt+want.answer > p.service.Engine().Memory() {
 		return p.chooseSpread(now, open, want)
 	}
-	firsts := slices.Clone(open)
-	firsts = slices.DeleteFunc(firsts, func(s *server) bool {
-		return len(s.holds) >= s.slots() || s.memory+want.prompt+want.answer > s.engine.Memory()
+	target, acceptable := want.targets(now)
+	whole := p.reading(want)
+	least := time.Duration(float64(whole) / (1 + maxHelpers))
+	firsts := slices.DeleteFunc(slices.Clone(open), func(s *server) bool {
+		if len(s.holds) >= s.slots() || s.memory+want.prompt+want.answer > s.engine.Memory() {
+			return true
+		}
+		// What can't be borne or in time with all helpers need not be looked at closely.
+		cost := least
+		if alone || s.backlog(now) > freeBacklog {
+			cost = whole
+		}
+		return s.backlog(now)+cost+s.stride() > max(target, acceptable) || !s.bears(now, cost)
 	})
-	slices.SortStableFunc(firsts, func(a, b *server) int {
+	if len(firsts) == 0 {
+		return placement{}
+	}
+	preferred := newOrder(firsts, func(a, b *server) int {
 		return cmp.Or(affinity(a, want)-affinity(b, want), len(b.holds)-len(a.holds), cmp.Compare(a.backlog(now), b.backlog(now)))
 	})
 	readers := p.readers(now, open)
-	target, acceptable := want.targets(now)
 	var best placement
-	for _, s := range firsts {
+	for s := preferred.next(); s != nil; s = preferred.next() {
 		for _, count := range helperCounts {
 			if count > 0 && (alone || s.backlog(now) > freeBacklog || want.prompt/(count+1) < leastPart) {
 				break
@@ -187,15 +212,14 @@
 	}
 }
 
-// readers returns the servers that may help: those without answers first, the
-// quickest first. An engine reads parts for others before its own prompts, so
+// readers returns as many servers as may help one prompt: those without answers
+// first, the quickest first. An engine reads parts for others before its own prompts, so
 // one that still reads a prompt of its own does not help.
 func (p *pool) readers(now time.Time, open []*server) []*server {
-	readers := slices.Clone(open)
-	readers = slices.DeleteFunc(readers, func(s *server) bool {
+	readers := slices.DeleteFunc(slices.Clone(open), func(s *server) bool {
 		return s.helping >= s.slots() || now.Before(s.coldUntil) || s.writers < len(s.holds) || s.backlog(now) > freeBacklog
 	})
-	slices.SortStableFunc(readers, func(a, b *server) int {
+	quickest := newOrder(readers, func(a, b *server) int {
 		if (len(a.holds) > 0) != (len(b.holds) > 0) {
 			if len(a.holds) > 0 {
 				return 1
@@ -204,7 +228,7 @@
 		}
 		return cmp.Compare(a.backlog(now), b.backlog(now))
 	})
-	return readers
+	return quickest.first(maxHelpers + 1)
 }
 
 // withHelpers returns the placement on a server with so many helpers, and
@@ -233,6 +257,7 @@
 // place enters a request on its servers.
 func (b *Book) place(now time.Time, owner Owner, want Want, choice placement) Grant {
 	s := choice.server
+	b.pools[want.service].opened = nil
 	var helperIDs []string
 	var helpers []Helper
 	var reserved []reservation
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -31,6 +31,8 @@
 	info   routing.Server
 	engine *routing.Engine
 	usable bool
+	// rank is the server's place in the entry's preference among equals.
+	rank int
 
 	holds   map[string]*hold
 	helping int
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -77,4 +77,7 @@
 	}
 	preference := func(s *server) uint64 { return xxhash.Sum64String(entry + "\x00" + s.info.ID()) }
 	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(preference(a), preference(b)) })
+	for i, s := range p.order {
+		s.rank = i
+	}
 }
