--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -55,7 +55,8 @@
 }
 
 // open returns the servers that may get a request, those that were excluded if
-// there are no others, and those that failed but can be reached if there are none at all.
+// there are no others, and those that failed but can be reached if there are
+// none at all. The result is not to be changed: a look at what waits uses it again.
 func (p *pool) open(now time.Time, want Want) []*server {
 	if len(want.exclude) == 0 && p.opened != nil {
 		return p.opened
