--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -156,8 +157,24 @@
 	}()
 }
 
+// faultsOf returns the faults of the names, all if there are none.
+func faultsOf(names []string) ([]fault, error) {
+	if len(names) == 0 {
+		return faults, nil
+	}
+	var out []fault
+	for _, name := range names {
+		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		if i < 0 {
+			return nil, fmt.Errorf("no fault is called %q", name)
+		}
+		out = append(out, faults[i])
+	}
+	return out, nil
+}
+
 // disturb draws faults until ctx ends and returns what was done.
-func (f *fleet) disturb(ctx context.Context) []string {
+func (f *fleet) disturb(ctx context.Context, faults []fault) []string {
 	var done []string
 	began := time.Now()
 	for {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -34,6 +34,8 @@
 	servers   int
 	callers   int
 	faultsFor time.Duration
+	// only names the faults that are drawn, all if it is empty.
+	only []string
 }
 
 func main() {
@@ -93,6 +95,7 @@
 	command.Flags().IntVar(&o.servers, "servers", 9, "backend servers")
 	command.Flags().IntVar(&o.callers, "callers", 8, "callers")
 	command.Flags().DurationVar(&o.faultsFor, "for", 10*time.Second, "how long faults go on")
+	command.Flags().StringSliceVar(&o.only, "only", nil, "draw these faults only")
 	command.Flags().Uint64Var(&seed, "seed", 1, "first seed")
 	command.Flags().Uint64Var(&seeds, "seeds", 1, "number of seeds")
 	command.Flags().StringVar(&regressions, "regressions", "", "file of seeds that failed once, one a line with its cause, run in place of the others")
@@ -126,6 +129,10 @@
 
 // run makes one run and returns a line on it and the broken promises.
 func run(o options, seed uint64, slot int) (string, []string) {
+	drawn, err := faultsOf(o.only)
+	if err != nil {
+		return "", []string{err.Error()}
+	}
 	dir := filepath.Join(o.dir, fmt.Sprintf("soak-%d", seed))
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return "", []string{err.Error()}
@@ -148,7 +155,7 @@
 	}
 	running.Go(func() { f.watchVersions(ctx) })
 	disturbed, calm := context.WithTimeout(context.Background(), o.faultsFor)
-	done := f.disturb(disturbed)
+	done := f.disturb(disturbed, drawn)
 	calm()
 	calmFrom := time.Now().Add(calmTime / 2)
 	time.Sleep(calmTime)
