--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -172,6 +172,7 @@
 // unhelp frees the helpers of a request whose prompt is read.
 func (b *Book) unhelp(h *hold) {
 	for _, part := range h.parts {
+		part.server.settled(h)
 		if part.server != h.on {
 			part.server.helping--
 		}
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -402,6 +402,35 @@
 }
 
 // BenchmarkTick measures a look at 40 prompts that wait for 78 busy engines.
+// Pattern: a burst of short prompts while one server answers nothing. It draws
+// few of them, although it seems to have read what it was given.
+func TestMuteServerDrawsFewPrompts(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(6, 0)
+	mute := f.granted(c, f.short("first", 4000)).Server()
+	drawn := 0
+	for i := range 100 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		id := fmt.Sprint(i)
+		grant := f.granted(c, f.short(id, 4000))
+		if grant.Server() == mute {
+			drawn++
+			continue
+		}
+		f.book.Started(f.now.Add(grant.First()), id)
+		f.book.Ended(f.now.Add(grant.First()), id, OutcomeWhole)
+	}
+	c.Assert(drawn <= 10, qt.IsTrue, qt.Commentf("%d of 100 went to the mute server", drawn))
+	// Once it answers it is as good as any.
+	f.book.Started(f.now, "first")
+	for i := range 100 {
+		f.book.Started(f.now, fmt.Sprint(i))
+	}
+	for _, s := range f.book.pools["llm"].order {
+		c.Assert(s.overdueFrom.IsZero(), qt.IsTrue)
+	}
+}
+
 func BenchmarkTick(b *testing.B) {
 	for _, engines := range []int{78, 1000} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) { benchmarkTick(b, engines) })
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -292,6 +292,7 @@
 		share := 1 / float64(1+len(choice.helpers))
 		for _, participant := range append([]*server{s}, choice.helpers...) {
 			participant.give(now, h, participant.readCost(want.prompt, share))
+			participant.await(h)
 		}
 	}
 	if now.Before(s.coldUntil) {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -19,6 +19,9 @@
 	failureLimit = 0.4
 	// failedCost is how much a server's own 5xx counts as a failure: some calls fail by nature.
 	failedCost = 0.4
+	// overdueSlack is how much later than expected an event may be without
+	// notice: the time for which entries gather events, and a round trip.
+	overdueSlack = 40 * time.Millisecond
 	// pausePart is the part of the shortest pause objective on a server that one pass may take.
 	pausePart = 0.8
 	// coldShare is the part of a cold server's bearing that is given out: two
@@ -43,6 +46,10 @@
 	tolerance time.Duration
 	// readyAt is when the prompts that were given to the server are read.
 	readyAt time.Time
+	// pending are the requests whose first event waits for the server, and
+	// overdueFrom is when the first of these events was expected, zero without any.
+	pending     map[*hold]bool
+	overdueFrom time.Time
 
 	coldUntil time.Time
 	coldRate  float64
@@ -82,9 +89,40 @@
 	cost   time.Duration
 }
 
-// backlog returns the time until all prompts on the server are read.
+// backlog returns the time until all prompts on the server are read. What was
+// expected by now and has not come counts as well: a server that answers nothing
+// would else seem idle, and draw all that is gathered.
 func (s *server) backlog(now time.Time) time.Duration {
-	return max(0, s.readyAt.Sub(now))
+	backlog := max(0, s.readyAt.Sub(now))
+	if s.overdueFrom.IsZero() {
+		return backlog
+	}
+	return backlog + max(0, now.Sub(s.overdueFrom)-overdueSlack)
+}
+
+// await notes that a request's first event waits for the server.
+func (s *server) await(h *hold) {
+	if s.pending == nil {
+		s.pending = make(map[*hold]bool)
+	}
+	s.pending[h] = true
+	if s.overdueFrom.IsZero() || h.expect.Before(s.overdueFrom) {
+		s.overdueFrom = h.expect
+	}
+}
+
+// settled notes that a request's first event came, or will not come.
+func (s *server) settled(h *hold) {
+	if !s.pending[h] {
+		return
+	}
+	delete(s.pending, h)
+	s.overdueFrom = time.Time{}
+	for other := range s.pending {
+		if s.overdueFrom.IsZero() || other.expect.Before(s.overdueFrom) {
+			s.overdueFrom = other.expect
+		}
+	}
 }
 
 // readCost returns the time in which the server reads a share of a prompt.
