Tell heartbeats' senders only of entries that they do not hear

Ruled out: pulses, 1.1 KB each at 84 entries. Change: an answer leaves out those whom the sender's pulses tell of, and in a large fleet heartbeats to those who place are answered without others. TestOthersLeavesOutWhatPulsesTell.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -56,8 +56,11 @@
 		if len(beat.Pulses) > 0 {
 			reply.Pulses = c.members.pulses(now)
 		}
-		if beat.Known != reply.Known {
-			reply.Others = c.others(now)
+		// In a large fleet those who place hear from all, and leave it to the
+		// other heartbeats to tell who is known.
+		large := len(c.members.byID) >= pulseEntries
+		if beat.Known != reply.Known && !(large && len(beat.Places) > 0) {
+			reply.Others = c.others(now, beat.Pulses)
 		}
 	})
 	if !ok {
@@ -129,11 +132,14 @@
 	return now.Sub(c.answered)
 }
 
-// others returns the entries that this one hears.
-func (c *control) others(now time.Time) []memberMessage {
+// others returns the entries that this one hears, but those that the pulses tell of.
+func (c *control) others(now time.Time, pulses []byte) []memberMessage {
+	told := pulseKeys(pulses)
 	var out []memberMessage
 	for _, known := range c.members.audible(now, addressSilence) {
-		out = append(out, known.memberMessage)
+		if !told[known.key] {
+			out = append(out, known.memberMessage)
+		}
 	}
 	return out
 }
--- a/gateway/pulse.go
+++ b/gateway/pulse.go
@@ -59,6 +59,15 @@
 	return out
 }
 
+// pulseKeys returns the keys of the entries that pulses tell of.
+func pulseKeys(pulses []byte) map[uint64]bool {
+	keys := make(map[uint64]bool, len(pulses)/pulseBytes)
+	for ; len(pulses) >= pulseBytes; pulses = pulses[pulseBytes:] {
+		keys[binary.BigEndian.Uint64(pulses)] = true
+	}
+	return keys
+}
+
 // takePulses takes what another entry knows of third ones.
 func (m *members) takePulses(now time.Time, pulses []byte) {
 	for ; len(pulses) >= pulseBytes; pulses = pulses[pulseBytes:] {
--- a/gateway/pulse_test.go
+++ b/gateway/pulse_test.go
@@ -144,6 +144,25 @@
 	c.Assert(m.addresses(f.now()), qt.HasLen, 39)
 }
 
+// Who tells whom it hears is told of the others only: full lists of a large
+// fleet in every answer would be most of what entries send while some come and go.
+func TestOthersLeavesOutWhatPulsesTell(t *testing.T) {
+	c := qt.New(t)
+	f := newChatter(40)
+	f.Run(5 * time.Second)
+	known, asker := f.entries[3], f.entries[4]
+	own := &control{members: *known}
+	c.Assert(own.others(f.now(), nil), qt.HasLen, 39)
+	pulses := asker.pulses(f.now())
+	c.Assert(own.others(f.now(), pulses), qt.HasLen, 1) // the one that asks
+	for id, m := range asker.byID {
+		if id == "e007" || id == "e009" {
+			m.heardAt = time.Time{}
+		}
+	}
+	c.Assert(own.others(f.now(), asker.pulses(f.now())), qt.HasLen, 3)
+}
+
 // Whatever bytes come, pulses are read as far as they are whole.
 func FuzzTakePulses(f *testing.F) {
 	f.Add([]byte{1, 2, 3})
