--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -112,7 +112,7 @@
 	f.mu.Lock()
 	s.drained = time.Now()
 	f.mu.Unlock()
-	f.store.PublishServer(s.ID(), s.proxy.address(), s.prompts, true, s.born)
+	f.store.PublishServer(s.ID(), s.proxy.address(), s.prompts, true, s.ColdLeft(), s.born)
 	later(ctx, removeAfter, func() {
 		last := s.LastTaken()
 		calm := f.storeCalm(s.drained, last)
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -91,9 +91,10 @@
 	}
 	if prompts {
 		s.Model(&f.engines, s.proxy.address())
+		s.Cool()
 	}
 	f.servers = append(f.servers, s)
-	f.store.PublishServer(s.ID(), s.proxy.address(), prompts, false, s.born)
+	f.store.PublishServer(s.ID(), s.proxy.address(), prompts, false, s.ColdLeft(), s.born)
 	return nil
 }
 
@@ -218,6 +219,9 @@
 		if n := s.Reserved(); n > 0 {
 			f.checker.report("memory not freed: %s holds %d tickets", s.ID(), n)
 		}
+		if n := s.ColdTaken(); n > platformtest.ColdMost {
+			f.checker.report("cold server over its bearing: %s got %d requests in a second", s.ID(), n)
+		}
 	}
 }
 
