--- a/experiment/plot.go
+++ b/experiment/plot.go
@@ -1,6 +1,8 @@
 package experiment
 
 import (
+	"os"
+
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -8,8 +10,6 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
-
-	"os"
 )
 
 const (
