Share what experiments and entries had each for themselves

The time that a stream's caller bears stood in ingress and, as bare numbers, in experiment: routing.Patience is the one copy. The interval of looks at what waits stood in gateway and experiment: dispatch.LookInterval. experiment wrapped dispatch.Book in a type that only forwarded, and kept one placer many times over to skip the copies when looking: its interface is now what a Book has, and entries share distinct placers. The services of the configuration, none without one, are asked of the mirror. Accessors of Load that nobody called are gone.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -7,6 +7,10 @@
 	"greengagedock.example/routing"
 )
 
+// LookInterval is the time between two calls of Tick: an event's way between
+// entries, so that waiting adds little to it.
+const LookInterval = 25 * time.Millisecond
+
 const (
 	// undeclaredGrace is how long a grant may be missing from its owner's
 	// declarations: a round trip and two heartbeats.
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -63,18 +63,9 @@
 	factors map[string]float64
 }
 
-// Length returns how long prompts come.
-func (l Load) Length() time.Duration { return l.length }
-
 // Kinds returns the kinds of prompts.
 func (l Load) Kinds() []Kind { return l.kinds }
 
-// Engine returns the engines' figures.
-func (l Load) Engine() routing.Engine { return l.engine }
-
-// Servers returns how many engines there are.
-func (l Load) Servers() int { return l.servers }
-
 // WithServers returns the load with another number of engines.
 func (l Load) WithServers(servers int) Load {
 	l.servers = servers
@@ -110,9 +101,7 @@
 func (k Kind) Objective() time.Duration { return k.objective }
 
 // bears returns the longest time without an event that callers bear.
-func (k Kind) bears() time.Duration {
-	return max(2*time.Second, 4*k.objective, 8*k.pause)
-}
+func (k Kind) bears() time.Duration { return routing.Patience(k.objective, k.pause) }
 
 // value returns what a prompt of a length is worth; long ones are worth more.
 func (k Kind) value(prompt int) float64 {
--- a/experiment/placing.go
+++ b/experiment/placing.go
@@ -44,45 +44,39 @@
 	return nil, false
 }
 
-// placer answers wants; each entry asks the one of its number.
+// placer answers wants, as a book does.
 type placer interface {
-	ask(now time.Time, owner dispatch.Owner, want dispatch.Want) dispatch.Decision
-	tick(now time.Time) []dispatch.Decision
-	started(now time.Time, id string)
-	ended(now time.Time, id string, outcome dispatch.Outcome)
-	withdraw(id string)
-	waiting() int
+	Ask(now time.Time, owner dispatch.Owner, want dispatch.Want) dispatch.Decision
+	Tick(now time.Time) []dispatch.Decision
+	Started(now time.Time, id string)
+	Ended(now time.Time, id string, outcome dispatch.Outcome)
+	Withdraw(id string)
+	Waiting() int
 }
 
-// newPlacers returns a placer for each entry; some may be the same.
+var _ placer = (*dispatch.Book)(nil)
+
+// newPlacers returns the placers, which the entries share evenly.
 func newPlacers(p Placing, l Load, random *rand.Rand) []placer {
-	out := make([]placer, l.entries)
 	switch p.(type) {
 	case Alone:
-		for i := range out {
-			out[i] = newBookPlacer(fmt.Sprint("entry-", i), l)
+		var out []placer
+		for i := range l.entries {
+			out = append(out, newBook(fmt.Sprint("entry-", i), l))
 		}
+		return out
 	case Blind:
-		blind := &blindPlacer{servers: l.servers, random: random}
-		for i := range out {
-			out[i] = blind
-		}
+		return []placer{&blindPlacer{servers: l.servers, random: random}}
 	default:
-		shared := newBookPlacer("entry-0", l)
-		for i := range out {
-			out[i] = shared
-		}
+		return []placer{newBook("entry-0", l)}
 	}
-	return out
 }
 
 // service is the one service of an experiment.
 const service = "engines"
 
-// bookPlacer places by the book that entries run.
-type bookPlacer struct{ book *dispatch.Book }
-
-func newBookPlacer(entry string, l Load) *bookPlacer {
+// newBook returns an entry's book of the load's engines.
+func newBook(entry string, l Load) *dispatch.Book {
 	table := routing.NewTable(1, nil, []routing.Service{routing.NewService(service).WithEngine(l.engine)}, nil, routing.Limits{})
 	servers := make(map[string]routing.Server)
 	for i := range l.servers {
@@ -91,18 +85,7 @@
 	}
 	book := dispatch.NewBook(entry)
 	book.SetView(epoch, routing.NewView(1, table, servers, nil))
-	return &bookPlacer{book: book}
-}
-
-func (b *bookPlacer) ask(now time.Time, owner dispatch.Owner, want dispatch.Want) dispatch.Decision {
-	return b.book.Ask(now, owner, want)
-}
-func (b *bookPlacer) tick(now time.Time) []dispatch.Decision { return b.book.Tick(now) }
-func (b *bookPlacer) started(now time.Time, id string)       { b.book.Started(now, id) }
-func (b *bookPlacer) withdraw(id string)                     { b.book.Withdraw(id) }
-func (b *bookPlacer) waiting() int                           { return b.book.Waiting() }
-func (b *bookPlacer) ended(now time.Time, id string, outcome dispatch.Outcome) {
-	b.book.Ended(now, id, outcome)
+	return book
 }
 
 // blindPlacer draws engines.
@@ -111,14 +94,25 @@
 	random  *rand.Rand
 }
 
-func (b *blindPlacer) ask(_ time.Time, _ dispatch.Owner, want dispatch.Want) dispatch.Decision {
+// Ask grants the want a drawn engine.
+func (b *blindPlacer) Ask(_ time.Time, _ dispatch.Owner, want dispatch.Want) dispatch.Decision {
 	id := serverID(b.random.IntN(b.servers))
 	return dispatch.NewGranted(dispatch.NewGrant(want.ID(), id, id, nil, 0))
 }
-func (b *blindPlacer) tick(time.Time) []dispatch.Decision        { return nil }
-func (b *blindPlacer) started(time.Time, string)                 {}
-func (b *blindPlacer) withdraw(string)                           {}
-func (b *blindPlacer) waiting() int                              { return 0 }
-func (b *blindPlacer) ended(time.Time, string, dispatch.Outcome) {}
+
+// Tick decides nothing, since no want waits.
+func (b *blindPlacer) Tick(time.Time) []dispatch.Decision { return nil }
+
+// Started takes no notice.
+func (b *blindPlacer) Started(time.Time, string) {}
+
+// Withdraw takes no notice.
+func (b *blindPlacer) Withdraw(string) {}
+
+// Waiting returns 0.
+func (b *blindPlacer) Waiting() int { return 0 }
+
+// Ended takes no notice.
+func (b *blindPlacer) Ended(time.Time, string, dispatch.Outcome) {}
 
 func serverID(i int) string { return fmt.Sprintf("server-%04d", i) }
--- a/experiment/request.go
+++ b/experiment/request.go
@@ -66,7 +66,7 @@
 			return
 		}
 		r.asked = true
-		decision := w.placers[r.entry].ask(w.time(), r.owner(), want)
+		decision := w.placer(r.entry).Ask(w.time(), r.owner(), want)
 		w.After(hop, func() { r.decided(id, decision) })
 	})
 	w.After(r.kind.bears()-(w.Now()-r.arrived), func() {
@@ -129,7 +129,7 @@
 	}
 	r.world.report.full++
 	r.leave(dispatch.OutcomeFull)
-	r.refused(reason, tickInterval)
+	r.refused(reason, dispatch.LookInterval)
 }
 
 // refused has the caller come back if it still may.
@@ -159,8 +159,8 @@
 	}
 	if r.first == 0 {
 		r.first = w.Now()
-		placer := w.placers[r.entry]
-		w.After(tellTime, func() { placer.started(w.time(), id) })
+		placer := w.placer(r.entry)
+		w.After(tellTime, func() { placer.Started(w.time(), id) })
 	}
 	if events := 1 + tokens/r.kind.event; events > r.events {
 		if r.events > 0 {
@@ -176,7 +176,7 @@
 // leave ends the present send at the engines and in the book.
 func (r *request) leave(outcome dispatch.Outcome) {
 	w := r.world
-	id, placer := r.id, w.placers[r.entry]
+	id, placer := r.id, w.placer(r.entry)
 	if id == "" {
 		return
 	}
@@ -188,8 +188,8 @@
 		}
 	}
 	w.After(tellTime, func() {
-		placer.withdraw(id)
-		placer.ended(w.time(), id, outcome)
+		placer.Withdraw(id)
+		placer.Ended(w.time(), id, outcome)
 	})
 }
 
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// tickInterval is the time between two looks at what waits, as entries have it.
-	tickInterval = 25 * time.Millisecond
 	// hop is the time from an entry to another, to an engine or to a caller: a
 	// region's failure domains are a good millisecond apart.
 	hop = 1500 * time.Microsecond
@@ -58,7 +56,7 @@
 		longest = max(longest, k.timeout)
 		w.arrive(k, 0)
 	}
-	w.every(tickInterval, w.tick)
+	w.every(dispatch.LookInterval, w.tick)
 	w.every(sampleInterval, w.sample)
 	w.Loop.Run(l.length + 2*longest)
 	return w.report
@@ -100,22 +98,20 @@
 	hint := Length{mean: float64(answer), spread: hintSpread, most: float64(answer) * hintMost}
 	r := &request{
 		world: w, kind: k, prompt: k.prompt.draw(w.random), answer: answer, hint: hint.draw(w.random),
-		entry: w.random.IntN(len(w.placers)), arrived: w.Now(), name: fmt.Sprintf("%s-%d", k.name, number),
+		entry: w.random.IntN(w.load.entries), arrived: w.Now(), name: fmt.Sprintf("%s-%d", k.name, number),
 	}
 	w.report.began(r)
 	r.send()
 	w.After(k.timeout, func() { r.end(resultDeadline) })
 }
 
-// tick looks at what waits, in each book once.
+// placer returns the placer of an entry.
+func (w *world) placer(entry int) placer { return w.placers[entry%len(w.placers)] }
+
+// tick looks at what waits.
 func (w *world) tick() {
-	seen := make(map[placer]bool)
 	for _, p := range w.placers {
-		if seen[p] {
-			continue
-		}
-		seen[p] = true
-		w.take(p.tick(w.time()))
+		w.take(p.Tick(w.time()))
 	}
 }
 
@@ -183,12 +179,8 @@
 		return
 	}
 	s := sample{at: w.Now()}
-	seen := make(map[placer]bool)
 	for _, p := range w.placers {
-		if !seen[p] {
-			seen[p] = true
-			s.waiting += p.waiting()
-		}
+		s.waiting += p.Waiting()
 	}
 	for i := range w.load.servers {
 		load := w.engines[serverID(i)].Load()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// tickInterval is the time between two looks at the wants that wait.
-	tickInterval = 25 * time.Millisecond
 	// fewestEntries is the least number of entries that the bounds on all are
 	// shared by while few are known.
 	fewestEntries = 3
@@ -84,7 +82,7 @@
 // run carries out the work of the control state until stop is closed.
 func (c *control) run(stop <-chan struct{}) {
 	defer close(c.done)
-	tick := c.timers.Every(tickInterval)
+	tick := c.timers.Every(dispatch.LookInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -140,11 +138,7 @@
 
 // shareCold states for each service whether this entry places for all.
 func (c *control) shareCold(now time.Time) {
-	table := c.mirror.table
-	if table == nil {
-		return
-	}
-	for _, service := range table.Services() {
+	for _, service := range c.mirror.services() {
 		share := 1.0
 		if c.members.placer(now, service) != nil {
 			share = 1 / float64(c.entries.Load())
--- a/gateway/mirror.go
+++ b/gateway/mirror.go
@@ -174,6 +174,14 @@
 	return dropped
 }
 
+// services returns the services of the configuration in force, none without one.
+func (m *mirror) services() []string {
+	if m.table == nil {
+		return nil
+	}
+	return m.table.Services()
+}
+
 // view returns what the items say.
 func (m *mirror) view() *routing.View {
 	servers := make(map[string]routing.Server)
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -22,11 +22,6 @@
 	retryAfterUnready = 300 * time.Millisecond
 	// maxSends bounds the sends of one request that did not run.
 	maxSends = 4
-	// A caller leaves a stream after a gap of leastPatience, or of so many
-	// objectives or pause objectives, whichever is longest (the platform's pages).
-	leastPatience     = 2 * time.Second
-	objectivePatience = 4
-	pausePatience     = 8
 	// usualTime bounds a request for which neither caller nor route states a time.
 	usualTime = 30 * time.Second
 )
@@ -252,7 +247,7 @@
 	if q.route.Kind() != routing.KindStream {
 		return q.limit
 	}
-	bears := max(leastPatience, objectivePatience*q.route.Objective(), pausePatience*q.route.PauseObjective())
+	bears := routing.Patience(q.route.Objective(), q.route.PauseObjective())
 	from := q.began
 	if q.events.count > 0 {
 		from = q.events.at
--- a/routing/route.go
+++ b/routing/route.go
@@ -108,6 +108,20 @@
 // Targets returns the services that carry the route, by weight.
 func (r Route) Targets() []Target { return r.targets }
 
+// A caller leaves a stream after a gap of leastPatience, or of so many
+// objectives or pause objectives, whichever is longest (the platform's pages).
+const (
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4
+	pausePatience     = 8
+)
+
+// Patience returns the longest gap without an event that a stream's caller
+// bears, by the stream's objective and pause objective.
+func Patience(objective, pause time.Duration) time.Duration {
+	return max(leastPatience, objectivePatience*objective, pausePatience*pause)
+}
+
 // Repeatable reports whether a request may run more than once.
 func (r Route) Repeatable() bool {
 	return r.kind == KindIdempotent || r.kind == KindStream && r.resumable
