Write pulses and disturbed spans down once

Found on reading the whole change again. The bytes of a pulse were taken apart in two loops: decodePulses is the one that knows them. A heartbeat's pulses were set in two branches that meant the same. dispatch.place looked its pool up three times though its caller has it, and a kind's key was worked out twice. The soak had the same loop over disturbed spans for entries and for the store. Behaviour is the same; no test has changed.

--- a/cmd/soak/entry.go
+++ b/cmd/soak/entry.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,7 +32,7 @@
 	starts  int
 	stopped bool
 	// disturbed holds when the entry was disturbed, and until when.
-	disturbed []span
+	disturbed spans
 	ended     chan struct{}
 }
 
@@ -40,6 +41,14 @@
 	from, to time.Time
 }
 
+// spans are stretches of time in which something was disturbed.
+type spans []span
+
+// calm reports whether none of them meets the time from one moment to another.
+func (s spans) calm(from, to time.Time) bool {
+	return !slices.ContainsFunc(s, func(each span) bool { return from.Before(each.to) && each.from.Before(to) })
+}
+
 // startEntry writes the settings of an entry and starts it.
 func startEntry(dir, daemon string, number, port int, store string, seeds []string) (*entry, error) {
 	name := fmt.Sprintf("entry-%d", number)
@@ -108,12 +117,7 @@
 func (e *entry) calm(from, to time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, s := range e.disturbed {
-		if from.Before(s.to) && s.from.Before(to) {
-			return false
-		}
-	}
-	return true
+	return e.disturbed.calm(from, to)
 }
 
 // incarnation returns the number of starts.
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -44,7 +44,7 @@
 	servers  []*backendServer
 	created  int
 	version  int
-	storeBad []span
+	storeBad spans
 }
 
 // startFleet starts the store, the backend servers and the entries.
@@ -198,12 +198,7 @@
 func (f *fleet) storeCalm(from, to time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, s := range f.storeBad {
-		if from.Before(s.to) && s.from.Before(to) {
-			return false
-		}
-	}
-	return true
+	return f.storeBad.calm(from, to)
 }
 
 // finish checks what must hold once all is calm again.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -51,7 +51,7 @@
 	if choice.server == nil {
 		return p.wait(now, want, ReasonBusy)
 	}
-	return NewGranted(b.place(now, owner, want, choice))
+	return NewGranted(b.place(now, p, owner, want, choice))
 }
 
 // open returns the servers that may get a request, those that were excluded if
@@ -256,9 +256,9 @@
 }
 
 // place enters a request on its servers.
-func (b *Book) place(now time.Time, owner Owner, want Want, choice placement) Grant {
+func (b *Book) place(now time.Time, p *pool, owner Owner, want Want, choice placement) Grant {
 	s := choice.server
-	b.pools[want.service].opened = nil
+	p.opened = nil
 	var helperIDs []string
 	var helpers []Helper
 	var reserved []reservation
@@ -285,7 +285,6 @@
 	}
 	if s.engine != nil {
 		h.expect = now.Add(choice.first)
-		p := b.pools[want.service]
 		p.kindOf(want).place(now, want.prompt)
 		p.given = p.lately(now) + p.reading(want)
 		p.givenAt = now
@@ -300,6 +299,6 @@
 	}
 	b.holds[want.id] = h
 	s.add(h)
-	why := fmt.Sprintf("%s of %d, writers %d, backlog %dms", choice.why, len(b.pools[want.service].order), s.writers, s.backlog(now).Milliseconds())
+	why := fmt.Sprintf("%s of %d, writers %d, backlog %dms", choice.why, len(p.order), s.writers, s.backlog(now).Milliseconds())
 	return NewGrant(want.id, s.info.ID(), s.info.Address(), helpers, choice.first).WithWhy(now.Sub(want.arrived), why)
 }
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -56,13 +56,14 @@
 
 // kindOf returns what is known of a want's kind.
 func (p *pool) kindOf(w Want) *kind {
-	k := p.kinds[w.kind()]
+	key := w.kind()
+	k := p.kinds[key]
 	if k == nil {
 		if p.kinds == nil {
 			p.kinds = make(map[kindKey]*kind)
 		}
 		k = &kind{}
-		p.kinds[w.kind()] = k
+		p.kinds[key] = k
 	}
 	return k
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -102,11 +102,7 @@
 	if to == "" {
 		return beat
 	}
-	if c.mirror.table == nil {
-		beat.Pulses = c.members.pulses(now)
-		return beat
-	}
-	for _, service := range c.mirror.table.Services() {
+	for _, service := range c.mirror.services() {
 		if placer := c.members.placer(now, service); placer != nil && placer.Peers == to {
 			beat.Places = append(beat.Places, service)
 		}
@@ -134,7 +130,10 @@
 
 // others returns the entries that this one hears, but those that the pulses tell of.
 func (c *control) others(now time.Time, pulses []byte) []memberMessage {
-	told := pulseKeys(pulses)
+	told := make(map[uint64]bool)
+	for p := range decodePulses(pulses) {
+		told[p.key] = true
+	}
 	var out []memberMessage
 	for _, known := range c.members.audible(now, addressSilence) {
 		if !told[known.key] {
@@ -235,11 +234,7 @@
 	var out []string
 	c.do(func(now time.Time) {
 		c.members.self.Beats++
-		var services []string
-		if c.mirror.table != nil {
-			services = c.mirror.table.Services()
-		}
-		out = c.members.roundTargets(now, services)
+		out = c.members.roundTargets(now, c.mirror.services())
 	})
 	return out
 }
--- a/gateway/pulse.go
+++ b/gateway/pulse.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"iter"
 	"slices"
 	"strconv"
 	"time"
@@ -38,6 +39,42 @@
 	return mesh.Rank(m.ID, strconv.FormatUint(m.Incarnation, 10))
 }
 
+// pulse is what an entry knows of another.
+type pulse struct {
+	key   uint64
+	beats uint32
+	state memberState
+	// storeAge is how long ago the store answered the entry, in storeAgeUnits.
+	storeAge byte
+}
+
+// append adds the pulse to encoded ones.
+func (p pulse) append(out []byte) []byte {
+	out = binary.BigEndian.AppendUint64(out, p.key)
+	out = binary.BigEndian.AppendUint32(out, p.beats)
+	return append(out, byte(slices.Index(memberStates, p.state))<<storeAgeBits|p.storeAge)
+}
+
+// decodePulses returns encoded pulses as far as they are whole; a state that is
+// not known here is empty.
+func decodePulses(encoded []byte) iter.Seq[pulse] {
+	return func(yield func(pulse) bool) {
+		for ; len(encoded) >= pulseBytes; encoded = encoded[pulseBytes:] {
+			p := pulse{
+				key:      binary.BigEndian.Uint64(encoded),
+				beats:    binary.BigEndian.Uint32(encoded[8:]),
+				storeAge: encoded[12] & storeAgeNone,
+			}
+			if state := int(encoded[12] >> storeAgeBits); state < len(memberStates) {
+				p.state = memberStates[state]
+			}
+			if !yield(p) {
+				return
+			}
+		}
+	}
+}
+
 // pulses returns what this entry knows of those that it heard of lately.
 func (m *members) pulses(now time.Time) []byte {
 	if len(m.byID) < pulseEntries {
@@ -48,42 +85,27 @@
 		if now.Sub(known.heardAt) > addressSilence {
 			continue
 		}
-		age := byte(storeAgeNone)
-		if since := now.Sub(known.storeAt) / storeAgeUnit; since < storeAgeNone {
-			age = byte(since)
-		}
-		out = binary.BigEndian.AppendUint64(out, known.key)
-		out = binary.BigEndian.AppendUint32(out, known.Beats)
-		out = append(out, byte(slices.Index(memberStates, known.State))<<storeAgeBits|age)
+		age := min(storeAgeNone, now.Sub(known.storeAt)/storeAgeUnit)
+		out = pulse{key: known.key, beats: known.Beats, state: known.State, storeAge: byte(age)}.append(out)
 	}
 	return out
 }
 
-// pulseKeys returns the keys of the entries that pulses tell of.
-func pulseKeys(pulses []byte) map[uint64]bool {
-	keys := make(map[uint64]bool, len(pulses)/pulseBytes)
-	for ; len(pulses) >= pulseBytes; pulses = pulses[pulseBytes:] {
-		keys[binary.BigEndian.Uint64(pulses)] = true
-	}
-	return keys
-}
-
 // takePulses takes what another entry knows of third ones.
 func (m *members) takePulses(now time.Time, pulses []byte) {
-	for ; len(pulses) >= pulseBytes; pulses = pulses[pulseBytes:] {
-		known := m.byKey[binary.BigEndian.Uint64(pulses)]
-		beats := binary.BigEndian.Uint32(pulses[8:])
-		if known == nil || beats <= known.Beats {
+	for p := range decodePulses(pulses) {
+		known := m.byKey[p.key]
+		if known == nil || p.beats <= known.Beats {
 			continue
 		}
-		known.Beats = beats
+		known.Beats = p.beats
 		known.heardAt = now
-		if state := int(pulses[12] >> storeAgeBits); state < len(memberStates) && known.State != memberLeaving {
-			known.State = memberStates[state]
+		if p.state != "" && known.State != memberLeaving {
+			known.State = p.state
 		}
 		known.storeAt = time.Time{}
-		if age := pulses[12] & storeAgeNone; age != storeAgeNone {
-			known.storeAt = now.Add(-time.Duration(age) * storeAgeUnit)
+		if p.storeAge != storeAgeNone {
+			known.storeAt = now.Add(-time.Duration(p.storeAge) * storeAgeUnit)
 		}
 	}
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -50,7 +50,6 @@
 	http     *http.Server
 	open     atomic.Int64
 	serial   atomic.Uint64
-	leaving  atomic.Bool
 }
 
 // NewServer returns a server that routes by views, asks slots for places, reserves memory and sends through the client.
@@ -85,7 +84,6 @@
 
 // Leave asks callers to close their connections with the next answer.
 func (s *Server) Leave() {
-	s.leaving.Store(true)
 	s.http.SetKeepAlivesEnabled(false)
 }
 
