--- a/cmd/greengagedockd/gateway.go
+++ b/cmd/greengagedockd/gateway.go
@@ -57,9 +57,9 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	adapters := gateway.Platform{
-		Source:     platform.NewStore(store),
+		Source:     platform.NewStore(store, settings.Timeouts()),
 		Decode:     platform.Decode,
-		KVReserver: platform.NewEngineClient(),
+		KVReserver: platform.NewEngineClient(settings.Timeouts()),
 		Headers:    platform.Headers{},
 		Directory:  platform.DirectoryHandler,
 	}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -72,10 +72,11 @@
 			PeerAddress: settings.PeerAddress(), CallerAddress: settings.CallerAddress(), State: memberStarting,
 			CPUCores: settings.CPUCores(),
 		},
-		byID:   make(map[string]*member),
-		byKey:  make(map[uint64]*member),
-		seeds:  settings.Seeds(),
-		random: rand.New(rand.NewPCG(incarnation, 0)),
+		timeouts: settings.timeouts,
+		byID:     make(map[string]*member),
+		byKey:    make(map[uint64]*member),
+		seeds:    settings.Seeds(),
+		random:   rand.New(rand.NewPCG(incarnation, 0)),
 	}
 	c.state.Store(memberStarting)
 	c.view.Store(c.cache.view())
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -85,7 +85,7 @@
 	}
 	out := make([]byte, 0, counterBytes*len(m.byID))
 	for _, known := range m.byID {
-		if now.Sub(known.lastHeard) > addressTimeout {
+		if now.Sub(known.lastHeard) > m.timeouts.listed() {
 			continue
 		}
 		age := min(storeAgeNone, now.Sub(known.storeAnsweredAt)/storeAgeUnit)
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -68,7 +68,7 @@
 	to.observe(f.now(), from.self)
 	to.mergeCounters(f.now(), from.encodeCounters(f.now()))
 	if from.digest() != to.digest() {
-		for _, known := range from.live(f.now(), addressTimeout) {
+		for _, known := range from.live(f.now(), from.timeouts.listed()) {
 			to.learn(known.memberMessage)
 		}
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -18,9 +18,6 @@
 	startupInterval = 80 * time.Millisecond
 	// heartbeatTimeout bounds the wait for the response to a heartbeat.
 	heartbeatTimeout = 900 * time.Millisecond
-	// schedulerTimeout is how long a scheduler may be silent before another entry
-	// takes over: three heartbeats.
-	schedulerTimeout = 1200 * time.Millisecond
 	// minSchedulerCPUShare is the least CPU that an entry needs to be a scheduler,
 	// relative to the entry with the most: one entry schedules all requests of a
 	// service.
@@ -28,8 +25,6 @@
 	// minCPUCores is the lowest weight of an entry in the directory; an entry with
 	// unknown cores gets it.
 	minCPUCores = 0.05
-	// addressTimeout is how long the directory keeps listing a silent entry.
-	addressTimeout = 2 * time.Second
 	// memberTimeout is how long a silent entry stays a member and gets heartbeats.
 	memberTimeout = 15 * time.Second
 	// storeWatcherCount is how many entries watch the store: each call to it has a
@@ -71,10 +66,11 @@
 
 // members holds this entry and the other entries that it knows.
 type members struct {
-	self  memberMessage
-	byID  map[string]*member
-	byKey map[uint64]*member
-	seeds []string
+	self     memberMessage
+	timeouts Timeouts
+	byID     map[string]*member
+	byKey    map[uint64]*member
+	seeds    []string
 	// random selects heartbeat targets and orders the directory's addresses.
 	random *rand.Rand
 }
@@ -132,7 +128,7 @@
 	var expired []*member
 	for id, known := range m.byID {
 		if known.lastHeard.IsZero() {
-			known.lastHeard = now.Add(-addressTimeout)
+			known.lastHeard = now.Add(-m.timeouts.listed())
 		}
 		if now.Sub(known.lastHeard) > memberTimeout {
 			delete(m.byID, id)
@@ -175,7 +171,7 @@
 		largest = m.self.CPUCores
 	}
 	for _, known := range m.byID {
-		if known.maySchedule(now) {
+		if m.maySchedule(now, known) {
 			largest = max(largest, known.CPUCores)
 		}
 	}
@@ -186,7 +182,7 @@
 		bestWeight = mesh.RendezvousWeight(service, m.self.ID)
 	}
 	for _, known := range m.byID {
-		if !known.maySchedule(now) || known.CPUCores < minCores {
+		if !m.maySchedule(now, known) || known.CPUCores < minCores {
 			continue
 		}
 		if weight := mesh.RendezvousWeight(service, known.ID); weight > bestWeight {
@@ -198,8 +194,8 @@
 
 // maySchedule reports whether the entry is ready, was heard recently and is not
 // suspected of having failed.
-func (m *member) maySchedule(now time.Time) bool {
-	return m.State == memberReady && now.Sub(m.lastHeard) <= schedulerTimeout && !now.Before(m.suspectUntil)
+func (m *members) maySchedule(now time.Time, known *member) bool {
+	return known.State == memberReady && now.Sub(known.lastHeard) <= m.timeouts.scheduler() && !now.Before(known.suspectUntil)
 }
 
 // schedulers returns the peer addresses of the entries that schedule the services.
@@ -225,7 +221,7 @@
 // storeWatchers returns the first storeWatcherCount other entries to which the store
 // responds, in an order that is the same for all entries.
 func (m *members) storeWatchers(now time.Time) []*member {
-	watchers := m.live(now, schedulerTimeout)
+	watchers := m.live(now, m.timeouts.scheduler())
 	watchers = slices.DeleteFunc(watchers, func(known *member) bool {
 		return known.State == memberLeaving || now.Sub(known.storeAnsweredAt) >= maxStoreAge
 	})
@@ -266,7 +262,7 @@
 		}
 	}
 	add(m.self)
-	for _, known := range m.live(now, addressTimeout) {
+	for _, known := range m.live(now, m.timeouts.listed()) {
 		add(known.memberMessage)
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.key, b.key) })
--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -52,7 +52,7 @@
 	m.observe(now, testMember("10.0.0.2", 5, memberReady))
 	m.learn(testMember("10.0.0.3", 5, memberReady)) // no message from the entry itself
 	c.Assert(m.addresses(now), qt.ContentEquals, []string{"10.0.0.1:2", "10.0.0.2:2"})
-	c.Assert(m.addresses(now.Add(addressTimeout)), qt.DeepEquals, []string{"10.0.0.1:2"})
+	c.Assert(m.addresses(now.Add(m.timeouts.listed())), qt.DeepEquals, []string{"10.0.0.1:2"})
 }
 
 // A caller that takes only the first addresses may get any entry, entries with more
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -138,7 +138,7 @@
 		listed[counter.key] = true
 	}
 	var out []memberMessage
-	for _, known := range c.members.live(now, addressTimeout) {
+	for _, known := range c.members.live(now, c.settings.timeouts.listed()) {
 		if !listed[known.key] {
 			out = append(out, known.memberMessage)
 		}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -63,7 +63,7 @@
 	timers       timer.Service
 	control      *control
 	client       *upstream.Client
-	peerClient   mesh.Client
+	peerClient   *mesh.Client
 	callerServer *ingress.Server
 	peerServer   *mesh.Server
 	metrics      metrics
@@ -90,10 +90,11 @@
 	p := &Process{settings: settings, log: log, logs: logs, stop: make(chan struct{})}
 	incarnation := newIncarnation()
 	p.control = newControl(settings, incarnation, platform.Decode, log, &p.timers)
-	p.client = upstream.NewClient(platform.Headers, &p.timers)
+	p.client = upstream.NewClient(platform.Headers, &p.timers, settings.timeouts.Dialer())
+	p.peerClient = mesh.NewClient(settings.timeouts.Dialer())
 	retries := ingress.NewRetryBudget(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
-	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.PrefillStallTimeout(), settings.ReleaseTimeout())
-	scheduler := &schedulerClient{control: p.control, client: &p.peerClient}
+	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold())
+	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
 	p.callerServer = ingress.NewServer(p.control, scheduler, platform.KVReserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
 	p.peerServer = mesh.NewServer(p.control.handle)
 	if err := p.listen(platform); err != nil {
@@ -103,9 +104,9 @@
 	p.cancel = cancel
 	p.running.Go(func() { p.control.run(p.stop) })
 	p.running.Go(func() { p.control.watch(ctx, platform.Source) })
-	p.running.Go(func() { p.control.sendHeartbeats(ctx, &p.peerClient) })
+	p.running.Go(func() { p.control.sendHeartbeats(ctx, p.peerClient) })
 	for range fetchWorkers {
-		p.running.Go(func() { p.control.catchUp(ctx, &p.peerClient) })
+		p.running.Go(func() { p.control.catchUp(ctx, p.peerClient) })
 	}
 	p.running.Go(func() { p.sweep(ctx) })
 	log.Info("started", "entry", settings.ID(), "domain", settings.Domain(), "region", settings.Region(), "incarnation", incarnation, "callers", settings.CallerAddress(), "peers", settings.PeerAddress())
@@ -157,7 +158,7 @@
 	p.control.do(func(now time.Time) {
 		values["waiting"] = p.control.scheduler.Waiting()
 		values["processor"] = p.control.members.self.CPUCores
-		values["entries"] = len(p.control.members.live(now, addressTimeout)) + 1
+		values["entries"] = len(p.control.members.live(now, p.settings.timeouts.listed())) + 1
 		values["revision"] = p.control.cache.revision
 		if table := p.control.cache.table; table != nil {
 			values["version"] = table.Version()
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -4,24 +4,23 @@
 
 // Settings is the configuration of one entry.
 type Settings struct {
-	id                  string
-	domain              string
-	region              string
-	callerAddress       string
-	peerAddress         string
-	directoryAddress    string
-	readinessAddress    string
-	metricsAddress      string
-	seeds               []string
-	shutdownGrace       time.Duration
-	addressTTL          time.Duration
-	retryRatio          float64
-	retrySlack          int
-	retryWindow         time.Duration
-	prefillStallTimeout time.Duration
-	releaseTimeout      time.Duration
-	memoryBytes         int64
-	cpuCores            float64
+	id               string
+	domain           string
+	region           string
+	callerAddress    string
+	peerAddress      string
+	directoryAddress string
+	readinessAddress string
+	metricsAddress   string
+	seeds            []string
+	shutdownGrace    time.Duration
+	addressTTL       time.Duration
+	retryRatio       float64
+	retrySlack       int
+	retryWindow      time.Duration
+	timeouts         Timeouts
+	memoryBytes      int64
+	cpuCores         float64
 }
 
 // NewSettings returns the settings of an entry in a failure domain of a region.
@@ -64,11 +63,9 @@
 	return s
 }
 
-// WithEngineTimeouts returns the settings with how long a backend server waits for
-// one of its prefill workers, and within what time memory that no request uses
-// must be released at the engines.
-func (s Settings) WithEngineTimeouts(prefillStall, release time.Duration) Settings {
-	s.prefillStallTimeout, s.releaseTimeout = prefillStall, release
+// WithBounds returns the settings with the times from which timeouts are derived.
+func (s Settings) WithBounds(bounds Bounds) Settings {
+	s.timeouts = NewTimeouts(bounds)
 	return s
 }
 
@@ -131,13 +128,8 @@
 // RetryWindow returns the window in which requests and retries are counted.
 func (s Settings) RetryWindow() time.Duration { return s.retryWindow }
 
-// PrefillStallTimeout returns how long a backend server waits for one of its
-// prefill workers.
-func (s Settings) PrefillStallTimeout() time.Duration { return s.prefillStallTimeout }
-
-// ReleaseTimeout returns the time within which memory that no request uses must
-// be released at the engines.
-func (s Settings) ReleaseTimeout() time.Duration { return s.releaseTimeout }
+// Timeouts returns the timeouts of the entry.
+func (s Settings) Timeouts() Timeouts { return s.timeouts }
 
 // MemoryBytes returns the memory limit of the process.
 func (s Settings) MemoryBytes() int64 { return s.memoryBytes }
--- a/gateway/storecache_test.go
+++ b/gateway/storecache_test.go
@@ -182,7 +182,7 @@
 				}
 			}
 			// The store does not respond to the entries that come first in the order.
-			ranked := m.live(now, schedulerTimeout)
+			ranked := m.live(now, m.timeouts.scheduler())
 			slices.SortFunc(ranked, func(a, b *member) int {
 				return cmp.Compare(mesh.RendezvousWeight(watcherHashKey, a.ID), mesh.RendezvousWeight(watcherHashKey, b.ID))
 			})
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -248,9 +248,9 @@
 // server returns a server that routes by the table.
 func (b *testbed) server(table *routing.Table, servers map[string]routing.Server) *Server {
 	timers := &timer.Service{}
-	client := upstream.NewClient(fakeHeaders{}, timers)
+	client := upstream.NewClient(fakeHeaders{}, timers, upstream.Dialer{})
 	return NewServer(fakeViews{routing.NewView(1, table, servers, nil)}, b.scheduler, &b.reserver, client, fakeHeaders{},
-		NewLimits(NewRetryBudget(0.2, 100, 10*time.Second), 1<<20, 0, 100*time.Millisecond), discardRecorder{}, hclog.NewNullLogger(), timers)
+		NewLimits(NewRetryBudget(0.2, 100, 10*time.Second), 1<<20, 0, 92*time.Millisecond), discardRecorder{}, hclog.NewNullLogger(), timers)
 }
 
 // request returns a request of a caller with an API key.
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"cmp"
 	"context"
 	"strings"
 	"time"
@@ -11,19 +10,12 @@
 )
 
 const (
-	// holdFraction sets how long a reservation lasts as a fraction of the time in
-	// which unused memory must be free again. Reservations of an entry that
-	// crashes thus expire in time.
-	holdFraction = 0.92
 	// renewFraction is the fraction of the hold time after which a reservation is renewed.
 	renewFraction = 0.45
-	// defaultReclaimTime is the time in which unused memory must be free if the
-	// settings leave it out.
-	defaultReclaimTime = 4 * time.Second
 	// maxReleaseAttempts and releaseRetryDelay bound the attempts to release a
 	// reservation; if all fail, it expires after its hold time.
 	maxReleaseAttempts = 3
-	releaseRetryDelay  = 300 * time.Millisecond
+	releaseRetryDelay  = 100 * time.Millisecond
 )
 
 // reservations are the KV reservations of one send.
@@ -44,8 +36,7 @@
 // reserve reserves KV memory for the tokens that a grant's prefill workers
 // process. After an error nothing stays reserved.
 func (q *request) reserve(ctx context.Context, grant dispatch.Grant) (*reservations, error) {
-	hold := time.Duration(holdFraction * float64(cmp.Or(q.server.reclaimTime, defaultReclaimTime)))
-	r := &reservations{server: q.server, id: q.id, hold: hold, stop: make(chan struct{})}
+	r := &reservations{server: q.server, id: q.id, hold: q.server.reservationHold, stop: make(chan struct{})}
 	for _, worker := range grant.PrefillWorkers() {
 		if worker.ReservedTokens() == 0 {
 			continue
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -32,8 +32,6 @@
 	// abandoned: longer than one prefill pass of a fully loaded engine, and
 	// shorter than callers wait.
 	minSilenceTimeout = 1250 * time.Millisecond
-	// workerStallMargin is added to the time after which a server reports a dead prefill worker.
-	workerStallMargin = 150 * time.Millisecond
 	// silenceFactor is how many times the expected time to first token a server may take.
 	silenceFactor = 3
 	// silenceFraction is the fraction of the time left that a call to a plain
@@ -110,7 +108,7 @@
 	timeout := minSilenceTimeout
 	if len(grant.PrefillWorkers()) > 0 {
 		// A server that waits for a dead prefill worker reports which one it is.
-		timeout = max(timeout, q.server.workerStall+workerStallMargin)
+		timeout = max(timeout, q.server.workerStall)
 	}
 	return min(left, timeout+silenceFactor*grant.TimeToFirstToken())
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -23,14 +23,15 @@
 	retries     RetryBudget
 	bodyMemory  int64
 	workerStall time.Duration
-	reclaimTime time.Duration
+	// reservationHold is how long a KV reservation lasts unless it is renewed.
+	reservationHold time.Duration
 }
 
 // NewLimits returns limits with the retry budget of all entries, the bytes that
-// all open request bodies may occupy, how long a server waits for a prefill
-// worker before it reports it, and how soon unused KV memory must be free again.
-func NewLimits(retries RetryBudget, bodyMemory int64, workerStall, reclaimTime time.Duration) Limits {
-	return Limits{retries: retries, bodyMemory: bodyMemory, workerStall: workerStall, reclaimTime: reclaimTime}
+// all open request bodies may occupy, the time after which a server has reported a
+// silent prefill worker, and how long a KV reservation lasts unless it is renewed.
+func NewLimits(retries RetryBudget, bodyMemory int64, workerStall, reservationHold time.Duration) Limits {
+	return Limits{retries: retries, bodyMemory: bodyMemory, workerStall: workerStall, reservationHold: reservationHold}
 }
 
 // Server answers the callers of one entry.
@@ -46,10 +47,11 @@
 	retryLimiter retryLimiter
 	bodyMemory   bodyMemory
 	workerStall  time.Duration
-	reclaimTime  time.Duration
-	http         *http.Server
-	openRequests atomic.Int64
-	requestSeq   atomic.Uint64
+	// reservationHold is how long a KV reservation lasts unless it is renewed.
+	reservationHold time.Duration
+	http            *http.Server
+	openRequests    atomic.Int64
+	requestSeq      atomic.Uint64
 }
 
 // NewServer returns a server that routes requests by views, has the scheduler
@@ -59,7 +61,7 @@
 	s.retryLimiter.budget = limits.retries
 	s.bodyMemory.available.Store(limits.bodyMemory)
 	s.workerStall = limits.workerStall
-	s.reclaimTime = limits.reclaimTime
+	s.reservationHold = limits.reservationHold
 	s.http = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headerTimeout,
--- a/mesh/client.go
+++ b/mesh/client.go
@@ -21,13 +21,21 @@
 
 // Client calls other entries. Its zero value is ready to use.
 type Client struct {
+	dialer upstream.Dialer
+
 	mu    sync.Mutex
 	peers map[string]*peerConn
 }
 
+// NewClient returns a client that opens connections with the dialer.
+func NewClient(dialer upstream.Dialer) *Client {
+	return &Client{dialer: dialer}
+}
+
 // peerConn is the connection to one entry.
 type peerConn struct {
 	address string
+	dialer  upstream.Dialer
 
 	// dialMu is held while dialing and guards failedAt, when a dial last failed.
 	dialMu   sync.Mutex
@@ -79,7 +87,7 @@
 	defer c.mu.Unlock()
 	p := c.peers[address]
 	if p == nil {
-		p = &peerConn{address: address, pending: make(map[uint64]chan envelope)}
+		p = &peerConn{address: address, dialer: c.dialer, pending: make(map[uint64]chan envelope)}
 		if c.peers == nil {
 			c.peers = make(map[string]*peerConn)
 		}
@@ -132,7 +140,7 @@
 	if time.Since(p.failedAt) < redialDelay {
 		return nil, eris.New("last dial failed recently; not redialed yet")
 	}
-	conn, err := upstream.Dial(ctx, p.address)
+	conn, err := p.dialer.Dial(ctx, p.address)
 	if err != nil {
 		p.failedAt = time.Now()
 		return nil, err
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -29,6 +29,7 @@
 type Client struct {
 	headers HeaderCodec
 	timers  *timer.Service
+	dialer  Dialer
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -37,9 +38,10 @@
 	reused atomic.Int64
 }
 
-// NewClient returns a client that encodes request metadata with headers.
-func NewClient(headers HeaderCodec, timers *timer.Service) *Client {
-	return &Client{headers: headers, timers: timers, idle: make(map[string][]*connection)}
+// NewClient returns a client that encodes request metadata with headers and opens
+// connections with the dialer.
+func NewClient(headers HeaderCodec, timers *timer.Service, dialer Dialer) *Client {
+	return &Client{headers: headers, timers: timers, dialer: dialer, idle: make(map[string][]*connection)}
 }
 
 // ConnectionsOpened returns the number of connections opened so far.
@@ -65,7 +67,7 @@
 	conn := c.takeIdle(address, m.server)
 	if conn == nil {
 		var err error
-		if conn, err = dial(ctx, address, m.server); err != nil {
+		if conn, err = dial(ctx, c.dialer, address, m.server); err != nil {
 			return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
 		}
 		c.opened.Add(1)
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -106,8 +106,8 @@
 }
 
 // dial opens a connection to a server.
-func dial(ctx context.Context, address, server string) (*connection, error) {
-	c, err := Dial(ctx, address)
+func dial(ctx context.Context, dialer Dialer, address, server string) (*connection, error) {
+	c, err := dialer.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"syscall"
@@ -14,27 +15,47 @@
 	// between failure domains, but less than the time after which TCP retransmits
 	// a lost SYN.
 	dialTimeout = 500 * time.Millisecond
-	// unacknowledgedTimeout closes a connection whose sent data stays unacknowledged.
-	unacknowledgedTimeout = 1500 * time.Millisecond
-	// keepAliveInterval and keepAliveProbes detect that the peer of an idle connection is gone.
+	// defaultUnacknowledgedTimeout closes a connection whose sent data stays unacknowledged.
+	defaultUnacknowledgedTimeout = 1500 * time.Millisecond
+	// keepAliveInterval is the time between two keep-alive probes; the system counts whole seconds.
 	keepAliveInterval = time.Second
-	keepAliveProbes   = 3
+	// defaultSilenceTimeout is the time of three keep-alive probes and their responses.
+	defaultSilenceTimeout = 4 * keepAliveInterval
 )
 
-// Dial opens a TCP connection that fails soon after its peer stops responding.
-func Dial(ctx context.Context, address string) (net.Conn, error) {
+// Dialer opens TCP connections that fail soon after their peer stops responding.
+// Its zero value waits for the default times.
+type Dialer struct {
+	silence        time.Duration
+	unacknowledged time.Duration
+}
+
+// NewDialer returns a dialer whose connections fail once their peer has answered no
+// keep-alive probe for silence, in whole seconds and at least two, or once sent data
+// has been unacknowledged for the other time; 0 is the default of either.
+func NewDialer(silence, unacknowledged time.Duration) Dialer {
+	return Dialer{silence: silence, unacknowledged: unacknowledged}
+}
+
+// keepAliveProbes returns the number of probes that are sent before a connection fails.
+func (d Dialer) keepAliveProbes() int {
+	return max(1, int(cmp.Or(d.silence, defaultSilenceTimeout)/keepAliveInterval)-1)
+}
+
+// Dial opens a connection to an IP:PORT address.
+func (d Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveInterval,
 			Interval: keepAliveInterval,
-			Count:    keepAliveProbes,
+			Count:    d.keepAliveProbes(),
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var optErr error
 			err := raw.Control(func(fd uintptr) {
-				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
+				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(cmp.Or(d.unacknowledged, defaultUnacknowledgedTimeout).Milliseconds()))
 			})
 			if err != nil {
 				return err
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -97,7 +97,7 @@
 	server := newRawServer(c, func(_ int, r *http.Request, body string) string {
 		return responseText("a1", fmt.Sprint(r.Method, r.RequestURI, r.Host, r.Header, body))
 	})
-	client := NewClient(testHeaders{}, &timer.Service{})
+	client := NewClient(testHeaders{}, &timer.Service{}, Dialer{})
 	body, err := send(c, client, server.address, "a1")
 	c.Assert(err, qt.IsNil)
 	c.Assert(body, qt.Equals, "POST/a//b?x=%2fh.examplemap[Content-Length:[2] Kept:[1] To:[i-1]]in")
@@ -106,7 +106,7 @@
 func TestConnectionIsReused(t *testing.T) {
 	c := qt.New(t)
 	server := newRawServer(c, func(number int, _ *http.Request, _ string) string { return responseText(fmt.Sprint(number), "x") })
-	client := NewClient(testHeaders{}, &timer.Service{})
+	client := NewClient(testHeaders{}, &timer.Service{}, Dialer{})
 	for i := 1; i <= 3; i++ {
 		_, err := send(c, client, server.address, fmt.Sprint(i))
 		c.Assert(err, qt.IsNil)
@@ -128,7 +128,7 @@
 		}
 		return responseText("1", "late") + "HTTP/1.1 103 Early Hints\r\n\r\n" + responseText("2", "two")
 	})
-	client := NewClient(testHeaders{}, &timer.Service{})
+	client := NewClient(testHeaders{}, &timer.Service{}, Dialer{})
 	body, err := send(c, client, server.address, "1")
 	c.Assert(err, qt.IsNil)
 	c.Assert(body, qt.Equals, "one")
@@ -142,7 +142,7 @@
 	server := newRawServer(c, func(int, *http.Request, string) string {
 		return "HTTP/1.1 200 OK\r\nAttempt: other\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx"
 	})
-	_, err := send(c, NewClient(testHeaders{}, &timer.Service{}), server.address, "a1")
+	_, err := send(c, NewClient(testHeaders{}, &timer.Service{}, Dialer{}), server.address, "a1")
 	c.Assert(err, qt.ErrorIs, ErrNoResponse)
 }
 
@@ -155,7 +155,7 @@
 		"",
 	} {
 		server := newRawServer(c, func(int, *http.Request, string) string { return text })
-		_, err := send(c, NewClient(testHeaders{}, &timer.Service{}), server.address, "a1")
+		_, err := send(c, NewClient(testHeaders{}, &timer.Service{}, Dialer{}), server.address, "a1")
 		c.Assert(err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
 }
@@ -165,7 +165,7 @@
 	server := newRawServer(c, func(number int, _ *http.Request, _ string) string {
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: %d\r\nConnection: close\r\n\r\nwhole", number)
 	})
-	client := NewClient(testHeaders{}, &timer.Service{})
+	client := NewClient(testHeaders{}, &timer.Service{}, Dialer{})
 	for i := 1; i <= 2; i++ {
 		body, err := send(c, client, server.address, fmt.Sprint(i))
 		c.Assert(err, qt.IsNil)
@@ -180,7 +180,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	listener.Close()
-	client := NewClient(testHeaders{}, &timer.Service{})
+	client := NewClient(testHeaders{}, &timer.Service{}, Dialer{})
 	_, err = send(c, client, listener.Addr().String(), "a1")
 	c.Assert(err, qt.ErrorIs, ErrNotSent)
 	server := newRawServer(c, func(int, *http.Request, string) string { return "" })
@@ -192,7 +192,7 @@
 // sent on it would be lost, and the caller could not tell whether it ran.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	c := qt.New(t)
-	client := NewClient(testHeaders{}, &timer.Service{})
+	client := NewClient(testHeaders{}, &timer.Service{}, Dialer{})
 	local, remote := tcpPair(c)
 	conn := newConnection(local, "i-1")
 	client.putIdle(conn)
@@ -235,7 +235,7 @@
 		<-arrived
 		cancel()
 	}()
-	client := NewClient(testHeaders{}, &timer.Service{})
+	client := NewClient(testHeaders{}, &timer.Service{}, Dialer{})
 	_, err := client.Send(ctx, server.address, NewRequest("a1", http.MethodGet, "/", "h", http.Header{}, nil), NewRequestMetadata("i-1", "", time.Second))
 	c.Assert(err, qt.ErrorIs, ErrNoResponse)
 }
