dispatch: leave slots to the requests expected while a late one runs

Ruled out: prefill beside decoding (the engines were idle), memory, the number of prefill workers.

Change: a pool counts the slot time of arriving requests with a decay of 1 s. A late request is placed only if the servers that it does not take have slots for what is expected, three quarters at most.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -50,7 +50,7 @@
 	} else {
 		choice = p.chooseEngine(now, available, request, withoutWorkers)
 	}
-	if choice.server == nil {
+	if choice.server == nil || !p.leavesRoom(now, request, choice) {
 		return p.queueOrRefuse(now, request, ReasonBusy)
 	}
 	return NewGranted(sched.place(now, p, owner, request, choice))
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -43,7 +43,11 @@
 	// exponential decay over loadDecayTime, as of recentPrefillAt.
 	recentPrefill   time.Duration
 	recentPrefillAt time.Time
-	stats           map[objectives]*placementStats
+	// recentSlotTime is the total slot time of the requests that arrived recently, with
+	// exponential decay over demandDecayTime, as of recentSlotTimeAt.
+	recentSlotTime   time.Duration
+	recentSlotTimeAt time.Time
+	stats            map[objectives]*placementStats
 	// ticking is set during a tick. cachedCandidates then holds the servers that any
 	// request without exclusions may use, until the next request is placed.
 	ticking          bool
@@ -99,6 +103,7 @@
 	}
 	if p.service.Engine() != nil {
 		p.statsOf(request).countRequest(now, request.prompt)
+		p.countDemand(now, request)
 	}
 	if decision := sched.decide(now, p, owner, request, len(p.queue) > 0); decision != nil {
 		return decision
