soak: hold a response back over a planned stop

Cause: with the mutation that skips the wait for open responses an entry serves on for 2.5 s after SIGTERM, while callers leave it after at most 2 s.

Change: the fault "stop" first sends the entry a request whose response its server holds back until the process has ended, or 4.5 s have passed. A process that ends before it answered loses the response; the order of events decides.

Ruled out: shorter times of the callers' addresses, which only move the odds; more runs.

--- a/cmd/soak/entry.go
+++ b/cmd/soak/entry.go
@@ -30,6 +30,8 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	starts  int
+	// ended is closed when the current process ends.
+	ended   chan struct{}
 	stopped bool
 	// disturbances are the times in which faults may affect the entry's responses.
 	disturbances intervals
@@ -86,12 +88,15 @@
 		err := process.Start()
 		e.process = process
 		e.starts++
+		ended := make(chan struct{})
+		e.ended = ended
 		e.mu.Unlock()
 		if err != nil {
 			fmt.Fprintln(e.log, "start failed:", err)
 		} else if err := process.Wait(); err != nil {
 			fmt.Fprintln(e.log, "ended:", err)
 		}
+		close(ended)
 		time.Sleep(restartDelay)
 	}
 }
@@ -105,6 +110,13 @@
 	}
 }
 
+// processEnd returns a channel that is closed when the current process ends.
+func (e *entry) processEnd() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ended
+}
+
 // markDisturbed records that faults may affect the entry's responses for the
 // given time from now on.
 func (e *entry) markDisturbed(d time.Duration) {
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -50,7 +50,7 @@
 	}},
 	{"stop", func(_ context.Context, f *fleet) string {
 		e := f.randomEntry() // not marked as disturbed: a planned stop must not affect requests
-		e.signal(syscall.SIGTERM)
+		go f.stopWithOpenRequest(e)
 		return e.name
 	}},
 	{"reload", func(_ context.Context, f *fleet) string {
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -38,6 +38,7 @@
 	storeProxy *proxy
 	entries    []*entry
 	runs       platformtest.RunCounter
+	holds      platformtest.Holds
 	engines    platformtest.SimulatedEngines
 	checker    checker
 
@@ -85,6 +86,7 @@
 		Server:        platformtest.NewServer(fmt.Sprintf("i-%d", f.created), &f.runs),
 		servesPrompts: servesPrompts, startMs: time.Now().UnixMilli(),
 	}
+	s.SetHolds(&f.holds)
 	s.http = httptest.NewServer(http.HandlerFunc(s.ServeHTTP))
 	var err error
 	if s.proxy, err = newProxy(strings.TrimPrefix(s.http.URL, "http://")); err != nil {
--- /dev/null
+++ b/cmd/soak/stop.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"greengagedock.example/platform/platformtest"
+)
+
+const (
+	// maxStartTime is how long a held request may take until it runs at a server.
+	maxStartTime = time.Second
+	// heldTime is how long its response is held back after the signal: an entry
+	// accepts requests for 2.5 s more, and must then wait for the open ones.
+	heldTime = 4500 * time.Millisecond
+)
+
+// stopWithOpenRequest sends the entry a request whose response is held back, then
+// SIGTERM, and checks that the process does not end before it has answered the
+// request. The order of these events decides, not their times.
+func (f *fleet) stopWithOpenRequest(e *entry) {
+	start := time.Now()
+	id := fmt.Sprintf("h-%d", requestCount.Add(1))
+	release := f.holds.Hold(id)
+	defer release()
+	ended := e.processEnd()
+	answered := make(chan error, 1)
+	go func() { answered <- f.sendHeld(e, id) }()
+	for time.Since(start) < maxStartTime && f.runs.Count(id) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.signal(syscall.SIGTERM)
+	timer := time.NewTimer(heldTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return
+	case <-answered: // by a failure, since the response is held back
+		return
+	case <-ended:
+	}
+	err := <-answered
+	if err != nil && f.runs.Count(id) > 0 && e.undisturbed(start, time.Now()) {
+		f.checker.report("response lost: %s ran, but %s ended before its response: %v", id, e.name, err)
+	}
+}
+
+// sendHeld sends a request whose response is held back, and returns an error unless
+// a complete response arrived.
+func (f *fleet) sendHeld(e *entry, id string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), platformtest.HeldTimeout)
+	defer cancel()
+	q, err := platformtest.NewRequest(ctx, e.callerAddress, http.MethodPost, "/held/x", id, 0, platformtest.HeldTimeout)
+	if err != nil {
+		return err
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(q)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	return err
+}
