standin: show admitted streams in the next load report

Cause: an engine's report was taken one lag after a submit or an end, and left out streams that waited for a step then; their admission was no change, so the report stayed without them and still stated its usual lag.

Ruled out: the keeper's rule (nothing else frees the slot of a lost owner); start-by, which the engine checks at each step; the release of finished streams, which the engine frees before it reports their end.

Change: an admission schedules a report, the stated lag covers a late timer, and a late step refuses expired streams before it admits any.

Test: TestReportShowsStreamAdmittedAfterLastReport fails before.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -34,6 +34,9 @@
 	lastStep    time.Time
 	report      loadBody
 	reportTimer *time.Timer
+	// changedAt is when the first change happened that the report does not show, if
+	// reportTimer is set.
+	changedAt   time.Time
 	handleCount int
 }
 
--- a/standin/engine_batch.go
+++ b/standin/engine_batch.go
@@ -12,13 +12,20 @@
 		e.lastStep = time.Now()
 		e.stepTimer = time.AfterFunc(e.stepDuration(), e.step)
 	}
-	if e.reportTimer == nil {
-		e.reportTimer = time.AfterFunc(e.scaled(e.reportLag), func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			e.refreshReport()
-		})
+	e.scheduleReport()
+}
+
+// scheduleReport has the next load report taken within the lag of a change; e.mu is held.
+func (e *Engine) scheduleReport() {
+	if e.reportTimer != nil {
+		return
 	}
+	e.changedAt = time.Now()
+	e.reportTimer = time.AfterFunc(e.scaled(e.reportLag), func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.refreshReport()
+	})
 }
 
 func (e *Engine) stepDuration() time.Duration {
@@ -34,6 +41,7 @@
 		return
 	}
 	now, duration := time.Now(), e.stepDuration()
+	e.expireStreams(now) // before a late step admits them as of an earlier time
 	for !e.lastStep.Add(duration).After(now) && len(e.waiting)+len(e.running) > 0 {
 		e.lastStep = e.lastStep.Add(duration)
 		e.runStep(e.lastStep)
@@ -105,6 +113,7 @@
 		e.waiting = e.waiting[1:]
 		e.running = insert(e.running, s)
 		s.phase = phaseRunning
+		e.scheduleReport()
 		reused := min(e.memory.reusableTokens(s.blockSums), s.promptTokens-1)
 		s.toPrefill = s.promptTokens - reused + s.resumeFrom
 		e.stats.Reused += reused
--- a/standin/engine_control.go
+++ b/standin/engine_control.go
@@ -59,7 +59,6 @@
 		Used:        e.memory.used,
 		Running:     len(e.running),
 		Waiting:     len(e.waiting),
-		Lag:         e.scaled(e.reportLag).String(),
 		Held:        []heldBody{},
 	}
 	for _, s := range e.running {
@@ -73,7 +72,12 @@
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	report := e.report
+	lag := e.scaled(e.reportLag)
+	if e.reportTimer != nil {
+		lag = max(lag, time.Since(e.changedAt)) // the timer may fire late
+	}
 	e.mu.Unlock()
+	report.Lag = lag.String()
 	writeJSON(w, report)
 }
 
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -64,6 +64,22 @@
 	return done
 }
 
+// A stream that waits for the next step when a report is taken must be in the next
+// report, one lag after it was admitted: keepers take a stream that a report leaves
+// out for one that has ended.
+func TestReportShowsStreamAdmittedAfterLastReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e := NewEngine("engine-1", WithReportLag(20*time.Millisecond))
+		done := background(e, "e1-1.1", strings.Repeat("word", 1000), 10)
+		time.Sleep(25 * time.Millisecond) // the first report is taken after 20 ms, the first step after 30 ms
+		c.Assert(send(e, "GET", "/v1/load", "").body, qt.Contains, `"waiting":1`)
+		time.Sleep(30 * time.Millisecond)
+		c.Assert(send(e, "GET", "/v1/load", "").body, qt.Contains, `"held":[{"id":"e1-1.1"`)
+		<-done
+	})
+}
+
 func TestEngineStreamsAnswerOfPrompt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
