ingress: fuzz the responses of backend servers against what callers see

The test draws responses that are whole, failed, cut anywhere, refused, foreign, behind a stray one or no response, of one to three servers, for each kind of route, and checks seal, status, body and events.

--- /dev/null
+++ b/ingress/answers_fuzz_test.go
@@ -0,0 +1,131 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"greengagedock.example/flagtest"
+)
+
+// fuzzEvents is the number of events of a whole stream in the fuzz test.
+const fuzzEvents = 4
+
+// fuzzedAnswer is a backend server's response on one connection, and what a caller
+// may see of it.
+type fuzzedAnswer struct {
+	text string
+	// seal identifies the server; status and body are those of its response.
+	seal   string
+	status int
+	body   string
+	// whole is whether the response is complete and the caller's own.
+	whole bool
+}
+
+// streamBody returns the events of a stream after the given one.
+func streamBody(from int) string {
+	out := ""
+	for i := from + 1; i <= fuzzEvents; i++ {
+		out += fmt.Sprintf("id: %d\ndata: %d\n\n", i, i)
+	}
+	return out
+}
+
+// drawAnswer draws the response of the server with a number: whole, failed, refused,
+// cut off anywhere, of another request, behind a stray one, or no response at all.
+func drawAnswer(t *rapid.T, number int, stream bool) fuzzedAnswer {
+	a := fuzzedAnswer{seal: fmt.Sprint("seal-", number), status: http.StatusOK, body: fmt.Sprint("body of ", number)}
+	if stream {
+		a.body = streamBody(0)
+	}
+	if rapid.IntRange(0, 3).Draw(t, "failed") == 0 {
+		a.status, a.body = http.StatusInternalServerError, fmt.Sprint("failure of ", number)
+	}
+	header := fmt.Sprintf("HTTP/1.1 %d X\r\nId: ID\r\nSeal: %s\r\nConnection: close\r\n", a.status, a.seal)
+	length := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", header, len(a.body), a.body)
+	chunked := fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", header, len(a.body), a.body)
+	a.text = rapid.SampledFrom([]string{length, chunked}).Draw(t, "framing")
+	a.whole = true
+	switch rapid.SampledFrom([]string{"whole", "cut", "other", "stray", "refused", "empty", "garbage"}).Draw(t, "fault") {
+	case "cut":
+		a.text, a.whole = a.text[:rapid.IntRange(0, len(a.text)-1).Draw(t, "bytes")], false
+	case "other":
+		a.text, a.whole = strings.Replace(a.text, "Id: ID", "Id: other", 1), false
+	case "stray":
+		a.text = "HTTP/1.1 200 OK\r\nId: earlier\r\nSeal: stray\r\nContent-Length: 5\r\n\r\nstray" + a.text
+	case "refused":
+		a.text, a.whole = refused, false
+	case "empty":
+		a.text, a.whole = "", false
+	case "garbage":
+		a.text, a.whole = "no response\r\n\r\n", false
+	}
+	return a
+}
+
+// Whatever backend servers send, a caller gets a success only with one server's seal
+// and its whole body, a seal only with that server's status, and events without a gap
+// or a repetition; a complete stream has all of them.
+func TestAnswersAreNeverMixed(t *testing.T) {
+	flagtest.SetDefault(t, "rapid.seed", "1")
+	flagtest.SetDefault(t, "rapid.checks", "500")
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		path := rapid.SampledFrom([]string{"/once/", "/again/", "/stream/", "/stream/fixed/"}).Draw(t, "path")
+		stream := strings.HasPrefix(path, "/stream/")
+		var answers []fuzzedAnswer
+		var backends []*backend
+		for number := range rapid.IntRange(1, 3).Draw(t, "servers") {
+			answer := drawAnswer(t, number, stream)
+			answers = append(answers, answer)
+			backends = append(backends, newBackend(c, answer.text))
+		}
+		b := newTestbedOn(c, backends...)
+		response, err := http.DefaultClient.Do(b.request(http.MethodPost, path, "x"))
+		if err != nil {
+			return // the connection is closed without an answer, which claims nothing
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		seal := response.Header.Get("Seal")
+		if response.StatusCode == http.StatusOK && seal == "" {
+			t.Fatalf("success without a seal: %q", body)
+		}
+		if seal == "" {
+			return
+		}
+		number, parseErr := strconv.Atoi(strings.TrimPrefix(seal, "seal-"))
+		if parseErr != nil || number >= len(answers) {
+			t.Fatalf("seal %q of no server that was asked", seal)
+		}
+		sealed := answers[number]
+		if response.StatusCode != sealed.status {
+			t.Fatalf("status %d with the seal of a server that answered %d", response.StatusCode, sealed.status)
+		}
+		if stream && sealed.status == http.StatusOK {
+			checkFuzzedStream(t, string(body), err == nil)
+			return
+		}
+		if !sealed.whole {
+			t.Fatalf("seal of a response that is not whole: %q", body)
+		}
+		if err == nil && string(body) != sealed.body {
+			t.Fatalf("body %q, want %q", body, sealed.body)
+		}
+	})
+}
+
+// checkFuzzedStream checks that the events are the first ones of the stream, and all
+// of them if it ended as complete.
+func checkFuzzedStream(t *rapid.T, body string, complete bool) {
+	if complete && body != streamBody(0) || !strings.HasPrefix(streamBody(0), body) {
+		t.Fatalf("stream ended as complete: %v, with events %q", complete, body)
+	}
+}
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -216,7 +216,12 @@
 }
 
 func newTestbed(t *testing.T, backends ...*backend) *testbed {
-	c := qt.New(t)
+	return newTestbedOn(qt.New(t), backends...)
+}
+
+// newTestbedOn returns a testbed with the routes of the tests, whose servers are the
+// given backends.
+func newTestbedOn(c *qt.C, backends ...*backend) *testbed {
 	route := func(prefix string, kind routing.Kind) routing.Route {
 		return routing.NewRoute(prefix, "h.example", prefix, kind).
 			WithTimes(2*time.Second, 300*time.Millisecond, 250*time.Millisecond).
