ingress: wait for the first configuration for a part of a request's time

Ruled out: a quicker start (the entries are ready 10 ms after the store answers); what callers lose while the entries are down (they retry at once).

Tests: TestRequestWaitsForFirstConfiguration and the two cases of TestNoConfigurationIsRefused.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -20,6 +20,9 @@
 	// start: the whole fleet may have restarted, and no entry knows its size yet.
 	startupEntries = 100
 	startupPeriod  = 2500 * time.Millisecond
+	// startTimeout is the time from the start after which an entry without a
+	// configuration takes the store to be away: many times that of a read.
+	startTimeout = 500 * time.Millisecond
 )
 
 // control owns the state of an entry: the store cache, the other members and the
@@ -45,6 +48,8 @@
 	// storeAnsweredAt is when the store last responded to this entry, zero if never.
 	storeAnsweredAt time.Time
 	watching        atomic.Bool
+	// storeFailing is set while reads of the store fail.
+	storeFailing atomic.Bool
 
 	view atomic.Pointer[routing.View]
 	// entries is the number of entries that share the fleet-wide limits.
@@ -220,5 +225,11 @@
 // View returns the current view of the store.
 func (c *control) View() *routing.View { return c.view.Load() }
 
+// StoreAway reports whether reads of the store fail, or have not succeeded for longer
+// than a healthy store takes.
+func (c *control) StoreAway() bool {
+	return c.storeFailing.Load() || c.timers.Now().Sub(c.started) > startTimeout
+}
+
 // Entries returns the number of entries among which fleet-wide limits are divided.
 func (c *control) Entries() int { return int(c.entries.Load()) }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -50,6 +50,7 @@
 				c.log.Warn("store read failed; retrying", "revision", revision, "error", err)
 			}
 			failing = true
+			c.storeFailing.Store(true)
 			sleep(ctx, delay/2+rand.N(delay))
 			delay = min(2*delay, maxRetryDelay)
 			continue
@@ -58,6 +59,7 @@
 			c.log.Info("store responds again", "revision", next, "away", now.Sub(respondedAt))
 		}
 		failing = false
+		c.storeFailing.Store(false)
 		respondedAt = now
 		delay = minRetryDelay
 		revision = next
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -198,10 +199,14 @@
 }
 
 // fakeViews provides one view.
-type fakeViews struct{ view *routing.View }
+type fakeViews struct {
+	view      *atomic.Pointer[routing.View]
+	storeAway *bool
+}
 
-func (v fakeViews) View() *routing.View { return v.view }
+func (v fakeViews) View() *routing.View { return v.view.Load() }
 func (v fakeViews) Entries() int        { return 1 }
+func (v fakeViews) StoreAway() bool     { return *v.storeAway }
 
 type discardRecorder struct{}
 
@@ -212,6 +217,8 @@
 	c         *qt.C
 	scheduler *fakeScheduler
 	reserver  fakeReserver
+	view      atomic.Pointer[routing.View]
+	storeAway bool
 	http      *httptest.Server
 }
 
@@ -222,12 +229,17 @@
 // newTestbedOn returns a testbed with the routes of the tests, whose servers are the
 // given backends.
 func newTestbedOn(c *qt.C, backends ...*backend) *testbed {
+	return newTestbedWithTable(c, testTable(), backends...)
+}
+
+// testTable returns the routes of the tests.
+func testTable() *routing.Table {
 	route := func(prefix string, kind routing.Kind) routing.Route {
 		return routing.NewRoute(prefix, "h.example", prefix, kind).
 			WithTimes(2*time.Second, 300*time.Millisecond, 250*time.Millisecond).
 			WithMaxAttempts(2).WithTargets(routing.NewTarget("desk", 1))
 	}
-	table := routing.NewTable(3, []routing.Route{
+	return routing.NewTable(3, []routing.Route{
 		route("/once/", routing.KindNonIdempotent),
 		route("/again/", routing.KindIdempotent),
 		route("/stream/", routing.KindStream).WithResumable(true),
@@ -235,7 +247,6 @@
 		route("/public/", routing.KindNonIdempotent).WithPublic(true),
 	}, []routing.Service{routing.NewService("desk")}, map[string]routing.Account{"k1": routing.NewAccount("team", -1)},
 		routing.NewLimits(2000, 1000, 0, 0))
-	return newTestbedWithTable(c, table, backends...)
 }
 
 func newTestbedWithTable(c *qt.C, table *routing.Table, backends ...*backend) *testbed {
@@ -253,8 +264,9 @@
 // server returns a server that routes by the table.
 func (b *testbed) server(table *routing.Table, servers map[string]routing.Server) *Server {
 	timers := &timer.Service{}
+	b.view.Store(routing.NewView(1, table, servers, nil))
 	client := upstream.NewClient(fakeHeaders{}, timers, upstream.Dialer{})
-	return NewServer(fakeViews{routing.NewView(1, table, servers, nil)}, b.scheduler, &b.reserver, client, fakeHeaders{},
+	return NewServer(fakeViews{view: &b.view, storeAway: &b.storeAway}, b.scheduler, &b.reserver, client, fakeHeaders{},
 		NewLimits(NewRetryBudget(0.2, 100, 10*time.Second), 1<<20, 0, 92*time.Millisecond), discardRecorder{}, hclog.NewNullLogger(), timers)
 }
 
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagedock.example/dispatch"
+	"greengagedock.example/routing"
 )
 
 func TestCallIsForwardedUnchanged(t *testing.T) {
@@ -78,9 +79,35 @@
 func TestNoConfigurationIsRefused(t *testing.T) {
 	c := qt.New(t)
 	b := newTestbedWithTable(c, nil)
-	response, _, _ := b.do(b.request("POST", "/once/", ""))
+	r := b.request("POST", "/once/", "")
+	r.Header.Set("Left", "200ms")
+	start := time.Now()
+	response, _, _ := b.do(r)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(response.Header.Get("Retry-After"), qt.Equals, "0.30")
+	c.Assert(time.Since(start) < 200*time.Millisecond, qt.IsTrue) // the caller has time for a retry
+
+	// Pattern: all entries restart while the store is away. Callers have few retries,
+	// so they are told to come back when the outage may be over.
+	b.storeAway = true
+	response, _, _ = b.do(r)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get("Retry-After"), qt.Equals, "2.00")
+}
+
+// A request that arrives shortly before the first configuration is served.
+func TestRequestWaitsForFirstConfiguration(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbedWithTable(c, nil, newBackend(c, fullResponse(200, "late")))
+	time.AfterFunc(60*time.Millisecond, func() {
+		servers := map[string]routing.Server{"s1": routing.NewServer("s1", "desk", "", "a", 6)}
+		b.view.Store(routing.NewView(2, testTable(), servers, nil))
+	})
+	r := b.request("POST", "/once/", "")
+	r.Header.Set("Left", "2s")
+	response, body, _ := b.do(r)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(body, qt.Equals, "late")
 }
 
 func TestRefusalSetsRetryAfter(t *testing.T) {
--- a/ingress/interfaces.go
+++ b/ingress/interfaces.go
@@ -14,6 +14,8 @@
 	View() *routing.View
 	// Entries returns the number of entries that share limits such as the retry budget.
 	Entries() int
+	// StoreAway reports whether the first configuration is unlikely to arrive soon.
+	StoreAway() bool
 }
 
 // Scheduler places requests on backend servers.
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -21,6 +21,15 @@
 	// defaultRetryAfter is the Retry-After of a refusal that states no time, such
 	// as before the first configuration arrived.
 	defaultRetryAfter = 300 * time.Millisecond
+	// storeAwayRetryAfter is the Retry-After before the first configuration while the
+	// store is away: outages last for seconds, and callers retry only a few times.
+	storeAwayRetryAfter = 2 * time.Second
+	// A request waits for the first configuration for configurationWaitFraction of its
+	// time, and no longer than maxConfigurationWait: callers of streams disconnect
+	// after two seconds without an event.
+	configurationWaitFraction = 0.25
+	maxConfigurationWait      = 1500 * time.Millisecond
+	configurationPollInterval = 20 * time.Millisecond
 	// maxSends bounds the sends and placements of one request while no server has run it.
 	maxSends = 4
 	// defaultTimeout applies to a request if neither its caller nor its route sets a timeout.
@@ -83,9 +92,13 @@
 	metadata, err := q.server.headers.DecodeRequest(q.r.Header)
 	q.metadata = metadata
 	q.id = metadata.attemptID
-	q.table = q.server.views.View().Table()
+	q.table = q.awaitConfiguration()
 	if q.table == nil {
-		q.refuse("no_configuration", defaultRetryAfter)
+		retryAfter := defaultRetryAfter
+		if q.server.views.StoreAway() {
+			retryAfter = storeAwayRetryAfter
+		}
+		q.refuse("no_configuration", retryAfter)
 		return false
 	}
 	if err != nil {
@@ -119,6 +132,32 @@
 	return true
 }
 
+// awaitConfiguration returns the active configuration. An entry that has just started
+// may get its first one any moment, and callers have few retries, so the request waits
+// for a part of its time; nil is returned if there is none by then.
+func (q *request) awaitConfiguration() *routing.Table {
+	table := q.server.views.View().Table()
+	if table != nil {
+		return table
+	}
+	left := defaultTimeout
+	if q.metadata.hasTimeLeft {
+		left = q.metadata.timeLeft
+	}
+	end := q.start.Add(min(maxConfigurationWait, time.Duration(configurationWaitFraction*float64(left))))
+	tick := q.server.timers.Every(configurationPollInterval)
+	defer tick.Stop()
+	for table == nil && q.server.timers.Now().Before(end) {
+		select {
+		case <-tick.C():
+			table = q.server.views.View().Table()
+		case <-q.r.Context().Done():
+			return nil
+		}
+	}
+	return table
+}
+
 // responseDeadline returns the time by which the response must be complete.
 func (q *request) responseDeadline() time.Time {
 	left := defaultTimeout
@@ -341,6 +380,9 @@
 	}
 	line := []any{"id", q.id, "route", q.route.Name(), "account", q.account.Name(), "service", q.service.Name(),
 		"version", version, "sends", q.sends, "server", q.lastGrant.Server(), "took", q.server.timers.Now().Sub(q.start)}
+	if q.metadata.promptTokens > 0 {
+		line = append(line, "prompt", q.metadata.promptTokens)
+	}
 	if !q.firstResponse.IsZero() {
 		line = append(line, "first", q.firstResponse.Sub(q.start))
 	}
