dispatch: refuse what can't be served at once, use suspended servers in need

And prompts over the memory of all servers, or for a service without any usable one, waited until their time in the queue was over.

Change: a request that has waited for an eighth of its objective and gets no other server may take a suspended one whose responses fail only in part: it answers, has not refused, and failed at most twice in a row. Requests without a usable server, or with a prompt that all servers together can't hold, are refused at once; the fewest seconds of a prefill count the servers there are.

Ruled out: the room kept for expected requests (it applies to late ones only), cold servers (none).

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -40,15 +40,16 @@
 	if !now.Before(request.deadline) {
 		return NewRefused(request.id, ReasonPastDeadline, p.retryAfter(now))
 	}
+	if decision := p.refuseHopeless(request); decision != nil {
+		return decision
+	}
 	available := p.candidates(now, request)
 	if len(available) == 0 {
 		return p.queueOrRefuse(now, request, ReasonNoServer)
 	}
-	var choice placement
-	if p.service.Engine() == nil {
-		choice = choosePlain(available, request)
-	} else {
-		choice = p.chooseEngine(now, available, request, withoutWorkers)
+	choice := p.choose(now, available, request, withoutWorkers)
+	if choice.server == nil && request.acceptsSuspended(now) && !p.needsSpread(request) {
+		choice = p.choose(now, p.suspendedCandidates(now, request), request, true)
 	}
 	if choice.server == nil || !p.leavesRoom(now, request, choice) {
 		return p.queueOrRefuse(now, request, ReasonBusy)
@@ -56,6 +57,38 @@
 	return NewGranted(sched.place(now, p, owner, request, choice))
 }
 
+// needsSpread reports whether a prompt exceeds the memory of one engine.
+func (p *pool) needsSpread(request Request) bool {
+	return p.service.Engine() != nil && request.prompt+request.answer > p.service.Engine().Memory()
+}
+
+// choose returns a placement on one of the servers, with no server if there is none.
+func (p *pool) choose(now time.Time, available []*server, request Request, withoutWorkers bool) placement {
+	if p.service.Engine() == nil {
+		return choosePlain(available, request)
+	}
+	return p.chooseEngine(now, available, request, withoutWorkers)
+}
+
+// acceptsSuspended reports whether the request has waited long enough for a server
+// without failures: a response that fails for some requests is worth more to its
+// caller than none.
+func (r Request) acceptsSuspended(now time.Time) bool {
+	return now.Sub(r.arrived) >= time.Duration(relaxTargetFraction*float64(r.objective.Sub(r.arrived)))
+}
+
+// suspendedCandidates returns the suspended servers that a request may get if it gets
+// no other.
+func (p *pool) suspendedCandidates(now time.Time, request Request) []*server {
+	var out []*server
+	for _, s := range p.order {
+		if s.availableInNeed(now) && !s.available(now) && s.admitsCold(now, p.coldShare) && !slices.Contains(request.exclude, s.info.ID()) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // candidates returns the servers that may get a request. If there are none it
 // returns the available servers that the request excludes, and if there are none of
 // those either the unavailable servers that responded to the last attempt. The
@@ -80,7 +113,7 @@
 			continue
 		}
 		if !s.available(now) {
-			if !s.unresponsive {
+			if !s.unresponsive && !now.Before(s.refusedUntil) {
 				failed = append(failed, s)
 			}
 			continue
@@ -137,7 +170,7 @@
 // interval objective are packed on few servers: a decode pass takes about as long
 // for one request as for many, and the prefill of other prompts delays all of them.
 func (p *pool) chooseEngine(now time.Time, available []*server, request Request, withoutWorkers bool) placement {
-	if request.prompt+request.answer > p.service.Engine().Memory() {
+	if p.needsSpread(request) {
 		return p.chooseSpread(now, available, request)
 	}
 	target, acceptable := request.targets(now)
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// retryAfterNoServer is the retry delay while no server of the service is known.
-	retryAfterNoServer = 500 * time.Millisecond
+	// retryAfterNoServer is the retry delay while the service has no usable server:
+	// about the interval at which servers publish themselves.
+	retryAfterNoServer = 1200 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the retry delay of refused requests.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -28,12 +29,28 @@
 
 // queueOrRefuse returns nil if the request may still wait, otherwise a refusal.
 func (p *pool) queueOrRefuse(now time.Time, request Request, reason Reason) Decision {
-	if now.Before(request.queueDeadline(p.service.Engine())) {
+	if now.Before(p.queueDeadline(request)) {
 		return nil
 	}
 	return NewRefused(request.id, reason, p.retryAfter(now))
 }
 
+// refuseHopeless refuses a request that would wait in vain: while the service has no
+// usable server, or if even all of them together can't hold the prompt.
+func (p *pool) refuseHopeless(request Request) Decision {
+	if p.usableServers == 0 {
+		return NewRefused(request.id, ReasonNoServer, retryAfterNoServer)
+	}
+	if !p.needsSpread(request) {
+		return nil
+	}
+	participants := float64(min(p.usableServers, maxPrefillWorkers+1))
+	if room := maxSpreadMemoryFraction * float64(p.service.Engine().Memory()) * participants; float64(request.prompt+request.answer) > room {
+		return NewRefused(request.id, ReasonTooLarge, maxRetryAfterLate)
+	}
+	return nil
+}
+
 // prefillTime returns the time that one engine takes to prefill the whole prompt.
 func (p *pool) prefillTime(request Request) time.Duration {
 	if engine := p.service.Engine(); engine != nil {
@@ -47,7 +64,7 @@
 // that prefill is done.
 func (p *pool) shedLate(now time.Time, q *queuedRequest, ahead time.Duration) Decision {
 	engine := p.service.Engine()
-	if engine == nil || !q.request.missesObjective(now, engine) || q.underserved {
+	if engine == nil || !p.missesObjective(now, q.request) || q.underserved {
 		return nil
 	}
 	usable, backlog := p.usable(now)
@@ -55,25 +72,31 @@
 		return nil
 	}
 	wait := time.Duration(float64(ahead+backlog) / (float64(usable) * queueDrainShare))
-	if now.Add(wait).Before(q.request.queueDeadline(engine)) {
+	if now.Add(wait).Before(p.queueDeadline(q.request)) {
 		return nil
 	}
 	return NewRefused(q.request.id, ReasonPastDeadline, min(max(wait, minRetryAfter), maxRetryAfterLate))
 }
 
 // queueDeadline returns the time until which a request may be queued.
-func (r Request) queueDeadline(engine *routing.EngineProfile) time.Time {
+func (p *pool) queueDeadline(r Request) time.Time {
+	engine := p.service.Engine()
 	if engine == nil {
 		return r.arrived.Add(time.Duration(plainWaitFraction * float64(r.objective.Sub(r.arrived))))
 	}
-	minTime := engine.PrefillTime(r.prompt, 1.0/(1+maxPrefillWorkers)) + engine.DecodePassTime(1, r.prompt)
+	minTime := p.minPrefillTime(r) + engine.DecodePassTime(1, r.prompt)
 	limit := r.firstTokenDeadline.Sub(r.arrived)
 	return r.arrived.Add(time.Duration(firstTokenDeadlineFraction*float64(limit)) - minTime)
 }
 
+// minPrefillTime returns the time to prefill a prompt on as many servers as possible.
+func (p *pool) minPrefillTime(r Request) time.Duration {
+	return p.service.Engine().PrefillTime(r.prompt, 1/float64(max(1, min(p.usableServers, maxPrefillWorkers+1))))
+}
+
 // missesObjective reports whether a request can't meet its objective any more.
-func (r Request) missesObjective(now time.Time, engine *routing.EngineProfile) bool {
-	return now.Add(engine.PrefillTime(r.prompt, 1.0/(1+maxPrefillWorkers))).After(r.objective)
+func (p *pool) missesObjective(now time.Time, r Request) bool {
+	return now.Add(p.minPrefillTime(r)).After(r.objective)
 }
 
 // responseRatio returns the response ratio of a request: its time in the queue plus
@@ -97,7 +120,7 @@
 		if engine == nil {
 			return cmp.Or(a.request.priority-b.request.priority, a.request.arrived.Compare(b.request.arrived))
 		}
-		if aLate, bLate := a.request.missesObjective(now, engine), b.request.missesObjective(now, engine); aLate != bLate {
+		if aLate, bLate := p.missesObjective(now, a.request), p.missesObjective(now, b.request); aLate != bLate {
 			if aLate {
 				return 1
 			}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -38,7 +38,9 @@
 	coldShare float64
 	servers   map[string]*server
 	order     []*server
-	queue     []*queuedRequest
+	// usableServers is the number of usable servers.
+	usableServers int
+	queue         []*queuedRequest
 	// recentPrefill is the total prefill time of the requests placed recently, with
 	// exponential decay over loadDecayTime, as of recentPrefillAt.
 	recentPrefill   time.Duration
@@ -137,7 +139,7 @@
 		misses := 0
 		for _, q := range queue {
 			var decision Decision
-			if misses < maxFailedPlacements || !now.Before(q.request.queueDeadline(p.service.Engine())) {
+			if misses < maxFailedPlacements || !now.Before(p.queueDeadline(q.request)) {
 				decision = sched.decide(now, p, q.owner, q.request, false)
 			}
 			if decision == nil {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -25,6 +25,9 @@
 	overdueSlack = 40 * time.Millisecond
 	// maxPassFraction is the fraction of a server's shortest token interval objective that one pass may take.
 	maxPassFraction = 0.8
+	// maxFailuresInNeed is the number of consecutive failures up to which a suspended
+	// server is used by requests that get no other.
+	maxFailuresInNeed = 2
 	// coldCapacityFraction is the fraction of a cold server's capacity that a scheduler
 	// uses: two entries that both act as the scheduler for a while, and entries that
 	// schedule on their own, then stay within the capacity together.
@@ -65,6 +68,9 @@
 	consecutiveFailures int
 	// unresponsive is set if the server was unreachable or stalled at the last attempt.
 	unresponsive bool
+	// refusedUntil is when a server that is full, or whose address another one has,
+	// may be asked again.
+	refusedUntil time.Time
 	failureRate  float64
 }
 
@@ -189,13 +195,19 @@
 
 // available reports whether the server may get another request now.
 func (s *server) available(now time.Time) bool {
-	if !s.usable || now.Before(s.suspendedUntil) {
+	if !s.usable || now.Before(s.suspendedUntil) || now.Before(s.refusedUntil) {
 		return false
 	}
 	// After failures the server gets one request at a time as a probe.
 	return s.consecutiveFailures == 0 || len(s.running) == 0
 }
 
+// availableInNeed reports whether a request that gets no other server may use this
+// one although it is suspended: it responds, and only some of its responses fail.
+func (s *server) availableInNeed(now time.Time) bool {
+	return s.usable && !s.unresponsive && !now.Before(s.refusedUntil) && s.consecutiveFailures <= maxFailuresInNeed
+}
+
 // admitsCold reports whether the server's capacity allows a request now; it is
 // limited, by a leaky bucket, only while the server is cold.
 func (s *server) admitsCold(now time.Time, share float64) bool {
@@ -214,7 +226,7 @@
 	switch outcome {
 	case OutcomeCancelled, OutcomeRejected:
 		if outcome == OutcomeRejected {
-			s.suspend(now, minSuspension/4)
+			s.refusedUntil = later(s.refusedUntil, now.Add(minSuspension/4))
 		}
 		return
 	case OutcomeComplete:
@@ -225,7 +237,7 @@
 		s.unresponsive = false
 		cost = serverErrorCost
 	case OutcomeReplaced:
-		s.suspend(now, maxSuspension)
+		s.refusedUntil = later(s.refusedUntil, now.Add(maxSuspension))
 		return
 	case OutcomeUnreachable, OutcomeBroken, OutcomeStalled:
 		cost = 1
@@ -245,7 +257,5 @@
 }
 
 func (s *server) suspend(now time.Time, duration time.Duration) {
-	if until := now.Add(duration); until.After(s.suspendedUntil) {
-		s.suspendedUntil = until
-	}
+	s.suspendedUntil = later(s.suspendedUntil, now.Add(duration))
 }
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -80,7 +80,11 @@
 	}
 	preference := func(s *server) uint64 { return xxhash.Sum64String(entry + "\x00" + s.info.ID()) }
 	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(preference(a), preference(b)) })
+	p.usableServers = 0
 	for i, s := range p.order {
 		s.preference = i
+		if s.usable {
+			p.usableServers++
+		}
 	}
 }
