--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -38,8 +38,8 @@
 	request.started = false
 	s := p.servers[request.server]
 	alloc := &allocation{RunningRequest: request, owner: owner, granted: now, assigned: s, memory: request.prompt + request.answer}
-	if s.engine != nil {
-		alloc.memory = min(alloc.memory, s.engine.Memory())
+	if s.engine != nil && alloc.memory > s.engine.Memory() {
+		p.adoptSpread(alloc)
 	}
 	sched.running[request.id] = alloc
 	s.add(alloc)
@@ -50,6 +50,26 @@
 	sched.adoptPrefill(now, p, alloc)
 }
 
+// adoptSpread divides the memory of a prompt that exceeds one engine's between its
+// server and its prefill workers. Which of them holds how much is not reported; each
+// takes an equal part, at most its whole memory.
+func (p *pool) adoptSpread(alloc *allocation) {
+	limit := alloc.assigned.engine.Memory()
+	part := min(limit, (alloc.memory+len(alloc.prefillWorkers))/(1+len(alloc.prefillWorkers)))
+	left := alloc.memory
+	for _, id := range alloc.prefillWorkers {
+		worker := p.servers[id]
+		if worker == nil || worker == alloc.assigned {
+			continue
+		}
+		tokens := min(part, left)
+		worker.memory += tokens
+		alloc.reservations = append(alloc.reservations, reservation{server: worker, tokens: tokens})
+		left -= tokens
+	}
+	alloc.memory = min(left, limit)
+}
+
 // adoptPrefill adds the prefill of a request that another scheduler placed. Half
 // of it is assumed to be done.
 func (sched *Scheduler) adoptPrefill(now time.Time, p *pool, alloc *allocation) {
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -359,6 +359,26 @@
 	}
 }
 
+// A scheduler that takes over counts the memory of a spread prompt on all its servers:
+// otherwise it would place others where the prompt's workers hold its parts.
+func TestAdoptedSpreadPromptCountsOnItsWorkers(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(6, 0)
+	request := NewRequest("huge", "llm").WithTokens(1_000_000, 1000)
+	running := NewRunningRequest(request, "e00", []string{"e01", "e02", "e03"})
+	f.scheduler.Adopt(f.now, f.owner, running)
+	total := 0
+	for _, s := range f.scheduler.pools["llm"].order {
+		c.Assert(s.memory <= testEngine.Memory(), qt.IsTrue)
+		total += s.memory
+	}
+	c.Assert(total, qt.Equals, 1_001_000)
+	f.scheduler.Ended(f.now, "huge", OutcomeComplete)
+	for _, s := range f.scheduler.pools["llm"].order {
+		c.Assert(s.memory, qt.Equals, 0)
+	}
+}
+
 // A prompt that does not fit in the whole fleet must be refused at once, both when it
 // arrives and when servers leave while it waits.
 func TestPromptLargerThanFleetMemoryIsRefused(t *testing.T) {
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -98,6 +98,9 @@
 	p.callerServer = ingress.NewServer(p.control, scheduler, platform.KVReserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
 	p.peerServer = mesh.NewServer(p.control.handle)
 	if err := p.listen(platform); err != nil {
+		for _, listener := range p.listeners {
+			listener.Close()
+		}
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/gateway/process_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+)
+
+// silentSource is a store that never answers.
+type silentSource struct{}
+
+func (silentSource) List(ctx context.Context) ([]Item, int64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func (silentSource) Watch(ctx context.Context, _ int64, _ time.Duration) ([]Item, int64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// If one listener can't be opened, those opened before it are closed.
+func TestFailedStartClosesListeners(t *testing.T) {
+	c := qt.New(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer taken.Close()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	callers := free.Addr().String()
+	free.Close()
+
+	settings := NewSettings("entry-1", "a", "r").WithAddresses(callers, taken.Addr().String(), "", "", "").WithMemoryBytes(1 << 20)
+	logs := NewAsyncLogWriter(io.Discard)
+	defer logs.Close()
+	adapters := Platform{Source: silentSource{}, Directory: func(Directory) http.Handler { return http.NotFoundHandler() }}
+	_, err = Start(settings, adapters, logs, hclog.NewNullLogger())
+	c.Assert(err, qt.ErrorIs, ErrStart)
+	c.Assert(err, qt.ErrorMatches, "peers: .*")
+	again, err := net.Listen("tcp", callers)
+	c.Assert(err, qt.IsNil)
+	again.Close()
+}
--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -161,6 +161,7 @@
 func (c *storeCache) drop(key string) {
 	delete(c.items, key)
 	delete(c.decoded, key)
+	delete(c.compressed, key)
 	delete(c.pendingRemovals, key)
 }
 
--- a/gateway/storecache_test.go
+++ b/gateway/storecache_test.go
@@ -200,3 +200,14 @@
 	alone := newTestMembers(memberReady)
 	c.Assert(alone.watchesStore(now), qt.IsTrue)
 }
+
+// The compressed value of an item is kept no longer than the item.
+func TestRemovedItemKeepsNoCompressedValue(t *testing.T) {
+	c := qt.New(t)
+	cache := newStoreCache(func(Item) (Published, error) { return PublishedIgnored{}, nil }, hclog.NewNullLogger())
+	item := NewItem("other/long", 2, make([]byte, minCompressBytes))
+	cache.applyChanges(time.Unix(1, 0), []Item{item}, 2)
+	c.Assert(cache.compress(item), qt.IsNotNil)
+	cache.applyChanges(time.Unix(2, 0), []Item{NewRemovedItem("other/long", 3)}, 3)
+	c.Assert(cache.compressed, qt.HasLen, 0)
+}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -357,3 +357,19 @@
 	c.Assert(body, qt.Equals, threeEvents)
 	c.Assert(response.Header.Get("Seal"), qt.Equals, "")
 }
+
+// What a caller is told names no server: addresses are for the logs.
+func TestRefusalNamesNoServer(t *testing.T) {
+	c := qt.New(t)
+	gone := newBackend(c, refused)
+	b := newTestbed(t, gone)
+	response, body, _ := b.do(b.request("POST", "/once/", ""))
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(body, qt.Not(qt.Contains), gone.address)
+
+	unreachable := &backend{address: "127.0.0.1:1"}
+	b = newTestbed(t, unreachable, unreachable, unreachable, unreachable)
+	response, body, _ = b.do(b.request("POST", "/once/", ""))
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(body, qt.Equals, "not run: no server took the request\n")
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -30,6 +30,9 @@
 	configurationWaitFraction = 0.25
 	maxConfigurationWait      = 1500 * time.Millisecond
 	configurationPollInterval = 20 * time.Millisecond
+	// reasonNotTaken is the reason of a refusal after servers were asked; the log says
+	// which ones, and how each send failed.
+	reasonNotTaken = "no server took the request"
 	// maxSends bounds the sends and placements of one request while no server has run it.
 	maxSends = 4
 	// defaultTimeout applies to a request if neither its caller nor its route sets a timeout.
@@ -330,7 +333,7 @@
 		return
 	}
 	retryAfter := defaultRetryAfter
-	reason := err.Error()
+	reason := reasonNotTaken
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
 		retryAfter, reason = refusal.retryAfter, string(refusal.reason)
--- a/mesh/client.go
+++ b/mesh/client.go
@@ -37,8 +37,9 @@
 	address string
 	dialer  upstream.Dialer
 
-	// dialMu is held while dialing and guards failedAt, when a dial last failed.
-	dialMu   sync.Mutex
+	// dialing has room for one dial at a time; who sends to it may use failedAt, when a
+	// dial last failed.
+	dialing  chan struct{}
 	failedAt time.Time
 
 	// mu guards the fields below.
@@ -87,7 +88,7 @@
 	defer c.mu.Unlock()
 	p := c.peers[address]
 	if p == nil {
-		p = &peerConn{address: address, dialer: c.dialer, pending: make(map[uint64]chan envelope)}
+		p = &peerConn{address: address, dialer: c.dialer, dialing: make(chan struct{}, 1), pending: make(map[uint64]chan envelope)}
 		if c.peers == nil {
 			c.peers = make(map[string]*peerConn)
 		}
@@ -121,6 +122,17 @@
 	}
 }
 
+// lockDial waits until no other call dials, and returns the function that lets the
+// next one dial, nil if ctx ends first.
+func (p *peerConn) lockDial(ctx context.Context) (release func()) {
+	select {
+	case p.dialing <- struct{}{}:
+		return func() { <-p.dialing }
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // connect returns the open connection or dials a new one.
 func (p *peerConn) connect(ctx context.Context) (net.Conn, error) {
 	p.mu.Lock()
@@ -129,8 +141,11 @@
 	if conn != nil {
 		return conn, nil
 	}
-	p.dialMu.Lock()
-	defer p.dialMu.Unlock()
+	release := p.lockDial(ctx)
+	if release == nil {
+		return nil, ctx.Err()
+	}
+	defer release()
 	p.mu.Lock()
 	conn = p.conn
 	p.mu.Unlock()
