Mend faults seen in reading of the own interface and its tools

- backend: a lease denied for a full queue said 200 ms; now the time after which the next of its holders' groups may end (TestFullLeaseQueueTellsWhenAPlaceIsFree, which fails before).
- standin load: flags that can't be used are refused by name (TestLoadRefusesUnusableFlags).
- soak: a fleet that can't be started is stopped (TestFailedStartStopsEntries).
- Dead code goes: routing's PrefillPasses, the request for declarations that was never sent, two fields that nobody read.

--- a/backend/group_lease.go
+++ b/backend/group_lease.go
@@ -114,9 +114,15 @@
 	if lease.isWaiting(request.id) {
 		return []Decision{lease.queued(request)}
 	}
-	if late := a.groupServiceTime(now, request) - request.deadline.Sub(now); late > 0 || len(lease.waiting) >= maxLeaseQueue {
+	serviceTime := a.groupServiceTime(now, request)
+	if late := serviceTime - request.deadline.Sub(now); late > 0 {
 		return append([]Decision{newDenied(request, busyRefusal(late))}, a.grantLeases(now)...)
 	}
+	if len(lease.waiting) >= maxLeaseQueue {
+		// A place in the queue is free when the next of the holders' groups ends.
+		wait := serviceTime / time.Duration(max(1, len(lease.holders)))
+		return append([]Decision{newDenied(request, busyRefusal(wait))}, a.grantLeases(now)...)
+	}
 	lease.waiting = append(lease.waiting, request)
 	out := a.grantLeases(now)
 	if lease.isWaiting(request.id) {
--- a/backend/group_test.go
+++ b/backend/group_test.go
@@ -210,3 +210,25 @@
 	c.Assert(ok, qt.IsTrue, qt.Commentf("%v", out[0]))
 	c.Assert(denied.refusal.reason, qt.Equals, ReasonBusy)
 }
+
+// A request for which the queue of a lease has no place is told to come back when one
+// of the groups that hold the lease may have ended.
+func TestFullLeaseQueueTellsWhenAPlaceIsFree(t *testing.T) {
+	c := qt.New(t)
+	workload := NewWorkload("strip", "strip-1")
+	now := time.Unix(1000, 0)
+	a := NewAllocator("entry-0")
+	location := registry.NewLocation("scl", "scl-a")
+	instance := registry.NewServer("engine-0", registry.KindEngine, location, registry.StateLive, "", "strip")
+	a.AddServer(now, NewServer(instance, NewCapacity(NewLoad(2, 100_000), NewLoad(16, 400_000), 3)))
+	request := func(n int) SlotRequest {
+		return NewSlotRequest(fmt.Sprint(n), NewOwner("entry-1", 1), "a", GatherLeaseWorkload(workload), NewCost(60_000, 0), now.Add(time.Hour))
+	}
+	for n := range maxLeaseQueue + 1 { // one holds the lease
+		a.Request(now, request(n))
+	}
+	denied, ok := a.Request(now, request(maxLeaseQueue+1))[0].(Denied)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(denied.refusal.retryAfter, qt.Equals, a.groupServiceTime(now, request(0)))
+	c.Assert(denied.refusal.retryAfter > minRetryAfter, qt.IsTrue)
+}
--- a/cmd/soak/entry.go
+++ b/cmd/soak/entry.go
@@ -67,6 +67,7 @@
 	}
 	e.log = log
 	if e.callerProxy, err = newProxy(e.callerAddress); err != nil {
+		log.Close()
 		return nil, err
 	}
 	go e.run()
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -49,7 +49,8 @@
 	storeDisturbed intervals
 }
 
-// startFleet starts the store, the backend servers and the entries.
+// startFleet starts the store, the backend servers and the entries. After an error
+// nothing of it runs.
 func startFleet(dir, daemon string, seed uint64, entries, servers, port int) (*fleet, error) {
 	f := &fleet{seed: seed, random: rand.New(rand.NewPCG(seed, 1)), store: platformtest.NewStore()}
 	f.checker.runs = f.runs.Count
@@ -57,9 +58,18 @@
 	if f.storeProxy, err = newProxy(strings.TrimPrefix(httptest.NewServer(f.store).URL, "http://")); err != nil {
 		return nil, err
 	}
+	if err := f.start(dir, daemon, entries, servers, port); err != nil {
+		f.stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+// start starts the backend servers and the entries.
+func (f *fleet) start(dir, daemon string, entries, servers, port int) error {
 	for i := range servers {
 		if err := f.addServer(i%3 != 0); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	f.publishConfig()
@@ -70,11 +80,11 @@
 	for i := range entries {
 		e, err := startEntry(dir, daemon, i, port+8*i, f.storeProxy.address(), seeds)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		f.entries = append(f.entries, e)
 	}
-	return f, nil
+	return nil
 }
 
 // addServer starts and publishes a backend server.
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"testing"
 	"time"
 
@@ -57,3 +59,18 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(seeds, qt.DeepEquals, []uint64{7, 8})
 }
+
+// A fleet that can't be started leaves nothing running: here a directory has the name
+// of the second entry's log.
+func TestFailedStartStopsEntries(t *testing.T) {
+	c := qt.New(t)
+	dir := t.TempDir()
+	c.Assert(os.Mkdir(filepath.Join(dir, "entry-1.log"), 0o700), qt.IsNil)
+	before := runtime.NumGoroutine()
+	_, err := startFleet(dir, "/bin/false", 1, 3, 3, firstPort+portsPerRun*(portRanges-1))
+	c.Assert(err, qt.ErrorMatches, ".*entry-1.log.*")
+	for deadline := time.Now().Add(5 * time.Second); runtime.NumGoroutine() > before+10; {
+		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%d goroutines, %d before", runtime.NumGoroutine(), before))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -51,6 +51,11 @@
 			if seeds < 1 || seeds > maxSeeds {
 				return eris.Errorf("--seeds is %d, want 1 to %d", seeds, maxSeeds)
 			}
+			if plotDirectory != "" {
+				if err := os.MkdirAll(plotDirectory, 0o755); err != nil {
+					return eris.Errorf("--plots: %v", err)
+				}
+			}
 			for _, name := range policies {
 				policy, ok := experiment.ParsePolicy(name)
 				if !ok {
@@ -90,6 +95,6 @@
 	flags.Float64Var(&rate, "rate", 1, "factor of the load's request rates")
 	flags.IntVar(&servers, "servers", 0, "number of engines, overrides that of the load")
 	flags.BoolVar(&meansOnly, "brief", false, "print only the means over the seeds")
-	flags.StringVar(&plotDirectory, "plots", "", "directory for plots of queues, memory and engines")
+	flags.StringVar(&plotDirectory, "plots", "", "directory for plots of queues, memory and engines; created if it is missing")
 	return cmd
 }
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 )
 
@@ -56,6 +57,9 @@
   standin load --entries 127.0.0.1:8001 --keys KEY1 --service repairs --service-share 0.2 --json`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := d.check(); err != nil {
+				return err
+			}
 			table := d.run(cmd.Context())
 			if err := table.write(os.Stdout, asJSON); err != nil {
 				return err
@@ -82,6 +86,27 @@
 	return cmd
 }
 
+// check returns an error that names the first flag with a value that can't be used.
+func (d *driver) check() error {
+	switch {
+	case d.rate <= 0:
+		return eris.Errorf("--rate is %g, want more than 0", d.rate)
+	case d.duration <= 0:
+		return eris.Errorf("--duration is %v, want more than 0", d.duration)
+	case d.timeLeft <= 0:
+		return eris.Errorf("--time-left is %v, want more than 0", d.timeLeft)
+	case d.serviceShare < 0 || d.serviceShare > 1:
+		return eris.Errorf("--service-share is %g, want 0 to 1", d.serviceShare)
+	case d.serviceShare > 0 && d.service == "":
+		return eris.New("--service: missing, but --service-share sends calls to it")
+	case d.answerTokens < 1:
+		return eris.Errorf("--answer-tokens is %d, want 1 or more", d.answerTokens)
+	case d.maxPrompt < 1 || d.maxPrompt > maxPromptTokens:
+		return eris.Errorf("--max-prompt is %d, want 1 to %d", d.maxPrompt, maxPromptTokens)
+	}
+	return nil
+}
+
 // job is one request to send.
 type job struct {
 	number        int
--- a/cmd/standin/load_request.go
+++ b/cmd/standin/load_request.go
@@ -198,7 +198,6 @@
 // streamChecker compares a streamed answer with the one expected for the prompt.
 type streamChecker struct {
 	remaining    string
-	tokens       int
 	id           string
 	index        int
 	finished     bool
@@ -206,7 +205,7 @@
 }
 
 func newStreamChecker(prompt string, tokens int) *streamChecker {
-	return &streamChecker{remaining: standin.Sum(prompt).Answer(tokens), tokens: tokens}
+	return &streamChecker{remaining: standin.Sum(prompt).Answer(tokens)}
 }
 
 // read reads a stream to its end and returns the verdict and its reason.
--- a/cmd/standin/load_test.go
+++ b/cmd/standin/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -101,3 +102,23 @@
 
 // address returns the IP and port of a server.
 func address(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
+
+// A flag that can't be used is refused before anything is sent.
+func TestLoadRefusesUnusableFlags(t *testing.T) {
+	c := qt.New(t)
+	for flag, want := range map[string]string{
+		"--rate=0":            "--rate is 0, .*",
+		"--duration=0s":       "--duration is 0s, .*",
+		"--time-left=-1s":     "--time-left is -1s, .*",
+		"--service-share=2":   "--service-share is 2, .*",
+		"--service-share=0.5": "--service: missing.*",
+		"--answer-tokens=0":   "--answer-tokens is 0, .*",
+		"--max-prompt=0":      "--max-prompt is 0, .*",
+	} {
+		cmd := newLoadCommand()
+		cmd.SetArgs([]string{"--keys", "k", flag})
+		cmd.SetOut(io.Discard)
+		cmd.SetErr(io.Discard)
+		c.Assert(cmd.Execute(), qt.ErrorMatches, want, qt.Commentf("%s", flag))
+	}
+}
--- a/experiment/request.go
+++ b/experiment/request.go
@@ -37,7 +37,6 @@
 	attempts       int
 	server         string
 	prefillWorkers []dispatch.PrefillWorker
-	asked          bool
 
 	// firstTokenAt is when the first event was sent, zero before.
 	firstTokenAt time.Duration
@@ -65,7 +64,6 @@
 		if r.finished {
 			return
 		}
-		r.asked = true
 		decision := sim.scheduler(r.entry).Submit(sim.time(), r.owner(), req)
 		sim.AfterFunc(networkDelay, func() { r.decided(id, decision) })
 	})
--- a/peer/keeper_state.go
+++ b/peer/keeper_state.go
@@ -9,12 +9,11 @@
 
 // keeperState is the state of this entry as a keeper of backend servers.
 type keeperState struct {
-	allocator        *backend.Allocator
-	kept             map[string]*keptServer
-	learnedWarmth    map[string]serverWarmth // by server, received from other keepers
-	sentWarmth       map[string]serverWarmth // by server, last sent to other entries
-	declarations     map[backend.Owner]*slotDeclaration
-	needDeclarations bool // a server was taken over since peers were last asked for declarations
+	allocator     *backend.Allocator
+	kept          map[string]*keptServer
+	learnedWarmth map[string]serverWarmth // by server, received from other keepers
+	sentWarmth    map[string]serverWarmth // by server, last sent to other entries
+	declarations  map[backend.Owner]*slotDeclaration
 }
 
 // keptServer is a server that this entry keeps.
@@ -50,7 +49,6 @@
 	if known {
 		return
 	}
-	k.needDeclarations = true
 	for owner, m := range k.declarations {
 		k.adopt(now, owner, m, server.ID())
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -12,16 +12,15 @@
 
 // The kinds of message. They are short because every frame carries one.
 const (
-	kindHello              messageKind = "hi"
-	kindHeartbeat          messageKind = "hb"
-	kindSlotRequest        messageKind = "ask"
-	kindSlotReply          messageKind = "rep"
-	kindWithdraw           messageKind = "wd"
-	kindRelease            messageKind = "rel"
-	kindSlotDeclaration    messageKind = "hold"
-	kindDeclarationRequest messageKind = "clm"
-	kindPull               messageKind = "pull"
-	kindItems              messageKind = "item"
+	kindHello           messageKind = "hi"
+	kindHeartbeat       messageKind = "hb"
+	kindSlotRequest     messageKind = "ask"
+	kindSlotReply       messageKind = "rep"
+	kindWithdraw        messageKind = "wd"
+	kindRelease         messageKind = "rel"
+	kindSlotDeclaration messageKind = "hold"
+	kindPull            messageKind = "pull"
+	kindItems           messageKind = "item"
 )
 
 // newMessage returns an empty message of a kind, nil for an unknown one.
@@ -41,8 +40,6 @@
 		return new(release)
 	case kindSlotDeclaration:
 		return new(slotDeclaration)
-	case kindDeclarationRequest:
-		return new(declarationRequest)
 	case kindPull:
 		return new(pull)
 	case kindItems:
@@ -175,10 +172,6 @@
 	Pending []string
 }
 
-// declarationRequest asks for a slotDeclaration: the sender has begun to keep
-// servers whose slots it does not know.
-type declarationRequest struct{}
-
 // declaredSlot is one slot that its owner holds.
 type declaredSlot struct {
 	ID           string
@@ -208,16 +201,15 @@
 	Compressed []byte
 }
 
-func (*hello) kind() messageKind              { return kindHello }
-func (*heartbeat) kind() messageKind          { return kindHeartbeat }
-func (*slotRequest) kind() messageKind        { return kindSlotRequest }
-func (*slotReply) kind() messageKind          { return kindSlotReply }
-func (*withdraw) kind() messageKind           { return kindWithdraw }
-func (*release) kind() messageKind            { return kindRelease }
-func (*slotDeclaration) kind() messageKind    { return kindSlotDeclaration }
-func (*declarationRequest) kind() messageKind { return kindDeclarationRequest }
-func (*pull) kind() messageKind               { return kindPull }
-func (*items) kind() messageKind              { return kindItems }
+func (*hello) kind() messageKind           { return kindHello }
+func (*heartbeat) kind() messageKind       { return kindHeartbeat }
+func (*slotRequest) kind() messageKind     { return kindSlotRequest }
+func (*slotReply) kind() messageKind       { return kindSlotReply }
+func (*withdraw) kind() messageKind        { return kindWithdraw }
+func (*release) kind() messageKind         { return kindRelease }
+func (*slotDeclaration) kind() messageKind { return kindSlotDeclaration }
+func (*pull) kind() messageKind            { return kindPull }
+func (*items) kind() messageKind           { return kindItems }
 
 // newSlotRequest returns the message for a slot request. The deadline is sent
 // as the time left.
--- a/peer/node.go
+++ b/peer/node.go
@@ -209,8 +209,6 @@
 		n.deliverDecisions(now, n.keeper.release(now, from, m))
 	case *slotDeclaration:
 		n.deliverDecisions(now, n.keeper.receiveDeclaration(now, from, m))
-	case *declarationRequest:
-		n.declareSlots(now, from.Entry())
 	case *pull:
 		n.send(from.Entry(), newItems(n.items.newerThan(m.Versions)))
 	case *items:
--- a/routing/service.go
+++ b/routing/service.go
@@ -127,11 +127,3 @@
 	step := float64(e.step) + float64(sequences)*float64(e.stepPerSequence) + float64(contextTokens)/1000*float64(e.stepPerContext)
 	return time.Duration(step * float64(e.stepsPerPass))
 }
-
-// PrefillPasses returns the number of passes that prefilling so many tokens takes on an engine that decodes nothing.
-func (e EngineProfile) PrefillPasses(tokens int) int {
-	if e.prefillChunk <= 0 {
-		return 1
-	}
-	return (tokens + e.prefillChunk - 1) / e.prefillChunk
-}
