gateway, mesh: exchange heartbeat counters with two entries a round

Cause: each heartbeat but those to schedulers, and its response, carried 13 bytes for every entry: 24 lists an entry and round, sent and received.

Ways weighed, in virtual time at 30, 100, 300 and 560 entries (CAPACITY.md): exchange with all, 3, 2 or 1 of those that get a heartbeat. With one, live entries go missing from directories at 300; with two none does, and a dead one is listed nowhere after 3 s at 560 (2.4 s before). Sending only counters that moved saves nothing: all of them move in each round.

Change: two of the five random targets exchange counters; the other heartbeats are light, and their responses carry neither counters nor members. Entries count the bytes of their calls by kind.

Tests: TestGossipWithFewPartnersKeepsAllListed, TestLightHeartbeatGetsShortResponse, TestTrafficIsCountedByKind.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -11,9 +11,10 @@
 )
 
 // In a large fleet an entry sends heartbeats to few others. Liveness of the rest is
-// gossiped: each heartbeat carries the highest heartbeat counter known of every
-// entry. Only a counter above the known one shows that an entry is alive, so the
-// stale counters of an entry that resumes after a freeze do no harm.
+// gossiped: in each round an entry exchanges, with a few of these, the highest
+// heartbeat counter known of every entry. Only a counter above the known one shows
+// that an entry is alive, so the stale counters of an entry that resumes after a
+// freeze do no harm.
 
 const (
 	// gossipMinEntries is the number of other entries from which an entry sends
@@ -22,6 +23,10 @@
 	// gossipFanout is how many random entries get a heartbeat in each round: with 5,
 	// news reaches 560 entries in three rounds.
 	gossipFanout = 5
+	// gossipPartners is how many of these exchange counters in each round. All entries
+	// need each other's counters a few times within the shortest timeout; what one
+	// exchange costs grows with the fleet.
+	gossipPartners = 2
 	// counterBytes is the encoded length of a heartbeatCounter: the entry's key,
 	// its counter, and in one byte its state and the time since the store last
 	// responded to it.
@@ -113,13 +118,24 @@
 	}
 }
 
-// roundTargets returns the addresses that get a heartbeat in this round. In a small
+// heartbeatTarget is an entry that gets a heartbeat in a round.
+type heartbeatTarget struct {
+	address string
+	// exchange is set if the heartbeat and its response carry counters.
+	exchange bool
+}
+
+// roundTargets returns the entries that get a heartbeat in this round. In a small
 // fleet these are all; else the schedulers of the services, one watcher of the
 // store, seeds at which no entry is known, and gossipFanout random entries.
-func (m *members) roundTargets(now time.Time, services []string) []string {
+func (m *members) roundTargets(now time.Time, services []string) []heartbeatTarget {
 	all := m.heartbeatTargets()
+	var out []heartbeatTarget
 	if len(all) < gossipMinEntries || m.self.State == memberLeaving {
-		return all
+		for _, address := range all {
+			out = append(out, heartbeatTarget{address: address})
+		}
+		return out
 	}
 	chosen := m.schedulers(now, services)
 	if watchers := m.storeWatchers(now); len(watchers) > 0 {
@@ -129,13 +145,22 @@
 	for _, known := range m.byID {
 		addresses[known.PeerAddress] = true
 	}
+	exchange := make(map[string]bool)
 	for _, address := range all {
 		if !addresses[address] {
-			chosen[address] = true
+			chosen[address], exchange[address] = true, true
 		}
 	}
-	for _, i := range m.random.Perm(len(all))[:gossipFanout] {
+	for n, i := range m.random.Perm(len(all))[:gossipFanout] {
 		chosen[all[i]] = true
+		if n < gossipPartners {
+			exchange[all[i]] = true
+		}
 	}
-	return slices.DeleteFunc(all, func(address string) bool { return !chosen[address] })
+	for _, address := range all {
+		if chosen[address] {
+			out = append(out, heartbeatTarget{address: address, exchange: exchange[address]})
+		}
+	}
+	return out
 }
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"greengagedock.example/timer"
 )
@@ -19,6 +21,8 @@
 	dead      map[*members]bool
 	// heartbeats counts the heartbeats sent.
 	heartbeats int
+	// counterBytes is the length of all counters sent.
+	counterBytes int
 }
 
 // services are the services that the entries schedule.
@@ -50,23 +54,28 @@
 		return
 	}
 	m.self.Heartbeats++
-	for _, address := range m.roundTargets(f.now(), services) {
-		to := f.byAddress[address]
+	for _, target := range m.roundTargets(f.now(), services) {
+		to := f.byAddress[target.address]
 		f.heartbeats++
 		if to == nil || f.dead[to] {
 			continue
 		}
-		f.deliver(m, to)
-		f.deliver(to, m)
+		f.deliver(m, to, target.exchange)
+		f.deliver(to, m, target.exchange)
 	}
 	m.expire(f.now())
 	f.AfterFunc(heartbeatInterval, func() { f.round(m) })
 }
 
 // deliver applies a heartbeat of one entry at another.
-func (f *fleet) deliver(from, to *members) {
+func (f *fleet) deliver(from, to *members, exchange bool) {
 	to.observe(f.now(), from.self)
-	to.mergeCounters(f.now(), from.encodeCounters(f.now()))
+	if !exchange && len(from.byID) >= gossipMinEntries && len(to.byID) >= gossipMinEntries {
+		return
+	}
+	counters := from.encodeCounters(f.now())
+	f.counterBytes += len(counters)
+	to.mergeCounters(f.now(), counters)
 	if from.digest() != to.digest() {
 		for _, known := range from.live(f.now(), from.timeouts.listed()) {
 			to.learn(known.memberMessage)
@@ -179,3 +188,53 @@
 		}
 	})
 }
+
+// Counters are exchanged with few entries in each round. Liveness must still reach all
+// others in time at the planned size: none is missing from a directory, and one that
+// died is listed nowhere within two seconds of the time allowed for a silent one.
+func TestGossipWithFewPartnersKeepsAllListed(t *testing.T) {
+	c := qt.New(t)
+	const size = 560
+	f := newFleet(size)
+	f.RunUntil(6 * time.Second)
+	f.counterBytes = 0
+	for at := 6 * time.Second; at < 8*time.Second; at += 200 * time.Millisecond {
+		f.RunUntil(at)
+		for _, m := range f.entries {
+			c.Assert(m.live(f.now(), m.timeouts.listed()), qt.HasLen, size-1, qt.Commentf("%s at %v", m.self.ID, at))
+		}
+	}
+	list := float64(counterBytes * (size - 1))
+	perRound := float64(f.counterBytes) / size / (2 / heartbeatInterval.Seconds())
+	c.Assert(perRound <= (2*gossipPartners+0.1)*list, qt.IsTrue, qt.Commentf("%.1f lists per entry and round", perRound/list))
+
+	dead := f.entries[size/2]
+	f.dead[dead] = true
+	f.RunUntil(f.Now() + usualListed + 2*time.Second)
+	for _, m := range f.entries {
+		if m != dead {
+			c.Assert(slices.ContainsFunc(m.live(f.now(), m.timeouts.listed()), func(known *member) bool { return known.ID == dead.self.ID }), qt.IsFalse, qt.Commentf("at %s", m.self.ID))
+		}
+	}
+}
+
+// A heartbeat without counters asks for none, and not for members either: the whole
+// list, in each response while entries come and go, would be most of the traffic.
+func TestLightHeartbeatGetsShortResponse(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(40)
+	f.RunUntil(5 * time.Second)
+	timers := &timer.Service{}
+	own := newControl(NewSettings("e100", "a", "r"), 1, nil, hclog.NewNullLogger(), timers)
+	own.members.byID, own.members.byKey = f.entries[3].byID, f.entries[3].byKey
+	stop := make(chan struct{})
+	defer close(stop)
+	go own.run(stop)
+	reply, err := own.handleHeartbeat(heartbeatMessage{From: f.entries[4].self, Digest: 1, Light: true})
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply.Members, qt.HasLen, 0)
+	c.Assert(reply.Counters, qt.HasLen, 0)
+	reply, err = own.handleHeartbeat(heartbeatMessage{From: f.entries[4].self, Digest: 1})
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(reply.Members) > 0, qt.IsTrue)
+}
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -61,6 +61,8 @@
 	Members []memberMessage
 	// Counters holds the encoded heartbeat counters that the sender knows.
 	Counters []byte
+	// Light is set if the response is to carry neither Counters nor Members.
+	Light bool
 }
 
 // itemsMessage requests the changes after a revision.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -53,14 +53,14 @@
 			}
 			c.scheduler.Reconcile(now, owner, heartbeat.Schedules, running)
 		}
-		reply = c.newHeartbeat(now, "")
+		reply = c.newHeartbeat(now, heartbeatTarget{})
 		if len(heartbeat.Counters) > 0 {
 			reply.Counters = c.members.encodeCounters(now)
 		}
 		// In a large fleet the schedulers get heartbeats from all entries, and
 		// leave it to other heartbeats to spread the members.
 		large := len(c.members.byID) >= gossipMinEntries
-		if heartbeat.Digest != reply.Digest && !(large && len(heartbeat.Schedules) > 0) {
+		if heartbeat.Digest != reply.Digest && !heartbeat.Light && !(large && len(heartbeat.Schedules) > 0) {
 			reply.Members = c.unlistedMembers(now, heartbeat.Counters)
 		}
 	})
@@ -97,21 +97,24 @@
 	}
 }
 
-// newHeartbeat returns this entry's heartbeat for the entry at a peer address, or its
-// response to one if the address is empty.
-func (c *control) newHeartbeat(now time.Time, to string) heartbeatMessage {
+// newHeartbeat returns this entry's heartbeat for a target, or its response to one if
+// the target has no address.
+func (c *control) newHeartbeat(now time.Time, to heartbeatTarget) heartbeatMessage {
 	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision, StoreAge: c.storeAge(now), Digest: c.members.digest()}
-	if to == "" {
+	if to.address == "" {
 		return heartbeat
 	}
 	for _, service := range c.cache.services() {
-		if scheduler := c.members.scheduler(now, service); scheduler != nil && scheduler.PeerAddress == to {
+		if scheduler := c.members.scheduler(now, service); scheduler != nil && scheduler.PeerAddress == to.address {
 			heartbeat.Schedules = append(heartbeat.Schedules, service)
 		}
 	}
 	if len(heartbeat.Schedules) == 0 {
 		// Schedulers get heartbeats from all entries, so they need no counters.
-		heartbeat.Counters = c.members.encodeCounters(now)
+		heartbeat.Light = len(c.members.byID) >= gossipMinEntries && !to.exchange
+		if to.exchange {
+			heartbeat.Counters = c.members.encodeCounters(now)
+		}
 		return heartbeat
 	}
 	for _, request := range c.scheduler.Running(c.owner) {
@@ -205,8 +208,8 @@
 	defer tick.Stop()
 	inFlight := make(map[string]chan struct{})
 	for round := 0; ; round++ {
-		for _, address := range c.nextRound() {
-			if ended, ok := inFlight[address]; ok {
+		for _, target := range c.nextRound() {
+			if ended, ok := inFlight[target.address]; ok {
 				select {
 				case <-ended:
 				default:
@@ -214,10 +217,10 @@
 				}
 			}
 			ended := make(chan struct{})
-			inFlight[address] = ended
+			inFlight[target.address] = ended
 			go func() {
 				defer close(ended)
-				c.sendHeartbeat(ctx, client, address)
+				c.sendHeartbeat(ctx, client, target)
 			}()
 		}
 		if round < startupRounds {
@@ -232,9 +235,9 @@
 	}
 }
 
-// nextRound starts a round of heartbeats and returns the addresses that get one.
-func (c *control) nextRound() []string {
-	var out []string
+// nextRound starts a round of heartbeats and returns the entries that get one.
+func (c *control) nextRound() []heartbeatTarget {
+	var out []heartbeatTarget
 	c.do(func(now time.Time) {
 		c.members.self.Heartbeats++
 		out = c.members.roundTargets(now, c.cache.services())
@@ -243,16 +246,16 @@
 }
 
 // sendHeartbeat sends one heartbeat.
-func (c *control) sendHeartbeat(ctx context.Context, client *mesh.Client, address string) {
+func (c *control) sendHeartbeat(ctx context.Context, client *mesh.Client, target heartbeatTarget) {
 	var heartbeat, reply heartbeatMessage
-	if !c.do(func(now time.Time) { heartbeat = c.newHeartbeat(now, address) }) {
+	if !c.do(func(now time.Time) { heartbeat = c.newHeartbeat(now, target) }) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	if err := client.Call(ctx, address, callHeartbeat, heartbeat, &reply); err != nil {
+	if err := client.Call(ctx, target.address, callHeartbeat, heartbeat, &reply); err != nil {
 		if ctx.Err() != nil {
-			client.Drop(address) // redial rather than reuse an unresponsive connection
+			client.Drop(target.address) // redial rather than reuse an unresponsive connection
 		}
 		return
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -157,6 +157,8 @@
 	values := map[string]any{
 		"open": p.callerServer.OpenRequests(), "log_lines_dropped": p.logs.Dropped(),
 		"connections_opened": p.client.ConnectionsOpened(), "connections_reused": p.client.ConnectionsReused(),
+		"control_bytes_sent":     sum(p.peerClient.Traffic().Sent(), p.peerServer.Traffic().Sent()),
+		"control_bytes_received": sum(p.peerClient.Traffic().Received(), p.peerServer.Traffic().Received()),
 	}
 	p.control.do(func(now time.Time) {
 		values["waiting"] = p.control.scheduler.Waiting()
@@ -170,6 +172,17 @@
 	return values
 }
 
+// sum adds counts by key.
+func sum(counts ...map[string]int64) map[string]int64 {
+	out := make(map[string]int64)
+	for _, values := range counts {
+		for key, value := range values {
+			out[key] += value
+		}
+	}
+	return out
+}
+
 // sweep periodically closes idle upstream connections that are too old or whose
 // server is not usable, until ctx ends.
 func (p *Process) sweep(ctx context.Context) {
--- a/mesh/client.go
+++ b/mesh/client.go
@@ -21,7 +21,8 @@
 
 // Client calls other entries. Its zero value is ready to use.
 type Client struct {
-	dialer upstream.Dialer
+	dialer  upstream.Dialer
+	traffic Traffic
 
 	mu    sync.Mutex
 	peers map[string]*peerConn
@@ -49,6 +50,9 @@
 	pending map[uint64]chan envelope
 }
 
+// Traffic returns the traffic of the client's calls; a call that fails counts as sent.
+func (c *Client) Traffic() *Traffic { return &c.traffic }
+
 // Call calls the entry at the given IP:PORT address and decodes its response
 // into reply. Errors wrap ErrUnreachable or ErrRefused.
 func (c *Client) Call(ctx context.Context, address, kind string, call, reply any) error {
@@ -57,6 +61,7 @@
 		return eris.Wrapf(ErrRefused, "encode %s: %v", kind, err)
 	}
 	response, err := c.peer(address).call(ctx, kind, body)
+	c.traffic.count(kind, len(body), len(response.Body))
 	if err != nil {
 		return eris.Wrapf(ErrUnreachable, "%s to %s: %v", kind, address, err)
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -102,3 +102,19 @@
 	c.Assert(client.Call(context.Background(), address, "any", 1, new(string)), qt.ErrorMatches, ".*refused.*")
 	c.Assert(client.Call(context.Background(), address, "any", 1, new(string)), qt.ErrorMatches, ".*last dial failed recently; not redialed yet.*")
 }
+
+// Both ends count what they send and receive, by the kind of call.
+func TestTrafficIsCountedByKind(t *testing.T) {
+	c := qt.New(t)
+	address, server := serve(c, func(_ string, body []byte) (any, error) { return "four", nil })
+	var client Client
+	for range 2 {
+		c.Assert(client.Call(context.Background(), address, "beat", "request", new(string)), qt.IsNil)
+	}
+	c.Assert(client.Call(context.Background(), address, "items", "x", new(string)), qt.IsNil)
+	sent, received := client.Traffic().Sent(), client.Traffic().Received()
+	c.Assert(sent, qt.DeepEquals, map[string]int64{"beat": 2 * 8, "items": 2}) // a byte of type and length each
+	c.Assert(received, qt.DeepEquals, map[string]int64{"beat": 2 * 5, "items": 5})
+	c.Assert(server.Traffic().Received(), qt.DeepEquals, sent)
+	c.Assert(server.Traffic().Sent(), qt.DeepEquals, received)
+}
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -13,6 +13,7 @@
 // Server serves the calls of other entries.
 type Server struct {
 	handler Handler
+	traffic Traffic
 
 	mu     sync.Mutex
 	closed bool
@@ -24,6 +25,9 @@
 	return &Server{handler: handler, conns: make(map[net.Conn]bool)}
 }
 
+// Traffic returns the traffic of the served calls.
+func (s *Server) Traffic() *Traffic { return &s.traffic }
+
 // Serve accepts connections on the listener and serves their calls until the
 // listener or the server is closed.
 func (s *Server) Serve(listener net.Listener) error {
@@ -79,6 +83,7 @@
 		}
 		go func() {
 			response := s.respond(call)
+			s.traffic.count(call.Kind, len(response.Body), len(call.Body))
 			writeMu.Lock()
 			defer writeMu.Unlock()
 			if err := writeEnvelope(conn, response); err != nil {
