gateway: let no fresh entry schedule, introduce entries to a new scheduler

Change: an entry schedules from its 15th round of heartbeats on, unless all are fresh; the round is in its heartbeats and counters, so that all entries agree. An entry that turns to another scheduler sends it a heartbeat with what it runs. A restarted entry that was heard is dialed at once.

Ruled out: keeping the scheduler for good, since entries could not agree on it without a memory that outlives them.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -41,6 +41,11 @@
 	scheduler *dispatch.Scheduler
 	// waiters holds the channels of calls whose requests are queued, by request ID.
 	waiters map[string]chan dispatch.Decision
+	// schedulers holds the peer addresses of the entries that last scheduled for this
+	// one, by service, "" for this entry itself.
+	schedulers map[string]string
+	// reachable records that the entry at a peer address was heard.
+	reachable func(address string)
 	// pendingEvents holds the events to send to schedulers, by peer address.
 	pendingEvents map[string]*eventsMessage
 
@@ -68,6 +73,7 @@
 		cache:         newStoreCache(decode, log.Named("store")),
 		scheduler:     dispatch.NewScheduler(settings.ID()),
 		waiters:       make(map[string]chan dispatch.Decision),
+		schedulers:    make(map[string]string),
 		pendingEvents: make(map[string]*eventsMessage),
 		newerPeers:    make(chan string, 1),
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -22,6 +22,13 @@
 	// relative to the entry with the most: one entry schedules all requests of a
 	// service.
 	minSchedulerCPUShare = 0.5
+	// settledRounds is the number of an entry's rounds of heartbeats from which it
+	// schedules, some three seconds after its start: what runs on the servers is known
+	// to the entry that scheduled before, and callers come to the fresh one only now.
+	settledRounds = 15
+	// restartRounds is by how many rounds entries may differ that started together;
+	// if all entries are fresh, any of them schedules.
+	restartRounds = 5
 	// minCPUCores is the lowest weight of an entry in the directory; an entry with
 	// unknown cores gets it.
 	minCPUCores = 0.05
@@ -162,27 +169,32 @@
 }
 
 // scheduler returns the entry that schedules a service's requests, nil if it is this
-// one: the one with the highest rendezvous weight of the entries that are ready and
-// have enough CPU.
+// one: the one with the highest rendezvous weight of the entries that are ready, have
+// enough CPU and did not start only recently.
 func (m *members) scheduler(now time.Time, service string) *member {
 	selfReady := m.self.State == memberReady
-	largest := 0.0
+	largest, rounds := 0.0, uint32(0)
 	if selfReady {
-		largest = m.self.CPUCores
+		largest, rounds = m.self.CPUCores, m.self.Heartbeats
 	}
 	for _, known := range m.byID {
 		if m.maySchedule(now, known) {
 			largest = max(largest, known.CPUCores)
+			rounds = max(rounds, known.Heartbeats)
 		}
 	}
 	minCores := minSchedulerCPUShare * largest
+	minRounds := uint32(0)
+	if rounds > restartRounds {
+		minRounds = min(settledRounds, rounds-restartRounds)
+	}
 	var best *member
 	bestWeight := uint64(0)
-	if selfReady && m.self.CPUCores >= minCores {
+	if selfReady && m.self.CPUCores >= minCores && m.self.Heartbeats >= minRounds {
 		bestWeight = mesh.RendezvousWeight(service, m.self.ID)
 	}
 	for _, known := range m.byID {
-		if !m.maySchedule(now, known) || known.CPUCores < minCores {
+		if !m.maySchedule(now, known) || known.CPUCores < minCores || known.Heartbeats < minRounds {
 			continue
 		}
 		if weight := mesh.RendezvousWeight(service, known.ID); weight > bestWeight {
--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -164,3 +164,34 @@
 	m.observe(time.Unix(1, 0), testMember("10.0.0.2", 1, memberReady))
 	c.Assert(m.heartbeatTargets(), qt.DeepEquals, []string{"10.0.0.2:1", "10.0.0.7:1"})
 }
+
+// Pattern: entries are stopped and started in turn, or a domain returns. An entry that
+// has just started knows nothing of what runs on the servers, so the one that
+// schedules goes on until the fresh one has been up for a while.
+func TestFreshEntryDoesNotSchedule(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	m := newTestMembers(memberReady)
+	m.self.Heartbeats = 500
+	other := testMember("10.0.0.2", 5, memberReady)
+	other.Heartbeats = 500
+	m.observe(now, other)
+	service := ""
+	for i := 0; service == ""; i++ { // one that the other entry schedules
+		if name := fmt.Sprint("service", i); m.scheduler(now, name) != nil {
+			service = name
+		}
+	}
+	restarted := testMember("10.0.0.2", 6, memberReady)
+	restarted.Heartbeats = settledRounds - 1
+	m.observe(now, restarted)
+	c.Assert(m.scheduler(now, service), qt.IsNil)
+	restarted.Heartbeats = settledRounds
+	m.observe(now, restarted)
+	c.Assert(m.scheduler(now, service), qt.IsNotNil)
+
+	// If all entries are fresh, any of them schedules.
+	m.self.Heartbeats, restarted.Heartbeats, restarted.Incarnation = 4, 1, 7
+	m.observe(now, restarted)
+	c.Assert(m.scheduler(now, service), qt.IsNotNil)
+}
--- a/gateway/schedulerclient.go
+++ b/gateway/schedulerclient.go
@@ -52,17 +52,22 @@
 		return nil, err
 	}
 	var scheduler memberMessage
-	local := false
+	local, changed := false, false
 	if !s.control.do(func(now time.Time) {
 		known := s.control.members.scheduler(now, request.Service())
 		if known == nil {
 			local = true
-			return
+		} else {
+			scheduler = known.memberMessage
 		}
-		scheduler = known.memberMessage
+		changed = s.control.noteScheduler(request.Service(), scheduler.PeerAddress)
 	}) {
 		return nil, context.Canceled
 	}
+	if changed && !local {
+		// The new scheduler learns at once what this entry runs on the servers.
+		go s.control.sendHeartbeat(context.Background(), s.client, heartbeatTarget{address: scheduler.PeerAddress})
+	}
 	if local {
 		return s.control.schedule(ctx, s.control.owner, request)
 	}
@@ -84,6 +89,14 @@
 	return decision, nil
 }
 
+// noteScheduler records which entry schedules a service, "" for this one, and reports
+// whether it was another one before.
+func (c *control) noteScheduler(service, address string) bool {
+	before, known := c.schedulers[service]
+	c.schedulers[service] = address
+	return known && before != address
+}
+
 // suspect excludes an entry that failed to respond from scheduling for
 // suspectDuration, so that another one takes over.
 func (s *schedulerClient) suspect(scheduler memberMessage, err error) {
--- a/mesh/client.go
+++ b/mesh/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +43,8 @@
 	// dial last failed.
 	dialing  chan struct{}
 	failedAt time.Time
+	// reachable is set if the entry is known to be up since the last dial failed.
+	reachable atomic.Bool
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -74,6 +77,10 @@
 	return nil
 }
 
+// Reachable records that an entry was heard, so that a recent failure to dial it does
+// not delay the next dial.
+func (c *Client) Reachable(address string) { c.peer(address).reachable.Store(true) }
+
 // Drop closes the connection to an entry.
 func (c *Client) Drop(address string) {
 	c.mu.Lock()
@@ -157,7 +164,7 @@
 	if conn != nil {
 		return conn, nil
 	}
-	if time.Since(p.failedAt) < redialDelay {
+	if time.Since(p.failedAt) < redialDelay && !p.reachable.Swap(false) {
 		return nil, eris.New("last dial failed recently; not redialed yet")
 	}
 	conn, err := p.dialer.Dial(ctx, p.address)
