soak: count a held request as lost whichever end shows it first

Cause: a process that ends closes its connections, so the caller of a held request often sees the cut before the end of the process is noticed; the check gave up in that case, and chance decided between the two.

Change: a transport error of a request that ran at an undisturbed entry is a loss in either order. An entry that answers with a failure of its own, or a server's, is not affected.

--- a/cmd/soak/stop.go
+++ b/cmd/soak/stop.go
@@ -20,8 +20,8 @@
 )
 
 // stopWithOpenRequest sends the entry a request whose response is held back, then
-// SIGTERM, and checks that the process does not end before it has answered the
-// request. The order of these events decides, not their times.
+// SIGTERM, and checks that the process does not end, or close the connection, before
+// it has answered the request. The order of these events decides, not their times.
 func (f *fleet) stopWithOpenRequest(e *entry) {
 	start := time.Now()
 	id := fmt.Sprintf("h-%d", requestCount.Add(1))
@@ -36,16 +36,16 @@
 	e.signal(syscall.SIGTERM)
 	timer := time.NewTimer(heldTime)
 	defer timer.Stop()
+	var err error
 	select {
 	case <-timer.C:
 		return
-	case <-answered: // by a failure, since the response is held back
-		return
+	case err = <-answered:
 	case <-ended:
+		err = <-answered
 	}
-	err := <-answered
 	if err != nil && f.runs.Count(id) > 0 && e.undisturbed(start, time.Now()) {
-		f.checker.report("response lost: %s ran, but %s ended before its response: %v", id, e.name, err)
+		f.checker.report("response lost: %s ran, but %s closed its connection without a response: %v", id, e.name, err)
 	}
 }
 
