--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,7 +17,8 @@
 	// the scheduler, which controls their order.
 	maxSplitBacklog = 100 * time.Millisecond
 	// relaxTargetFraction is the fraction of the objective after which a queued request
-	// accepts a placement that meets its objective but misses the target.
+	// accepts a placement that meets its objective but misses the target, and if there
+	// is none a suspended server.
 	relaxTargetFraction = 0.12
 	// acceptableFraction is the fraction of the time left until the objective that the
 	// expected time to first token of an acceptable placement may take.
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -44,8 +44,9 @@
 	// schedulers holds the peer addresses of the entries that last scheduled for this
 	// one, by service, "" for this entry itself.
 	schedulers map[string]string
-	// reachable records that the entry at a peer address was heard.
-	reachable func(address string)
+	// markReachable records that the entry at a peer address was heard, so that it is
+	// dialed again at once; nil in tests without connections.
+	markReachable func(address string)
 	// pendingEvents holds the events to send to schedulers, by peer address.
 	pendingEvents map[string]*eventsMessage
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -75,8 +75,8 @@
 	if c.members.observe(now, heartbeat.From) {
 		c.log.Info("entry state changed", "entry", heartbeat.From.ID, "incarnation", heartbeat.From.Incarnation, "state", string(heartbeat.From.State), "revision", heartbeat.Revision)
 		c.scheduler.ReleaseEntry(now, heartbeat.From.ID, heartbeat.From.Incarnation)
-		if c.reachable != nil {
-			c.reachable(heartbeat.From.PeerAddress)
+		if c.markReachable != nil {
+			c.markReachable(heartbeat.From.PeerAddress)
 		}
 	}
 	if known := c.members.byID[heartbeat.From.ID]; known != nil {
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -92,7 +92,7 @@
 	p.control = newControl(settings, incarnation, platform.Decode, log, &p.timers)
 	p.client = upstream.NewClient(platform.Headers, &p.timers, settings.timeouts.Dialer())
 	p.peerClient = mesh.NewClient(settings.timeouts.Dialer())
-	p.control.reachable = p.peerClient.Reachable
+	p.control.markReachable = p.peerClient.MarkReachable
 	retries := ingress.NewRetryBudget(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
 	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold())
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
--- a/mesh/client.go
+++ b/mesh/client.go
@@ -77,9 +77,9 @@
 	return nil
 }
 
-// Reachable records that an entry was heard, so that a recent failure to dial it does
+// MarkReachable records that an entry was heard, so that a recent failure to dial it does
 // not delay the next dial.
-func (c *Client) Reachable(address string) { c.peer(address).reachable.Store(true) }
+func (c *Client) MarkReachable(address string) { c.peer(address).reachable.Store(true) }
 
 // Drop closes the connection to an entry.
 func (c *Client) Drop(address string) {
--- a/mesh/dial_test.go
+++ b/mesh/dial_test.go
@@ -28,20 +28,17 @@
 // A failed dial delays the next one, unless the entry has been heard since.
 func TestHeardEntryIsDialedAtOnce(t *testing.T) {
 	c := qt.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	address := listener.Addr().String()
-	listener.Close()
+	address := unusedAddress(c)
 	var client Client
 	call := func() error { return client.Call(context.Background(), address, "beat", 1, new(string)) }
 	c.Assert(call(), qt.ErrorIs, ErrUnreachable)
-	listener, err = net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", address)
 	c.Assert(err, qt.IsNil)
 	server := NewServer(func(string, []byte) (any, error) { return "up", nil })
 	go func() { _ = server.Serve(listener) }()
 	defer server.Close()
 	defer listener.Close()
 	c.Assert(call(), qt.ErrorMatches, ".*not redialed yet.*")
-	client.Reachable(address)
+	client.MarkReachable(address)
 	c.Assert(call(), qt.IsNil)
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -92,12 +92,18 @@
 	c.Assert(client.Call(ctx, address, "any", 1, new(string)), qt.ErrorIs, ErrUnreachable)
 }
 
-func TestUnreachableEntryIsNotRedialedAtOnce(t *testing.T) {
-	c := qt.New(t)
+// unusedAddress returns a loopback address on which nobody listens.
+func unusedAddress(c *qt.C) string {
+	c.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	address := listener.Addr().String()
-	listener.Close()
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func TestUnreachableEntryIsNotRedialedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	address := unusedAddress(c)
 	var client Client
 	c.Assert(client.Call(context.Background(), address, "any", 1, new(string)), qt.ErrorMatches, ".*refused.*")
 	c.Assert(client.Call(context.Background(), address, "any", 1, new(string)), qt.ErrorMatches, ".*last dial failed recently; not redialed yet.*")
