--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -64,6 +64,14 @@
 // hang is a step that leaves the request unanswered until the connection is closed.
 const hang = "hang"
 
+// Where a step contains silence, its server sends nothing for silenceTime and then goes
+// on: for longer than an entry waits before it tries another server, and for less
+// than a caller waits.
+const (
+	silence     = "SILENCE"
+	silenceTime = 1700 * time.Millisecond
+)
+
 func newBackend(c *qt.C, steps ...string) *backend {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
@@ -100,7 +108,12 @@
 		_, _ = reader.ReadByte() // returns when the connection is closed
 		return
 	}
-	fmt.Fprint(conn, strings.ReplaceAll(step, "ID", r.Header.Get("Id")))
+	for i, part := range strings.Split(strings.ReplaceAll(step, "ID", r.Header.Get("Id")), silence) {
+		if i > 0 {
+			time.Sleep(silenceTime)
+		}
+		fmt.Fprint(conn, part)
+	}
 }
 
 func (b *backend) seen() []string {
