ingress: log what closes a caller's connection without a response

Two paths did so without a line at the usual level: a handler that panics (net/http logs it through ErrorLog, which is at debug level) and a connection whose timeout fires as its request becomes complete. They could not be told from a stream that the entry gave up. No behaviour changes.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -103,13 +104,28 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
+	defer s.logPanic(r)
 	if !clearHeaderTimeout(r) {
-		panic(http.ErrAbortHandler) // the connection timed out while the last byte of the header arrived
+		s.log.Warn("connection timed out as its request became complete", "caller", r.RemoteAddr, "target", r.RequestURI)
+		panic(http.ErrAbortHandler)
 	}
 	q := &request{server: s, w: w, r: r, start: s.timers.Now()}
 	q.serve()
 }
 
+// logPanic logs a panic, with which net/http closes the caller's connection without a
+// response, and passes it on. Aborted responses are logged where they are aborted.
+func (s *Server) logPanic(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		s.log.Error("request handler panicked", "caller", r.RemoteAddr, "target", r.RequestURI, "panic", cause, "stack", string(debug.Stack()))
+	}
+	panic(cause)
+}
+
 // hostName returns the host of a Host header in lower case, without the port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
