ingress: keep a silent server's answer until another one takes over

Cause: after 1.25 s and the objective for pauses the entry closed the connection to the silent server first and looked for another one afterwards. If none took the request (none placed, the retry budget used up, refused, cut off), the stream that had begun was cut off at the caller; a request without a first byte was answered 502, though its server would have gone on. The class of fault: the way back is given up before the replacement is there.

A silent server's request now gets a backup: the request is also sent to another server, within its attempts and the retry budget, while the first response stays open. Whichever sends the next event, or its whole response, first goes on; the other one is cancelled. A backup that is not placed or fails is followed by another one after the same time; the second silence in a row is reported to the scheduler.

--- a/ingress/answers_fuzz_test.go
+++ b/ingress/answers_fuzz_test.go
@@ -4,13 +4,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"greengagedock.example/dispatch"
 	"greengagedock.example/flagtest"
 )
 
@@ -122,6 +125,62 @@
 	})
 }
 
+const (
+	// fuzzSilenceTimeout is the time after which a server counts as silent in the fuzz
+	// test of silences, and fuzzTokenInterval the objective that adds to it in a stream.
+	fuzzSilenceTimeout = 4 * time.Millisecond
+	fuzzTokenInterval  = 2 * time.Millisecond
+	// maxFuzzSilence is the longest silence of a server.
+	maxFuzzSilence = 12 * time.Millisecond
+)
+
+// drawSilences inserts silences between the bytes of a response.
+func drawSilences(t *rapid.T, text string) string {
+	places := rapid.SliceOfN(rapid.IntRange(0, len(text)), 0, 3).Draw(t, "silences")
+	slices.Sort(places)
+	for _, at := range slices.Backward(places) {
+		text = text[:at] + silence + text[at:]
+	}
+	return text
+}
+
+// Guards against LOST: whatever other servers send and however long they take, a request
+// whose first server is only silent at times gets one whole response, without a gap or
+// a repetition, unless a server that took over from the first one breaks off.
+func TestSilentServersNeverLoseAnswers(t *testing.T) {
+	flagtest.SetDefault(t, "rapid.seed", "1")
+	flagtest.SetDefault(t, "rapid.checks", "200")
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		header := "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: seal-0\r\nConnection: close\r\n"
+		text := streamBody(0)
+		framed := fmt.Sprintf("%sContent-Length: %d\r\n\r\n", header, len(text))
+		backends := []*backend{newBackend(c, framed+drawSilences(t, text))}
+		if rapid.Bool().Draw(t, "silent before the header") {
+			backends[0] = newBackend(c, silence+framed+text)
+		}
+		for number := range rapid.IntRange(0, 2).Draw(t, "others") {
+			answer := drawAnswer(t, number+1, true)
+			backends = append(backends, newBackend(c, drawSilences(t, answer.text)))
+		}
+		for _, backend := range backends {
+			backend.silenceTime = time.Duration(rapid.Int64Range(1, int64(maxFuzzSilence)).Draw(t, "silence"))
+		}
+		b := newTestbedOn(c, backends...)
+		b.server.minSilence = fuzzSilenceTimeout
+		response, body, err := b.do(b.request(http.MethodPost, "/stream/quick/", "x"))
+		brokeOff := slices.Contains(b.scheduler.outcomes, dispatch.OutcomeStalled) && slices.Contains(b.scheduler.outcomes, dispatch.OutcomeBroken)
+		if brokeOff && response.StatusCode == http.StatusOK {
+			checkFuzzedStream(t, body, err == nil)
+			return
+		}
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("status %d, body %q, error %v, outcomes %v", response.StatusCode, body, err, b.scheduler.outcomes)
+		}
+		checkFuzzedStream(t, body, true)
+	})
+}
+
 // checkFuzzedStream checks that the events are the first ones of the stream, and all
 // of them if it ended as complete.
 func checkFuzzedStream(t *rapid.T, body string, complete bool) {
--- /dev/null
+++ b/ingress/backup.go
@@ -0,0 +1,188 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"greengagedock.example/dispatch"
+)
+
+// maxSilences is the number of silence timeouts in a row after which a server that no
+// backup replaced is reported as stalled.
+const maxSilences = 2
+
+// backup is an attempt beside one whose server is silent. The response comes from the
+// one whose server is the first to send an event, or a whole response; the other is
+// cancelled. The server that is silent may thus go on while no other one takes over.
+type backup struct {
+	attempt *attempt
+	// ended is closed once the attempt is ready to take over or has failed.
+	ended chan struct{}
+	ready bool
+}
+
+// begin makes an attempt the one whose response is forwarded.
+func (q *request) begin(a *attempt) {
+	q.lastGrant = a.grant
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.current = a
+}
+
+// progressed records that the server of the current attempt has sent an event or a
+// whole response, and drops the backup. It reports false if the backup has taken over.
+func (q *request) progressed(a *attempt) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.server.timers.Now()
+	if q.backup != nil {
+		if q.backup.ready {
+			return false
+		}
+		if q.backup.attempt.sent {
+			q.ran++
+		}
+		q.backup.attempt.cancel(errSuperseded)
+		q.backup = nil
+	}
+	if a.silence.fired > 0 {
+		q.server.log.Info("server no longer silent", "id", q.id, "send", a.number, "server", a.grant.Server(), "silent", now.Sub(a.silence.lastData))
+	}
+	a.silence.lastData, a.silence.fired = now, 0
+	if a.events == nil || !q.mayResume() {
+		a.silence.stop()
+		return true
+	}
+	a.silence.timeout = q.server.minSilence + q.route.TokenIntervalObjective()
+	if a.silence.timer == nil {
+		a.silence.timer = time.AfterFunc(a.silence.timeout, func() { q.serverSilent(a) })
+	} else {
+		a.silence.timer.Reset(a.silence.timeout)
+	}
+	return true
+}
+
+// serverSilent starts a backup of the current attempt, whose server has sent nothing
+// for its silence timeout. A backup that fails is followed by another one after the
+// same time, as far as attempts and retry budget go.
+func (q *request) serverSilent(a *attempt) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.server.timers.Now()
+	silent := now.Sub(a.silence.lastData)
+	if q.current != a || q.backup != nil || silent < a.silence.timeout || a.ctx.Err() != nil {
+		return // data arrived as the timer fired, or the attempt ends
+	}
+	a.silence.fired++
+	if a.silence.fired == maxSilences {
+		go q.server.scheduler.Fault(q.service.Name(), a.grant.Address(), dispatch.OutcomeStalled)
+	}
+	allowed := q.sends < maxSends && q.allowRetry()
+	q.server.log.Info("server silent", "id", q.id, "send", a.number, "server", a.grant.Server(), "silent", silent,
+		"after_event", q.stream.lastID, "backup", allowed)
+	if !allowed {
+		a.silence.timer.Reset(a.silence.timeout)
+		return
+	}
+	q.sends++
+	q.exclude = append(q.exclude, a.grant.Server())
+	b := &backup{attempt: q.newAttempt(a.parent), ended: make(chan struct{})}
+	q.backup = b
+	q.backups.Go(func() { q.runBackup(b, a) })
+}
+
+// runBackup opens a backup of an attempt and has it take over if no event of the
+// attempt arrives before.
+func (q *request) runBackup(b *backup, of *attempt) {
+	defer close(b.ended)
+	a := b.attempt
+	err := a.acquire()
+	if err == nil && a.grant.Server() == of.grant.Server() {
+		q.server.scheduler.Ended(q.service.Name(), a.grant.ID(), dispatch.OutcomeCancelled)
+		err = NewRefusal(dispatch.ReasonNoServer, defaultRetryAfter)
+	}
+	if err != nil {
+		a.cancel(nil)
+		q.server.log.Info("no backup", "id", q.id, "send", a.number, "error", err)
+		q.endBackup(b, of)
+		return
+	}
+	outcome, err := a.open()
+	if err == nil && q.takeOver(b, of) {
+		return
+	}
+	if err == nil || errors.Is(context.Cause(a.ctx), errSuperseded) {
+		outcome, err = dispatch.OutcomeCancelled, errSuperseded
+	}
+	a.close(outcome)
+	if !errors.Is(err, errSuperseded) {
+		q.recordFailure(a, outcome, err)
+	}
+	q.endBackup(b, of)
+}
+
+// takeOver cancels an attempt in favour of its backup, unless the backup was dropped.
+func (q *request) takeOver(b *backup, of *attempt) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.backup != b {
+		return false
+	}
+	b.ready = true
+	of.cancel(errServerTimeout)
+	return true
+}
+
+// endBackup removes a backup that failed, and has the attempt wait for another one.
+func (q *request) endBackup(b *backup, of *attempt) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.backup != b {
+		return
+	}
+	q.backup = nil
+	if q.current == of && of.silence.timer != nil {
+		of.silence.timer.Reset(of.silence.timeout)
+	}
+}
+
+// awaitBackup returns the backup that takes over from the attempt that just failed,
+// nil if there is none or it fails too.
+func (q *request) awaitBackup(ctx context.Context) *attempt {
+	q.mu.Lock()
+	q.current = nil
+	b := q.backup
+	q.mu.Unlock()
+	if b == nil {
+		return nil
+	}
+	select {
+	case <-b.ended:
+	case <-ctx.Done():
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !b.ready {
+		return nil
+	}
+	q.backup = nil
+	return b.attempt
+}
+
+// endAttempts closes the backup of a request that ends, also one that was ready, and
+// waits until no other goroutine uses the request.
+func (q *request) endAttempts() {
+	q.mu.Lock()
+	b := q.backup
+	q.current, q.backup = nil, nil
+	q.mu.Unlock()
+	if b != nil {
+		b.attempt.cancel(errSuperseded)
+	}
+	q.backups.Wait()
+	if b != nil && b.ready {
+		b.attempt.close(dispatch.OutcomeCancelled)
+	}
+}
--- a/ingress/connection_test.go
+++ b/ingress/connection_test.go
@@ -17,7 +17,7 @@
 // listen starts a server with the limits and returns a connection to it.
 func (b *testbed) listen(limits routing.Limits) net.Conn {
 	route := routing.NewRoute("r", "h.example", "/", routing.KindNonIdempotent).WithPublic(true).WithTimes(time.Second, time.Second, 0)
-	server := b.server(routing.NewTable(1, []routing.Route{route}, nil, nil, limits), map[string]routing.Server{
+	server := b.newServer(routing.NewTable(1, []routing.Route{route}, nil, nil, limits), map[string]routing.Server{
 		"s1": routing.NewServer("s1", "", "", "a", 6),
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -55,7 +55,8 @@
 // backend is a server that answers its i-th connection with its i-th step, the
 // text of a whole response, and then closes it.
 type backend struct {
-	address string
+	address     string
+	silenceTime time.Duration
 
 	mu       sync.Mutex
 	requests []string
@@ -64,9 +65,9 @@
 // hang is a step that leaves the request unanswered until the connection is closed.
 const hang = "hang"
 
-// Where a step contains silence, its server sends nothing for silenceTime and then goes
-// on: for longer than an entry waits before it tries another server, and for less
-// than a caller waits.
+// Where a step contains silence, its server sends nothing for silenceTime, unless the
+// backend has another time, and then goes on: for longer than an entry waits before
+// it tries another server, and for less than a caller waits.
 const (
 	silence     = "SILENCE"
 	silenceTime = 1700 * time.Millisecond
@@ -76,7 +77,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { listener.Close() })
-	b := &backend{address: listener.Addr().String()}
+	b := &backend{address: listener.Addr().String(), silenceTime: silenceTime}
 	go func() {
 		for i := 0; ; i++ {
 			conn, err := listener.Accept()
@@ -110,7 +111,7 @@
 	}
 	for i, part := range strings.Split(strings.ReplaceAll(step, "ID", r.Header.Get("Id")), silence) {
 		if i > 0 {
-			time.Sleep(silenceTime)
+			time.Sleep(b.silenceTime)
 		}
 		fmt.Fprint(conn, part)
 	}
@@ -232,6 +233,7 @@
 	reserver  fakeReserver
 	view      atomic.Pointer[routing.View]
 	storeAway bool
+	server    *Server
 	http      *httptest.Server
 }
 
@@ -257,6 +259,7 @@
 		route("/again/", routing.KindIdempotent),
 		route("/stream/", routing.KindStream).WithResumable(true),
 		route("/stream/fixed/", routing.KindStream),
+		route("/stream/quick/", routing.KindStream).WithTimes(2*time.Second, 300*time.Millisecond, fuzzTokenInterval).WithResumable(true),
 		route("/public/", routing.KindNonIdempotent).WithPublic(true),
 	}, []routing.Service{routing.NewService("desk")}, map[string]routing.Account{"k1": routing.NewAccount("team", -1)},
 		routing.NewLimits(2000, 1000, 0, 0))
@@ -269,13 +272,14 @@
 		servers[id] = routing.NewServer(id, "desk", "", "a", 6)
 	}
 	b := &testbed{c: c, scheduler: &fakeScheduler{backends: backends}}
-	b.http = httptest.NewServer(b.server(table, servers))
+	b.server = b.newServer(table, servers)
+	b.http = httptest.NewServer(b.server)
 	c.Cleanup(b.http.Close)
 	return b
 }
 
-// server returns a server that routes by the table.
-func (b *testbed) server(table *routing.Table, servers map[string]routing.Server) *Server {
+// newServer returns a server that routes by the table.
+func (b *testbed) newServer(table *routing.Table, servers map[string]routing.Server) *Server {
 	timers := &timer.Service{}
 	b.view.Store(routing.NewView(1, table, servers, nil))
 	client := upstream.NewClient(fakeHeaders{}, timers, upstream.Dialer{})
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"greengagedock.example/dispatch"
@@ -55,14 +56,20 @@
 	outgoing upstream.Request
 	deadline time.Time
 
-	sends         int
-	ran           int // sends after which a server may have run the request
-	exclude       []string
 	firstResponse time.Time
 	lastGrant     dispatch.Grant
 	wroteHeader   bool
-	buffered      *bufferedResponse // the last server error, forwarded if no retry succeeds
-	stream        streamPosition
+
+	backups sync.WaitGroup
+	// mu guards the fields below while a backup attempt may be open.
+	mu       sync.Mutex
+	sends    int
+	ran      int // sends after which a server may have run the request
+	exclude  []string
+	buffered *bufferedResponse // the last server error, forwarded if no retry succeeds
+	stream   streamPosition
+	current  *attempt // the attempt whose response is forwarded, nil between attempts
+	backup   *backup
 }
 
 // serve answers the request, and logs and records its result.
@@ -176,25 +183,28 @@
 // sendWithRetries sends the request until a response was forwarded, no retry is
 // allowed, or the deadline has passed.
 func (q *request) sendWithRetries(ctx context.Context) {
-	for {
-		q.sends++
-		grant, err := q.acquire(ctx)
-		if err != nil {
-			q.giveUp(ctx, err)
-			return
-		}
-		outcome, err := q.send(ctx, grant)
-		if mayHaveRun(outcome) {
-			q.ran++
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for a := (*attempt)(nil); ; {
+		if a == nil {
+			var err error
+			if a, err = q.place(ctx); err != nil {
+				q.giveUp(ctx, err)
+				return
+			}
 		}
-		q.server.scheduler.Ended(q.service.Name(), grant.ID(), outcome)
+		outcome, err := q.forward(a)
+		a.close(outcome)
 		if err == nil {
+			q.endAttempts()
 			q.logEnd("served", "outcome", string(outcome))
 			q.recordResult(ResultServed)
 			return
 		}
-		q.server.log.Info("send failed", "id", q.id, "send", q.sends, "server", grant.Server(), "outcome", string(outcome), "error", err)
-		q.exclude = append(q.exclude, grant.Server())
+		q.recordFailure(a, outcome, err)
+		if a = q.awaitBackup(ctx); a != nil {
+			continue
+		}
 		if ctx.Err() != nil || !q.mayRetry(outcome) {
 			q.giveUp(ctx, err)
 			return
@@ -202,6 +212,33 @@
 	}
 }
 
+// place returns an attempt at the server that the scheduler chooses.
+func (q *request) place(ctx context.Context) (*attempt, error) {
+	q.mu.Lock()
+	q.sends++
+	a := q.newAttempt(ctx)
+	q.mu.Unlock()
+	if err := a.acquire(); err != nil {
+		a.cancel(nil)
+		return nil, err
+	}
+	return a, nil
+}
+
+// recordFailure records an attempt whose response could not be forwarded.
+func (q *request) recordFailure(a *attempt, outcome dispatch.Outcome, err error) {
+	q.server.log.Info("send failed", "id", q.id, "send", a.number, "server", a.grant.Server(), "outcome", string(outcome), "error", err)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if mayHaveRun(outcome) {
+		q.ran++
+	}
+	if a.body != nil && a.body.status >= http.StatusInternalServerError {
+		q.buffered = a.body
+	}
+	q.exclude = append(q.exclude, a.grant.Server())
+}
+
 // mayHaveRun reports whether a server may have run a request that ended with the outcome.
 func mayHaveRun(outcome dispatch.Outcome) bool {
 	switch outcome {
@@ -215,6 +252,8 @@
 // mayRetry reports whether the request may be sent again after the outcome. A
 // request that was never sent does not count against the retry budget.
 func (q *request) mayRetry(outcome dispatch.Outcome) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	switch outcome {
 	case dispatch.OutcomeUnreachable:
 		return q.sends < maxSends
@@ -227,29 +266,12 @@
 			return false
 		}
 	}
-	return q.server.retryLimiter.allowRetry(q.server.timers.Now(), q.service.Name(), q.server.views.Entries())
+	return q.allowRetry()
 }
 
-// acquire returns a placement whose servers are still usable when it is granted.
-func (q *request) acquire(ctx context.Context) (dispatch.Grant, error) {
-	for try := 0; ; try++ {
-		req := q.placementRequest()
-		grant, err := q.server.scheduler.Acquire(ctx, req)
-		if err != nil {
-			return grant, err
-		}
-		q.server.log.Info("placed", "id", q.id, "send", q.sends, "service", q.service.Name(), "server", grant.Server(),
-			"helpers", workerIDs(grant), "prompt", req.Prompt(), "expected", grant.TimeToFirstToken(), "waited", grant.Waited(), "why", grant.Explanation(),
-			"revision", q.server.views.View().Revision())
-		if q.usable(grant) {
-			return grant, nil
-		}
-		q.server.scheduler.Ended(q.service.Name(), grant.ID(), dispatch.OutcomeCancelled)
-		if try >= maxSends {
-			return grant, NewRefusal(dispatch.ReasonNoServer, defaultRetryAfter)
-		}
-		q.exclude = append(q.exclude, grant.Server())
-	}
+// allowRetry reports whether another send is within the retry budget, and counts it if so.
+func (q *request) allowRetry() bool {
+	return q.server.retryLimiter.allowRetry(q.server.timers.Now(), q.service.Name(), q.server.views.Entries())
 }
 
 // workerIDs returns the ids of a grant's prefill workers, separated by commas.
@@ -269,6 +291,7 @@
 	})
 }
 
+// placementRequest returns the request for a placement; q.mu must be held.
 func (q *request) placementRequest() dispatch.Request {
 	n := q.server.requestSeq.Add(1)
 	priority := q.account.Priority()
@@ -285,7 +308,7 @@
 		WithTimes(q.start, q.start.Add(q.route.Objective()), q.deadline).
 		WithFirstTokenDeadline(q.firstEventDeadline()).
 		WithMaxTokenInterval(q.route.TokenIntervalObjective()).
-		WithExclude(q.exclude...)
+		WithExclude(slices.Clone(q.exclude)...)
 }
 
 // firstEventDeadline returns the time at which the caller disconnects if no event arrives.
@@ -306,6 +329,7 @@
 
 // giveUp answers a request whose last send failed or that could not be placed.
 func (q *request) giveUp(ctx context.Context, err error) {
+	q.endAttempts()
 	if q.r.Context().Err() != nil {
 		q.logEnd("caller disconnected", "error", err)
 		q.recordResult(ResultCallerGone)
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -13,7 +13,6 @@
 	"github.com/rotisserie/eris"
 
 	"greengagedock.example/dispatch"
-	"greengagedock.example/routing"
 	"greengagedock.example/upstream"
 )
 
@@ -28,14 +27,14 @@
 const (
 	// maxBufferedBytes bounds a response that is read whole before it is forwarded.
 	maxBufferedBytes = 256 << 10
-	// minSilenceTimeout is the shortest time without data after which a send is
-	// abandoned: longer than one prefill pass of a fully loaded engine, and
-	// shorter than callers wait.
+	// minSilenceTimeout is the shortest time without data after which the request is
+	// also sent to another server: longer than one prefill pass of a fully loaded
+	// engine, and shorter than callers wait.
 	minSilenceTimeout = 1250 * time.Millisecond
 	// silenceFactor is how many times the expected time to first token a server may take.
 	silenceFactor = 3
 	// silenceFraction is the fraction of the time left that a call to a plain
-	// service may take before it is retried elsewhere.
+	// service may take before it is also sent to another server.
 	silenceFraction = 0.5
 )
 
@@ -62,64 +61,6 @@
 	}
 }
 
-// send sends the request to the server of a grant and forwards the response.
-func (q *request) send(ctx context.Context, grant dispatch.Grant) (dispatch.Outcome, error) {
-	q.lastGrant = grant
-	now := q.server.timers.Now()
-	if q.sends == 1 {
-		q.server.retryLimiter.recordFirstSend(now, q.service.Name())
-	}
-	reserved, err := q.reserve(ctx, grant)
-	if err != nil {
-		return dispatch.OutcomeRejected, err
-	}
-	defer reserved.release()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silenceTimer := time.AfterFunc(time.Hour, func() { cancel(errServerTimeout) })
-	defer silenceTimer.Stop()
-	if silenceTimeout := q.silenceTimeout(grant, now); silenceTimeout < q.deadline.Sub(now) {
-		silenceTimer.Reset(silenceTimeout)
-	}
-	metadata := upstream.NewRequestMetadata(grant.Server(), q.account.Name(), q.deadline.Sub(now)).WithLastEventID(q.lastEventID())
-	response, err := q.server.client.Send(ctx, grant.Address(), q.outgoing, metadata.WithPrefillWorkers(reserved.prefillWorkers(grant)...))
-	if err != nil {
-		return sendOutcome(ctx, err), err
-	}
-	defer response.Close()
-	if response.Metadata().NotRun() {
-		return q.notRun(grant, response)
-	}
-	if q.route.Kind() == routing.KindStream && response.Status() == http.StatusOK {
-		return q.forwardStream(ctx, silenceTimer, grant, response)
-	}
-	return q.forwardBuffered(ctx, response)
-}
-
-// silenceTimeout returns how long the server may take until its first byte.
-func (q *request) silenceTimeout(grant dispatch.Grant, now time.Time) time.Duration {
-	left := q.deadline.Sub(now)
-	if !q.route.Repeatable() || q.ran+1 >= q.route.MaxAttempts() {
-		return left
-	}
-	if q.service.Engine() == nil {
-		return time.Duration(silenceFraction * float64(left))
-	}
-	timeout := minSilenceTimeout
-	if len(grant.PrefillWorkers()) > 0 {
-		// A server that waits for a dead prefill worker reports which one it is.
-		timeout = max(timeout, q.server.workerStall)
-	}
-	return min(left, timeout+silenceFactor*grant.TimeToFirstToken())
-}
-
-func (q *request) lastEventID() string {
-	if q.stream.lastID != "" {
-		return q.stream.lastID
-	}
-	return q.metadata.lastEventID
-}
-
 // sendOutcome returns the outcome of a send without a response.
 func sendOutcome(ctx context.Context, err error) dispatch.Outcome {
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -129,41 +70,48 @@
 }
 
 // notRun returns the outcome of a request that a server did not run.
-func (q *request) notRun(grant dispatch.Grant, response *upstream.Response) (dispatch.Outcome, error) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxBufferedBytes)) // after an error Close closes the connection
-	metadata := response.Metadata()
+func (a *attempt) notRun() (dispatch.Outcome, error) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.response, maxBufferedBytes)) // after an error Close closes the connection
+	metadata := a.response.Metadata()
 	outcome := dispatch.OutcomeRejected
 	if metadata.Misdirected() {
 		outcome = dispatch.OutcomeReplaced
 	}
-	err := eris.Wrapf(errNotRun, "status %d, at fault %q", response.Status(), metadata.FaultAddress())
-	if fault := metadata.FaultAddress(); fault != "" && fault != grant.Address() {
-		q.server.scheduler.Fault(q.service.Name(), fault, dispatch.OutcomeStalled)
+	err := eris.Wrapf(errNotRun, "status %d, at fault %q", a.response.Status(), metadata.FaultAddress())
+	if fault := metadata.FaultAddress(); fault != "" && fault != a.grant.Address() {
+		a.request.server.scheduler.Fault(a.request.service.Name(), fault, dispatch.OutcomeStalled)
 		return dispatch.OutcomeRejected, err
 	}
 	return outcome, err
 }
 
-// forwardBuffered reads a response to its end and forwards it; a response over
-// maxBufferedBytes is forwarded as it arrives.
-func (q *request) forwardBuffered(ctx context.Context, response *upstream.Response) (dispatch.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
-	if err != nil {
-		return brokenOutcome(ctx), eris.Wrapf(errTruncated, "%v", err)
+// forward forwards the response of an attempt, which a backup may have opened already.
+func (q *request) forward(a *attempt) (dispatch.Outcome, error) {
+	q.begin(a)
+	if !a.opened {
+		if outcome, err := a.open(); err != nil {
+			return outcome, err
+		}
 	}
-	q.firstResponse = q.server.timers.Now()
-	buffered := &bufferedResponse{status: response.Status(), header: response.Header(), body: body}
-	if len(body) > maxBufferedBytes {
-		return q.forwardRest(response, buffered)
+	switch {
+	case a.events != nil:
+		return q.forwardStream(a)
+	case !q.progressed(a):
+		return dispatch.OutcomeStalled, errServerTimeout
+	default:
+		return q.forwardBuffered(a)
 	}
-	if response.Status() >= http.StatusInternalServerError {
-		q.buffered = buffered
-		if q.route.Repeatable() {
-			return dispatch.OutcomeServerError, eris.Wrapf(errServerError, "status %d", response.Status())
-		}
+}
+
+// forwardBuffered forwards a response of which the first part was read already; the
+// rest of one over maxBufferedBytes is forwarded as it arrives.
+func (q *request) forwardBuffered(a *attempt) (dispatch.Outcome, error) {
+	q.firstResponse = q.server.timers.Now()
+	if len(a.body.body) > maxBufferedBytes {
+		return q.forwardRest(a.response, a.body)
 	}
-	buffered.write(q.w)
-	if buffered.status >= http.StatusInternalServerError {
+	a.body.write(q.w)
+	if a.body.status >= http.StatusInternalServerError {
 		return dispatch.OutcomeServerError, nil
 	}
 	return dispatch.OutcomeComplete, nil
@@ -197,42 +145,32 @@
 	return dispatch.OutcomeBroken
 }
 
-// forwardStream forwards the events of a response as they arrive.
-func (q *request) forwardStream(ctx context.Context, silenceTimer *time.Timer, grant dispatch.Grant, response *upstream.Response) (dispatch.Outcome, error) {
+// forwardStream forwards the events of a stream, from its first one on, as they arrive.
+func (q *request) forwardStream(a *attempt) (dispatch.Outcome, error) {
 	control := http.NewResponseController(q.w)
 	_ = control.SetWriteDeadline(q.deadline.Add(responseMargin)) // if it fails, a caller that stops reading is detected later
-	reader := newEventReader(response)
-	maxInterval := minSilenceTimeout + q.route.TokenIntervalObjective()
-	started := false
-	for {
-		event, err := reader.next()
-		if err == io.EOF {
-			return q.finishStream(response, reader)
+	next, err := a.firstEvent, a.firstErr
+	for ; ; next, err = a.events.next() {
+		if err != nil && err != io.EOF {
+			return brokenOutcome(a.ctx), eris.Wrapf(errTruncated, "after event %q: %v", q.stream.lastID, err)
 		}
-		if err != nil {
-			return brokenOutcome(ctx), eris.Wrapf(errTruncated, "after event %q: %v", q.stream.lastID, err)
+		if !q.progressed(a) {
+			return dispatch.OutcomeStalled, errServerTimeout
 		}
-		if !started {
-			started = true
-			q.server.scheduler.Started(q.service.Name(), grant.ID())
-			if q.firstResponse.IsZero() {
-				q.firstResponse = q.server.timers.Now()
-			}
+		if err == io.EOF {
+			return q.finishStream(a)
 		}
-		if q.mayResume() {
-			silenceTimer.Reset(maxInterval)
-		} else {
-			silenceTimer.Stop()
+		if q.firstResponse.IsZero() {
+			q.firstResponse = q.server.timers.Now()
 		}
-		if !q.stream.accept(event) {
+		if !q.acceptEvent(next) {
 			continue
 		}
-		q.stream.forwarded(q.server.timers.Now())
-		q.writeHeader(response)
-		if _, err := q.w.Write(event.raw); err != nil {
+		q.writeHeader(a.response)
+		if _, err := q.w.Write(next.raw); err != nil {
 			return dispatch.OutcomeCancelled, fmt.Errorf("caller: %w", err)
 		}
-		if !reader.buffered() {
+		if !a.events.buffered() {
 			if err := control.Flush(); err != nil {
 				return dispatch.OutcomeCancelled, fmt.Errorf("caller: %w", err)
 			}
@@ -240,17 +178,23 @@
 	}
 }
 
-// mayResume reports whether the stream may resume at another server.
-func (q *request) mayResume() bool {
-	return q.route.Resumable() && q.ran+1 < q.route.MaxAttempts()
+// acceptEvent reports whether an event is new to the caller, and counts it if so.
+func (q *request) acceptEvent(next event) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.stream.accept(next) {
+		return false
+	}
+	q.stream.forwarded(q.server.timers.Now())
+	return true
 }
 
 // finishStream returns the outcome of a stream whose body ended without an error.
-func (q *request) finishStream(response *upstream.Response, reader *eventReader) (dispatch.Outcome, error) {
-	if reader.partial() {
+func (q *request) finishStream(a *attempt) (dispatch.Outcome, error) {
+	if a.events.partial() {
 		return dispatch.OutcomeBroken, eris.Wrap(errTruncated, "ended within an event")
 	}
-	q.writeHeader(response)
+	q.writeHeader(a.response)
 	return dispatch.OutcomeComplete, nil
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -48,6 +48,8 @@
 	retryLimiter retryLimiter
 	bodyMemory   bodyMemory
 	workerStall  time.Duration
+	// minSilence is minSilenceTimeout, or less in tests.
+	minSilence time.Duration
 	// reservationHold is how long a KV reservation lasts unless it is renewed.
 	reservationHold time.Duration
 	http            *http.Server
@@ -62,6 +64,7 @@
 	s.retryLimiter.budget = limits.retries
 	s.bodyMemory.available.Store(limits.bodyMemory)
 	s.workerStall = limits.workerStall
+	s.minSilence = minSilenceTimeout
 	s.reservationHold = limits.reservationHold
 	s.http = &http.Server{
 		Handler:           s,
