gateway: let a connection to a server outlive a short silence of its instance

Same class of fault as the streams of silent servers (LOST), one layer below: sent data that stayed unacknowledged for 1.5 s closed the connection, and with it a response that the server would have gone on with. On Linux that time also ends a connection whose keep-alive probes are unanswered, after 2 s in place of the 3 s that the design states.

Requests to backend servers now allow for the same time in both cases, the 3 s within which the memory of a vanished server's request must be released. Connections to entries and the store keep the shorter time: their calls are short and repeated, and a connection that went silent for good must be replaced soon.

Ruled out: a longer time for all connections, for the reason just named.

Before: the new test fails with the dialer used so far (1.5 s). Now it passes.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -90,7 +90,7 @@
 	p := &Process{settings: settings, log: log, logs: logs, stop: make(chan struct{})}
 	incarnation := newIncarnation()
 	p.control = newControl(settings, incarnation, platform.Decode, log, &p.timers)
-	p.client = upstream.NewClient(platform.Headers, &p.timers, settings.timeouts.Dialer())
+	p.client = upstream.NewClient(platform.Headers, &p.timers, settings.timeouts.ServerDialer())
 	p.peerClient = mesh.NewClient(settings.timeouts.Dialer())
 	p.control.markReachable = p.peerClient.MarkReachable
 	retries := ingress.NewRetryBudget(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
--- a/gateway/timeouts.go
+++ b/gateway/timeouts.go
@@ -76,8 +76,15 @@
 	return min(usual, time.Duration(fraction*float64(bound)))
 }
 
-// Dialer returns the dialer for connections to backend servers, entries and the
-// store, which fail in time for the memory of a request to be released.
+// ServerDialer returns the dialer for requests to backend servers. A server that is
+// silent for a second or so keeps its connections; one that has vanished loses them in
+// time for the memory of a request to be released.
+func (t Timeouts) ServerDialer() upstream.Dialer {
+	return upstream.NewDialer(t.silence(), t.silence())
+}
+
+// Dialer returns the dialer for connections to entries, to the store and for commands
+// to backend servers, whose calls are short and repeated.
 func (t Timeouts) Dialer() upstream.Dialer {
 	return upstream.NewDialer(t.silence(), within(usualUnacknowledged, unacknowledgedFraction, t.bounds.memoryFree))
 }
--- a/gateway/timeouts_test.go
+++ b/gateway/timeouts_test.go
@@ -20,6 +20,18 @@
 	}
 }
 
+// Guards against LOST: the instance of a sound server acknowledges nothing for a second
+// or so, and the connection on which its response is awaited stays open.
+func TestConnectionToServerOutlivesShortSilence(t *testing.T) {
+	c := qt.New(t)
+	const shortSilence = 2 * time.Second
+	for _, memoryFree := range []time.Duration{0, 4 * time.Second, 8 * time.Second} {
+		timeouts := NewTimeouts(NewBounds(memoryFree, 0, 0))
+		c.Check(timeouts.ServerDialer().Unacknowledged() > shortSilence, qt.IsTrue)
+		c.Check(timeouts.ServerDialer().Unacknowledged() <= timeouts.silence(), qt.IsTrue)
+	}
+}
+
 // Each timeout stays within the bound that depends on it, whatever the bound, and is
 // no longer than usual if the bound allows more.
 func TestTimeoutsFitTheirBounds(t *testing.T) {
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -16,6 +16,7 @@
 	// a lost SYN.
 	dialTimeout = 500 * time.Millisecond
 	// defaultUnacknowledgedTimeout closes a connection whose sent data stays unacknowledged.
+	// Linux also applies it to unanswered keep-alive probes, whatever their number.
 	defaultUnacknowledgedTimeout = 1500 * time.Millisecond
 	// keepAliveInterval is the time between two keep-alive probes; the system counts whole seconds.
 	keepAliveInterval = time.Second
@@ -37,6 +38,11 @@
 	return Dialer{silence: silence, unacknowledged: unacknowledged}
 }
 
+// Unacknowledged returns how long sent data may stay unacknowledged.
+func (d Dialer) Unacknowledged() time.Duration {
+	return cmp.Or(d.unacknowledged, defaultUnacknowledgedTimeout)
+}
+
 // keepAliveProbes returns the number of probes that are sent before a connection fails.
 func (d Dialer) keepAliveProbes() int {
 	return max(1, int(cmp.Or(d.silence, defaultSilenceTimeout)/keepAliveInterval)-1)
@@ -55,7 +61,7 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var optErr error
 			err := raw.Control(func(fd uintptr) {
-				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(cmp.Or(d.unacknowledged, defaultUnacknowledgedTimeout).Milliseconds()))
+				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Unacknowledged().Milliseconds()))
 			})
 			if err != nil {
 				return err
