platform, ingress: log the shared parts of the prompt of a failed send

Observability for the incident of the crashing prompt part: the logs could not tell which part the requests share that had no event when their server ended, so that a part could not be told from cold or overloaded servers. No behaviour changes.

--- a/ingress/metadata.go
+++ b/ingress/metadata.go
@@ -14,6 +14,7 @@
 	promptTokens int
 	answerTokens int
 	lastEventID  string
+	sharedParts  []string
 }
 
 // NewRequestMetadata returns the metadata of the attempt with the given id, which may be empty.
@@ -39,6 +40,13 @@
 	return m
 }
 
+// WithSharedParts returns the metadata with the ids of the parts of the prompt that
+// other prompts may share.
+func (m RequestMetadata) WithSharedParts(parts []string) RequestMetadata {
+	m.sharedParts = parts
+	return m
+}
+
 // WithLastEventID returns the metadata with the id of the event after which the stream resumes.
 func (m RequestMetadata) WithLastEventID(id string) RequestMetadata {
 	m.lastEventID = id
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -227,7 +227,8 @@
 
 // recordFailure records an attempt whose response could not be forwarded.
 func (q *request) recordFailure(a *attempt, outcome dispatch.Outcome, err error) {
-	q.server.log.Info("send failed", "id", q.id, "send", a.number, "server", a.grant.Server(), "outcome", string(outcome), "error", err)
+	q.server.log.Info("send failed", "id", q.id, "send", a.number, "server", a.grant.Server(), "outcome", string(outcome),
+		"parts", strings.Join(q.metadata.sharedParts, ","), "error", err)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if mayHaveRun(outcome) {
