ingress: show that a crashing prompt part goes on ending servers

Thirty requests share a part at which a server ends before its first event; sound requests share their other part.

--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -57,9 +58,13 @@
 type backend struct {
 	address     string
 	silenceTime time.Duration
+	// crashingPart is a part of a prompt at which the server ends: it closes the
+	// connection without a response.
+	crashingPart string
 
 	mu       sync.Mutex
 	requests []string
+	parts    []string // of the requests' prompts
 }
 
 // hang is a step that leaves the request unanswered until the connection is closed.
@@ -104,7 +109,11 @@
 	body, _ := io.ReadAll(r.Body)
 	b.mu.Lock()
 	b.requests = append(b.requests, fmt.Sprintf("%s %s account=%s after=%s body=%s", r.Method, r.RequestURI, r.Header.Get("Account"), r.Header.Get("After"), body))
+	b.parts = append(b.parts, r.Header.Get("Parts"))
 	b.mu.Unlock()
+	if b.crashingPart != "" && slices.Contains(strings.Split(r.Header.Get("Parts"), ","), b.crashingPart) {
+		return
+	}
 	if step == hang {
 		_, _ = reader.ReadByte() // returns when the connection is closed
 		return
--- /dev/null
+++ b/ingress/quarantine_test.go
@@ -0,0 +1,68 @@
+package ingress
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// crashingRequests is the number of requests with a crashing part in a test.
+	crashingRequests = 30
+	// maxCrashes is the number of servers that may end before the part is known, and of
+	// requests that may reach one afterwards.
+	maxCrashes = 5 + 3
+)
+
+// newCrashingBackends returns servers that end at a request with the part "bad" and
+// answer others.
+func newCrashingBackends(c *qt.C, n int) []*backend {
+	var out []*backend
+	for range n {
+		b := newBackend(c, streamResponse(threeEvents, true), streamResponse(threeEvents, true))
+		b.crashingPart = "bad"
+		out = append(out, b)
+	}
+	return out
+}
+
+// Guards against BUDGET: requests that share a part of their prompt crash server after
+// server, each at two of them.
+func TestPromptPartThatCrashesServersIsRefused(t *testing.T) {
+	c := qt.New(t)
+	backends := newCrashingBackends(c, 4*crashingRequests)
+	b := newTestbedOn(c, backends...)
+	refused := 0
+	for i := range crashingRequests {
+		r := b.request(http.MethodPost, "/stream/", "")
+		r.Header.Set("Id", fmt.Sprint("bad-", i))
+		r.Header.Set("Parts", "shared,bad")
+		response, _, err := b.do(r)
+		c.Assert(err, qt.IsNil)
+		if response.StatusCode == http.StatusServiceUnavailable {
+			c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			refused++
+		}
+		r = b.request(http.MethodPost, "/stream/", "")
+		r.Header.Set("Id", fmt.Sprint("sound-", i))
+		r.Header.Set("Parts", "shared,other")
+		response, _, err = b.do(r)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	}
+	reached := 0
+	for _, backend := range backends {
+		backend.mu.Lock()
+		for _, parts := range backend.parts {
+			if strings.Contains(parts, "bad") {
+				reached++
+			}
+		}
+		backend.mu.Unlock()
+	}
+	c.Assert(reached <= maxCrashes, qt.IsTrue, qt.Commentf("%d requests reached servers", reached))
+	c.Assert(refused >= crashingRequests-maxCrashes, qt.IsTrue, qt.Commentf("%d refused", refused))
+}
