quarantine, dispatch, gateway: keep prompt parts that crash servers away from them

Cause: nothing connected the ends. Each end of a server counted against the server alone: its request was sent to a second server at once, and the next request with the part to another. Class of fault: a failure is blamed on who ran the request, never on the request, and the retry multiplies it.

Ruled out: overloaded cold servers (the first twenty were warm, no cold limit was broken), prefill workers and preemption (no request in the histories has any).

The scheduler of a service, which sees every end, now learns which parts were on servers that ended before their requests settled, and refuses requests with such a part at once, with the time after which one will be let through. A request that goes well clears its parts, ends at one moment count once, parts that always come together are suspect only together, and what one part explains does not speak against others. What it suspects spreads with heartbeats, so that a scheduler that takes over knows it.

Before: TestPromptPartThatCrashesServersIsRefused failed, 60 requests at servers where 8 are allowed. It now places with the scheduler that entries use, in place of a fake one that could learn nothing, and paces its requests at 70 ms, since ends within 50 ms count once; the bound stands, and without the check in dispatch it still fails with 60.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"greengagedock.example/quarantine"
+)
 
 // Decision is the scheduler's response to a request: Granted, Queued or Refused.
 type Decision interface {
@@ -57,6 +61,8 @@
 	ReasonBusy Reason = "busy"
 	// ReasonPastDeadline means that the deadline has passed, or that the request can't be served in time.
 	ReasonPastDeadline Reason = "too_late"
+	// ReasonQuarantined means that requests with the same part of a prompt crash servers.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonTooLarge means that no server has enough memory.
 	ReasonTooLarge Reason = "too_large"
 )
@@ -160,12 +166,13 @@
 	answer           int
 	maxTokenInterval time.Duration
 	started          bool
+	parts            []quarantine.Part
 }
 
 // NewRunningRequest returns the running request of a request on a server and its
 // prefill workers, before its first event.
 func NewRunningRequest(request Request, server string, prefillWorkers []string) RunningRequest {
-	return RestoreRunningRequest(request.id, request.service, server, prefillWorkers, request.prompt, request.answer, request.maxTokenInterval, false)
+	return RestoreRunningRequest(request.id, request.service, server, prefillWorkers, request.prompt, request.answer, request.maxTokenInterval, false).WithParts(request.parts...)
 }
 
 // RestoreRunningRequest returns a running request with the values that its owner reports.
@@ -173,6 +180,15 @@
 	return RunningRequest{id: id, service: service, server: server, prefillWorkers: prefillWorkers, prompt: prompt, answer: answer, maxTokenInterval: maxTokenInterval, started: started}
 }
 
+// WithParts returns the running request with the parts of its prompt that others may share.
+func (r RunningRequest) WithParts(parts ...quarantine.Part) RunningRequest {
+	r.parts = parts
+	return r
+}
+
+// Parts returns the parts of the prompt that others may share.
+func (r RunningRequest) Parts() []quarantine.Part { return r.parts }
+
 // ID returns the id of the request.
 func (r RunningRequest) ID() string { return r.id }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -41,6 +41,9 @@
 	if !now.Before(request.deadline) {
 		return NewRefused(request.id, ReasonPastDeadline, p.retryAfter(now))
 	}
+	if decision := p.refuseQuarantined(now, request); decision != nil {
+		return decision
+	}
 	if decision := p.refuseHopeless(request); decision != nil {
 		return decision
 	}
@@ -55,6 +58,7 @@
 	if choice.server == nil || !p.leavesRoom(now, request, choice) {
 		return p.queueOrRefuse(now, request, ReasonBusy)
 	}
+	p.quarantine.Sent(now, request.parts)
 	return NewGranted(sched.place(now, p, owner, request, choice))
 }
 
--- /dev/null
+++ b/dispatch/quarantine.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"time"
+
+	"greengagedock.example/quarantine"
+)
+
+// SetPrimary sets whether this scheduler places a service's requests of all entries. Only
+// then does it see all evidence about prompts that crash servers, and may learn from it.
+func (sched *Scheduler) SetPrimary(service string, primary bool) {
+	if p := sched.pools[service]; p != nil {
+		p.primary = primary
+	}
+}
+
+// Suspicions returns the suspicions against parts of the prompts of a service.
+func (sched *Scheduler) Suspicions(service string) []quarantine.Suspicion {
+	if p := sched.pools[service]; p != nil {
+		return p.quarantine.Suspicions()
+	}
+	return nil
+}
+
+// SuspicionsDigest returns a hash of the suspicions of a service, 0 if there are none.
+func (sched *Scheduler) SuspicionsDigest(service string) uint64 {
+	if p := sched.pools[service]; p != nil {
+		return p.quarantine.Digest()
+	}
+	return 0
+}
+
+// MergeSuspicions adds what another scheduler suspects.
+func (sched *Scheduler) MergeSuspicions(now time.Time, service string, suspicions []quarantine.Suspicion) {
+	if p := sched.pools[service]; p != nil {
+		p.quarantine.Merge(now, suspicions)
+	}
+}
+
+// refuseQuarantined refuses a request with parts that crash servers, nil if it has none.
+func (p *pool) refuseQuarantined(now time.Time, request Request) Decision {
+	if retryAfter, refused := p.quarantine.Check(now, request.parts); refused {
+		return NewRefused(request.id, ReasonQuarantined, retryAfter)
+	}
+	return nil
+}
+
+// addSettling has a request settle once its answer has gone on for long enough.
+func (sched *Scheduler) addSettling(alloc *allocation) {
+	if p := sched.pools[alloc.service]; p != nil && p.primary && len(alloc.parts) > 0 {
+		p.settling = append(p.settling, alloc)
+	}
+}
+
+// settle records the requests of a pool that have settled.
+func (sched *Scheduler) settle(now time.Time, p *pool) {
+	n := 0
+	for ; n < len(p.settling) && now.Sub(p.settling[n].startedAt) >= quarantine.SettleTime; n++ {
+		if alloc := p.settling[n]; sched.running[alloc.id] == alloc {
+			p.quarantine.Settled(now, alloc.parts)
+		}
+	}
+	p.settling = p.settling[n:]
+	if len(p.settling) == 0 {
+		p.settling = nil // frees the array
+	}
+}
+
+// recordEvidence records what the end of a request says about the parts of its prompt.
+func (sched *Scheduler) recordEvidence(now time.Time, alloc *allocation, outcome Outcome) {
+	p := sched.pools[alloc.service]
+	if p == nil || !p.primary || len(alloc.parts) == 0 {
+		return
+	}
+	settled := alloc.started && now.Sub(alloc.startedAt) >= quarantine.SettleTime
+	switch {
+	case settled || outcome == OutcomeComplete:
+		p.quarantine.Settled(now, alloc.parts)
+	case outcome == OutcomeBroken:
+		p.quarantine.Crashed(now, alloc.server, alloc.parts)
+	}
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"greengagedock.example/quarantine"
+)
 
 // Owner identifies an incarnation of an entry, which owns the requests that it submits.
 type Owner struct {
@@ -33,6 +37,7 @@
 	firstTokenDeadline time.Time
 	maxTokenInterval   time.Duration
 	exclude            []string
+	parts              []quarantine.Part
 }
 
 // NewRequest returns a request to a service; id identifies one attempt of one caller's request.
@@ -85,6 +90,12 @@
 	return r
 }
 
+// WithParts returns the request with the parts of its prompt that others may share.
+func (r Request) WithParts(parts ...quarantine.Part) Request {
+	r.parts = parts
+	return r
+}
+
 // ID returns the id of the attempt.
 func (r Request) ID() string { return r.id }
 
@@ -121,3 +132,6 @@
 
 // Exclude returns the servers that are to be used only if there are no others.
 func (r Request) Exclude() []string { return r.exclude }
+
+// Parts returns the parts of the prompt that others may share.
+func (r Request) Parts() []quarantine.Part { return r.parts }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"greengagedock.example/quarantine"
 	"greengagedock.example/routing"
 )
 
@@ -54,6 +55,11 @@
 	// request without exclusions may use, until the next request is placed.
 	ticking          bool
 	cachedCandidates []*server
+	// primary is set while this scheduler places the requests of all entries.
+	primary    bool
+	quarantine quarantine.Registry
+	// settling holds the started requests that have not settled, in the order of their start.
+	settling []*allocation
 }
 
 // usable returns the number of usable servers and their total prefill backlog.
@@ -128,6 +134,7 @@
 func (sched *Scheduler) Tick(now time.Time) []Decision {
 	var out []Decision
 	for _, p := range sched.pools {
+		sched.settle(now, p)
 		if len(p.queue) == 0 {
 			continue
 		}
@@ -168,7 +175,8 @@
 }
 
 func (sched *Scheduler) start(now time.Time, alloc *allocation) {
-	alloc.started = true
+	alloc.started, alloc.startedAt = true, now
+	sched.addSettling(alloc)
 	s := sched.serverOf(alloc)
 	if s == nil {
 		return
@@ -205,6 +213,7 @@
 	if s := sched.serverOf(alloc); s != nil {
 		s.recordOutcome(now, outcome)
 	}
+	sched.recordEvidence(now, alloc, outcome)
 	sched.release(now, alloc)
 }
 
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -85,7 +85,9 @@
 	memory       int
 	reservations []reservation
 	// expected is when the first event is expected, zero if unknown.
-	expected     time.Time
+	expected time.Time
+	// startedAt is when the first event is known to have arrived, zero before.
+	startedAt    time.Time
 	prefillParts []prefillPart
 }
 
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -58,6 +58,8 @@
 	storeFailing atomic.Bool
 
 	view atomic.Pointer[routing.View]
+	// loggedDigest is suspicionsDigest as of the last suspicions logged.
+	loggedDigest uint64
 	// entries is the number of entries that share the fleet-wide limits.
 	entries atomic.Int64
 	state   atomic.Value // memberState
@@ -149,21 +151,25 @@
 		entries = max(entries, startupEntries)
 	}
 	c.entries.Store(int64(entries))
-	c.updateColdShares(now)
+	c.updateShares(now)
+	c.logSuspicions(now)
 	for _, decision := range c.scheduler.Tick(now) {
 		c.deliver(decision)
 	}
 }
 
-// updateColdShares sets the share of each service's cold server capacity that this
-// entry may grant: all of it as the scheduler, else an equal part per entry.
-func (c *control) updateColdShares(now time.Time) {
+// updateShares sets, for each service, whether this entry is the scheduler, and the share
+// of the capacity of cold servers that it may grant: all of it as the scheduler, else an
+// equal part per entry.
+func (c *control) updateShares(now time.Time) {
 	for _, service := range c.cache.services() {
+		primary := c.members.scheduler(now, service) == nil
 		share := 1.0
-		if c.members.scheduler(now, service) != nil {
+		if !primary {
 			share = 1 / float64(c.entries.Load())
 		}
 		c.scheduler.SetColdShare(service, share)
+		c.scheduler.SetPrimary(service, primary)
 	}
 }
 
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -5,6 +5,7 @@
 
 	"greengagedock.example/dispatch"
 	"greengagedock.example/mesh"
+	"greengagedock.example/quarantine"
 )
 
 // maxValueBytes bounds one published value; the store limits it to a megabyte.
@@ -42,6 +43,7 @@
 	AnswerTokens   int
 	TokenInterval  time.Duration
 	Started        bool
+	Parts          []quarantine.Part
 }
 
 // heartbeatMessage is a heartbeat or the response to one.
@@ -63,6 +65,20 @@
 	Counters []byte
 	// Light is set if the response is to carry neither Counters nor Members.
 	Light bool
+	// SuspicionsDigest is control.suspicionsDigest of the sender. A response lists
+	// Suspicions if the digests differ.
+	SuspicionsDigest uint64
+	Suspicions       []suspicionMessage
+}
+
+// suspicionMessage is a suspicion against parts of the prompts of a service.
+type suspicionMessage struct {
+	Service string
+	Parts   []quarantine.Part
+	Crashes int
+	Cleared int
+	// Age is the time since the last crash.
+	Age time.Duration
 }
 
 // itemsMessage requests the changes after a revision.
@@ -128,6 +144,7 @@
 	ToFirstToken  time.Duration
 	TokenInterval time.Duration
 	Exclude       []string
+	Parts         []quarantine.Part
 }
 
 // placementReply is the response to a placementMessage. The request is queued if
@@ -181,6 +198,7 @@
 		ID: r.ID(), Service: r.Service(), Domain: r.Domain(), PromptTokens: r.Prompt(), AnswerTokens: r.Answer(), Priority: r.Priority(),
 		Age: now.Sub(r.Arrived()), ToObjective: r.Objective().Sub(now), ToDeadline: r.Deadline().Sub(now),
 		ToFirstToken: r.FirstTokenDeadline().Sub(now), TokenInterval: r.MaxTokenInterval(), Exclude: r.Exclude(),
+		Parts: r.Parts(),
 	}
 }
 
@@ -192,7 +210,8 @@
 		WithTimes(now.Add(-m.Age), now.Add(m.ToObjective), now.Add(m.ToDeadline)).
 		WithFirstTokenDeadline(now.Add(m.ToFirstToken)).
 		WithMaxTokenInterval(m.TokenInterval).
-		WithExclude(m.Exclude...)
+		WithExclude(m.Exclude...).
+		WithParts(m.Parts...)
 }
 
 func encodeDecision(d dispatch.Decision) placementReply {
@@ -230,9 +249,9 @@
 }
 
 func encodeRunning(r dispatch.RunningRequest) runningMessage {
-	return runningMessage{ID: r.ID(), Service: r.Service(), Server: r.Server(), PrefillWorkers: r.PrefillWorkers(), PromptTokens: r.Prompt(), AnswerTokens: r.Answer(), TokenInterval: r.MaxTokenInterval(), Started: r.Started()}
+	return runningMessage{ID: r.ID(), Service: r.Service(), Server: r.Server(), PrefillWorkers: r.PrefillWorkers(), PromptTokens: r.Prompt(), AnswerTokens: r.Answer(), TokenInterval: r.MaxTokenInterval(), Started: r.Started(), Parts: r.Parts()}
 }
 
 func (m runningMessage) decode() dispatch.RunningRequest {
-	return dispatch.RestoreRunningRequest(m.ID, m.Service, m.Server, m.PrefillWorkers, m.PromptTokens, m.AnswerTokens, m.TokenInterval, m.Started)
+	return dispatch.RestoreRunningRequest(m.ID, m.Service, m.Server, m.PrefillWorkers, m.PromptTokens, m.AnswerTokens, m.TokenInterval, m.Started).WithParts(m.Parts...)
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -43,33 +43,39 @@
 
 func (c *control) handleHeartbeat(heartbeat heartbeatMessage) (heartbeatMessage, error) {
 	var reply heartbeatMessage
-	ok := c.do(func(now time.Time) {
-		c.applyHeartbeat(now, heartbeat)
-		owner := dispatch.NewOwner(heartbeat.From.ID, heartbeat.From.Incarnation)
-		if len(heartbeat.Schedules) > 0 {
-			running := make([]dispatch.RunningRequest, 0, len(heartbeat.Running))
-			for _, message := range heartbeat.Running {
-				running = append(running, message.decode())
-			}
-			c.scheduler.Reconcile(now, owner, heartbeat.Schedules, running)
-		}
-		reply = c.newHeartbeat(now, heartbeatTarget{})
-		if len(heartbeat.Counters) > 0 {
-			reply.Counters = c.members.encodeCounters(now)
-		}
-		// In a large fleet the schedulers get heartbeats from all entries, and
-		// leave it to other heartbeats to spread the members.
-		large := len(c.members.byID) >= gossipMinEntries
-		if heartbeat.Digest != reply.Digest && !heartbeat.Light && !(large && len(heartbeat.Schedules) > 0) {
-			reply.Members = c.unlistedMembers(now, heartbeat.Counters)
-		}
-	})
-	if !ok {
+	if !c.do(func(now time.Time) { reply = c.answerHeartbeat(now, heartbeat) }) {
 		return reply, eris.Wrap(errCall, "stopping")
 	}
 	return reply, nil
 }
 
+// answerHeartbeat applies a heartbeat and returns the response to it.
+func (c *control) answerHeartbeat(now time.Time, heartbeat heartbeatMessage) heartbeatMessage {
+	c.applyHeartbeat(now, heartbeat)
+	owner := dispatch.NewOwner(heartbeat.From.ID, heartbeat.From.Incarnation)
+	if len(heartbeat.Schedules) > 0 {
+		running := make([]dispatch.RunningRequest, 0, len(heartbeat.Running))
+		for _, message := range heartbeat.Running {
+			running = append(running, message.decode())
+		}
+		c.scheduler.Reconcile(now, owner, heartbeat.Schedules, running)
+	}
+	reply := c.newHeartbeat(now, heartbeatTarget{})
+	if len(heartbeat.Counters) > 0 {
+		reply.Counters = c.members.encodeCounters(now)
+	}
+	// In a large fleet the schedulers get heartbeats from all entries, and
+	// leave it to other heartbeats to spread the members.
+	large := len(c.members.byID) >= gossipMinEntries
+	if heartbeat.Digest != reply.Digest && !heartbeat.Light && !(large && len(heartbeat.Schedules) > 0) {
+		reply.Members = c.unlistedMembers(now, heartbeat.Counters)
+	}
+	if heartbeat.SuspicionsDigest != reply.SuspicionsDigest {
+		reply.Suspicions = c.encodeSuspicions(now)
+	}
+	return reply
+}
+
 // applyHeartbeat applies a heartbeat or the response to one.
 func (c *control) applyHeartbeat(now time.Time, heartbeat heartbeatMessage) {
 	if c.members.observe(now, heartbeat.From) {
@@ -86,6 +92,7 @@
 		}
 	}
 	c.members.mergeCounters(now, heartbeat.Counters)
+	c.mergeSuspicions(now, heartbeat.Suspicions)
 	for _, other := range heartbeat.Members {
 		if c.members.learn(other) {
 			c.log.Info("entry discovered", "entry", other.ID, "incarnation", other.Incarnation, "from", heartbeat.From.ID)
@@ -103,7 +110,7 @@
 // newHeartbeat returns this entry's heartbeat for a target, or its response to one if
 // the target has no address.
 func (c *control) newHeartbeat(now time.Time, to heartbeatTarget) heartbeatMessage {
-	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision, StoreAge: c.storeAge(now), Digest: c.members.digest()}
+	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision, StoreAge: c.storeAge(now), Digest: c.members.digest(), SuspicionsDigest: c.suspicionsDigest()}
 	if to.address == "" {
 		return heartbeat
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -166,6 +166,7 @@
 		values["processor"] = p.control.members.self.CPUCores
 		values["entries"] = len(p.control.members.live(now, p.settings.timeouts.listed())) + 1
 		values["revision"] = p.control.cache.revision
+		values["quarantined"] = p.control.quarantined()
 		if table := p.control.cache.table; table != nil {
 			values["version"] = table.Version()
 		}
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -29,6 +29,9 @@
 
 func (fakeHeaders) DecodeRequest(header http.Header) (RequestMetadata, error) {
 	metadata := NewRequestMetadata(header.Get("Id")).WithAPIKey(header.Get("Key")).WithLastEventID(header.Get("After"))
+	if text := header.Get("Parts"); text != "" {
+		metadata = metadata.WithSharedParts(strings.Split(text, ","))
+	}
 	if text := header.Get("Left"); text != "" {
 		left, err := time.ParseDuration(text)
 		if err != nil {
@@ -183,6 +186,51 @@
 
 func (s *fakeScheduler) Fault(string, string, dispatch.Outcome) {}
 
+// localScheduler places requests with the scheduler that entries use.
+type localScheduler struct {
+	mu        sync.Mutex
+	scheduler *dispatch.Scheduler
+}
+
+// newLocalScheduler returns a scheduler of the servers in a view.
+func newLocalScheduler(view *routing.View) *localScheduler {
+	s := &localScheduler{scheduler: dispatch.NewScheduler("e1")}
+	s.scheduler.SetView(time.Now(), view)
+	return s
+}
+
+func (s *localScheduler) Acquire(_ context.Context, request dispatch.Request) (dispatch.Grant, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch d := s.scheduler.Submit(time.Now(), dispatch.NewOwner("e1", 1), request).(type) {
+	case dispatch.Granted:
+		return d.Grant(), nil
+	case dispatch.Refused:
+		return dispatch.Grant{}, NewRefusal(d.Reason(), d.RetryAfter())
+	default:
+		s.scheduler.Withdraw(request.ID())
+		return dispatch.Grant{}, NewRefusal(dispatch.ReasonBusy, defaultRetryAfter)
+	}
+}
+
+func (s *localScheduler) Started(_, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Started(time.Now(), id)
+}
+
+func (s *localScheduler) Ended(_, id string, outcome dispatch.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Ended(time.Now(), id, outcome)
+}
+
+func (s *localScheduler) Fault(service, address string, outcome dispatch.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.ReportFault(time.Now(), service, address, outcome)
+}
+
 // fakeReserver records what is reserved, by address and reservation id.
 type fakeReserver struct {
 	mu          sync.Mutex
--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -3,10 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengagedock.example/routing"
 )
 
 const (
@@ -15,6 +19,9 @@
 	// maxCrashes is the number of servers that may end before the part is known, and of
 	// requests that may reach one afterwards.
 	maxCrashes = 5 + 3
+	// crashInterval is the time between two of these requests: servers that end at the
+	// same moment are evidence once.
+	crashInterval = 70 * time.Millisecond
 )
 
 // newCrashingBackends returns servers that end at a request with the part "bad" and
@@ -22,7 +29,7 @@
 func newCrashingBackends(c *qt.C, n int) []*backend {
 	var out []*backend
 	for range n {
-		b := newBackend(c, streamResponse(threeEvents, true), streamResponse(threeEvents, true))
+		b := newBackend(c, slices.Repeat([]string{streamResponse(threeEvents, true)}, crashingRequests)...)
 		b.crashingPart = "bad"
 		out = append(out, b)
 	}
@@ -35,8 +42,16 @@
 	c := qt.New(t)
 	backends := newCrashingBackends(c, 4*crashingRequests)
 	b := newTestbedOn(c, backends...)
+	servers := make(map[string]routing.Server)
+	for i, backend := range backends {
+		id := fmt.Sprint("s", i)
+		servers[id] = routing.NewServer(id, "desk", backend.address, "a", 6)
+	}
+	b.view.Store(routing.NewView(2, testTable(), servers, nil))
+	b.server.scheduler = newLocalScheduler(b.view.Load())
 	refused := 0
 	for i := range crashingRequests {
+		time.Sleep(crashInterval)
 		r := b.request(http.MethodPost, "/stream/", "")
 		r.Header.Set("Id", fmt.Sprint("bad-", i))
 		r.Header.Set("Parts", "shared,bad")
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"greengagedock.example/dispatch"
+	"greengagedock.example/quarantine"
 	"greengagedock.example/routing"
 	"greengagedock.example/upstream"
 )
@@ -55,6 +56,7 @@
 	service  routing.Service
 	outgoing upstream.Request
 	deadline time.Time
+	parts    []quarantine.Part
 
 	firstResponse time.Time
 	lastGrant     dispatch.Grant
@@ -137,6 +139,9 @@
 		}
 		q.account = account
 	}
+	for _, id := range metadata.sharedParts {
+		q.parts = append(q.parts, quarantine.ParsePart(id))
+	}
 	q.deadline = q.responseDeadline()
 	q.service, _ = q.table.Service(route.Pick(rand.Float64()))
 	return true
@@ -309,7 +314,8 @@
 		WithTimes(q.start, q.start.Add(q.route.Objective()), q.deadline).
 		WithFirstTokenDeadline(q.firstEventDeadline()).
 		WithMaxTokenInterval(q.route.TokenIntervalObjective()).
-		WithExclude(slices.Clone(q.exclude)...)
+		WithExclude(slices.Clone(q.exclude)...).
+		WithParts(q.parts...)
 }
 
 // firstEventDeadline returns the time at which the caller disconnects if no event arrives.
--- /dev/null
+++ b/quarantine/registry_test.go
@@ -0,0 +1,242 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Parts of the prompts in the tests.
+const (
+	partBad Part = 1000 + iota
+	partWorse
+	partCommon
+	partRare
+	partOther
+)
+
+var start = time.Unix(1000, 0)
+
+// at returns a time of a test.
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// crash reports servers that end one after the other, each with the given prompts.
+func crash(r *Registry, from time.Duration, n int, prompts ...[]Part) {
+	for i := range n {
+		now := at(from + time.Duration(i)*2*momentTime)
+		for _, prompt := range prompts {
+			r.Crashed(now, fmt.Sprintf("s-%v-%d", from, i), prompt)
+		}
+	}
+}
+
+func refused(r *Registry, now time.Duration, parts ...Part) bool {
+	_, out := r.Check(at(now), parts)
+	return out
+}
+
+// send sends a request, and reports whether it was refused.
+func send(r *Registry, now time.Duration, parts ...Part) bool {
+	if refused(r, now, parts...) {
+		return true
+	}
+	r.Sent(at(now), parts)
+	return false
+}
+
+func TestPartIsSuspectAfterThreeCrashes(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	crash(&r, 0, minCrashes-1, []Part{partCommon, partBad}, []Part{partRare})
+	c.Assert(refused(&r, time.Second, partBad), qt.IsFalse)
+	crash(&r, time.Second, 1, []Part{partOther, partBad}, []Part{partWorse})
+	c.Assert(refused(&r, 2*time.Second, partBad), qt.IsTrue)
+	c.Assert(refused(&r, 2*time.Second, partOther, partBad), qt.IsTrue)
+	for _, sound := range []Part{partCommon, partRare, partOther} {
+		c.Assert(refused(&r, 2*time.Second, sound), qt.IsFalse)
+	}
+	retryAfter, _ := r.Check(at(2*time.Second), []Part{partBad})
+	c.Assert(retryAfter > minQuarantine-2*time.Second && retryAfter <= minQuarantine, qt.IsTrue)
+}
+
+// While two parts account for the same crashes, neither is suspect, but not for long.
+func TestTiedPartsAreNotSuspectAtFirst(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	crash(&r, 0, decisiveCrashes-1, []Part{partBad}, []Part{partCommon})
+	c.Assert(refused(&r, time.Second, partBad), qt.IsFalse)
+	r.Settled(at(time.Second), []Part{partCommon})
+	c.Assert(refused(&r, time.Second, partBad), qt.IsTrue)
+	c.Assert(refused(&r, time.Second, partCommon), qt.IsFalse)
+
+	var unsettled Registry
+	crash(&unsettled, 0, decisiveCrashes, []Part{partBad}, []Part{partCommon})
+	c.Assert(refused(&unsettled, 2*time.Second, partBad) || refused(&unsettled, 2*time.Second, partCommon), qt.IsTrue)
+}
+
+// Whoever shares the caller and the other parts of the requests that crash servers is
+// served, also if the parts always came together before.
+func TestPartsThatAlwaysCameTogetherAreRefusedTogether(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	crash(&r, 0, 4, []Part{partCommon, partBad})
+	c.Assert(refused(&r, time.Second, partCommon, partBad), qt.IsTrue)
+	c.Assert(refused(&r, time.Second, partCommon, partOther), qt.IsFalse)
+	c.Assert(refused(&r, time.Second, partBad, partOther), qt.IsFalse)
+	// A request with one of them settles: only the other one is suspect.
+	r.Settled(at(2*time.Second), []Part{partCommon, partOther})
+	c.Assert(refused(&r, 3*time.Second, partBad, partOther), qt.IsTrue)
+	c.Assert(refused(&r, 3*time.Second, partCommon), qt.IsFalse)
+}
+
+// With another first part, one more server shows which of the two parts it is.
+func TestOtherCompanionNarrowsSuspicion(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	crash(&r, 0, 3, []Part{partCommon, partBad})
+	crash(&r, time.Second, 1, []Part{partOther, partBad})
+	c.Assert(refused(&r, 2*time.Second, partRare, partBad), qt.IsTrue)
+	c.Assert(refused(&r, 2*time.Second, partCommon), qt.IsFalse)
+}
+
+func TestTwoBadPartsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	for i := range 8 {
+		bad := []Part{partBad, partWorse}[i%2]
+		crash(&r, time.Duration(i)*time.Second/4, 1, []Part{partCommon, bad}, []Part{partRare + Part(i)})
+		r.Settled(at(time.Duration(i)*time.Second/4), []Part{partCommon})
+	}
+	c.Assert(refused(&r, 3*time.Second, partBad), qt.IsTrue)
+	c.Assert(refused(&r, 3*time.Second, partWorse), qt.IsTrue)
+	c.Assert(refused(&r, 3*time.Second, partCommon), qt.IsFalse)
+}
+
+// A part that runs on every server is not suspect when a domain is lost or the servers
+// fail one after the other.
+func TestPopularPartIsNotBlamedForOtherCauses(t *testing.T) {
+	c := qt.New(t)
+	var lost Registry
+	for i := range 40 {
+		lost.Crashed(at(time.Duration(i)*time.Millisecond), fmt.Sprint("s", i), []Part{partCommon})
+	}
+	c.Assert(refused(&lost, time.Second, partCommon), qt.IsFalse)
+
+	var rolling Registry
+	for i := range 20 {
+		now := time.Duration(i) * time.Second / 2
+		rolling.Settled(at(now-time.Second), []Part{partCommon})
+		crash(&rolling, now, 1, []Part{partCommon})
+		c.Assert(refused(&rolling, now, partCommon), qt.IsFalse)
+	}
+}
+
+// One server that breaks answers again and again, without ending, is evidence once.
+func TestOneServerIsEvidenceOnce(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	for i := range 20 {
+		r.Crashed(at(time.Duration(i)*time.Second), "s", []Part{partRare})
+	}
+	c.Assert(refused(&r, 20*time.Second, partRare), qt.IsFalse)
+}
+
+// Evidence for and against a part may arrive in any order.
+func TestOrderOfEvidenceDoesNotMatter(t *testing.T) {
+	c := qt.New(t)
+	type step func(r *Registry)
+	var steps []step
+	for i := range 4 {
+		now := at(time.Duration(i) * 200 * time.Millisecond)
+		for _, prompt := range [][]Part{{partCommon, partBad}, {partCommon, partOther}, {partRare + Part(10*i)}} {
+			steps = append(steps, func(r *Registry) { r.Crashed(now, fmt.Sprint("s", i), prompt) })
+		}
+	}
+	steps = append(steps, func(r *Registry) { r.Settled(at(300*time.Millisecond), []Part{partCommon, partOther}) })
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		random.Shuffle(len(steps), func(i, j int) { steps[i], steps[j] = steps[j], steps[i] })
+		var r Registry
+		for _, s := range steps {
+			s(&r)
+		}
+		c.Assert(refused(&r, time.Second, partCommon, partBad), qt.IsTrue)
+		c.Assert(refused(&r, time.Second, partCommon, partOther), qt.IsFalse)
+	}
+}
+
+// After a quarantine one request is let through; whether it settles decides.
+func TestHarmlessPartIsServedAgain(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	crash(&r, 0, 3, []Part{partBad})
+	end := minQuarantine + time.Second
+	c.Assert(send(&r, end, partBad), qt.IsFalse)
+	c.Assert(send(&r, end, partBad), qt.IsTrue)
+	crash(&r, end+time.Second, 1, []Part{partBad})
+	c.Assert(send(&r, end+time.Second+minQuarantine, partBad), qt.IsTrue) // twice as long now
+	end += time.Second + 2*minQuarantine
+	c.Assert(send(&r, end, partBad), qt.IsFalse)
+	r.Settled(at(end+time.Second), []Part{partBad})
+	c.Assert(send(&r, end+time.Second, partBad), qt.IsFalse)
+	c.Assert(send(&r, end+time.Second, partBad), qt.IsFalse)
+}
+
+// A part that was sound until now is suspect soon after it began to crash servers.
+func TestPartThatBecomesBadIsSuspect(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	for i := range 20 {
+		r.Settled(at(time.Duration(i)*100*time.Millisecond), []Part{partBad})
+	}
+	crash(&r, 2*time.Second, 25, []Part{partBad})
+	c.Assert(refused(&r, 5*time.Second, partBad), qt.IsTrue)
+}
+
+// What others learn of a suspicion gives the same refusals there, in any order, and so
+// does its end; the digests show whether they differ.
+func TestSuspicionsSpread(t *testing.T) {
+	c := qt.New(t)
+	var first, second Registry
+	crash(&first, 0, 4, []Part{partBad})
+	before := first.Suspicions()
+	c.Assert(second.Digest(), qt.Not(qt.Equals), first.Digest())
+	second.Merge(at(time.Second), before)
+	c.Assert(second.Digest(), qt.Equals, first.Digest())
+	c.Assert(refused(&second, time.Second, partBad), qt.IsTrue)
+	// A server that ends elsewhere counts there, too.
+	crash(&second, 5*time.Minute, 1, []Part{partBad})
+	c.Assert(second.Suspicions()[0].Crashes(), qt.Equals, 5)
+
+	first.Merge(at(5*time.Minute), second.Suspicions())
+	first.Settled(at(6*time.Minute), []Part{partBad})
+	second.Merge(at(6*time.Minute), first.Suspicions())
+	second.Merge(at(6*time.Minute), before)
+	c.Assert(second.Digest(), qt.Equals, first.Digest())
+	c.Assert(refused(&second, 6*time.Minute, partBad), qt.IsFalse)
+}
+
+// Many different parts neither grow the registry without end, nor push out the suspicion
+// against a real one.
+func TestManyPartsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	crash(&r, 0, 6, []Part{partBad})
+	for i := range 5000 {
+		now := time.Second + time.Duration(i)*time.Millisecond
+		r.Settled(at(now), []Part{Part(1e6 + i)})
+		r.Crashed(at(now), fmt.Sprint("x", i), []Part{Part(2e6 + i)})
+	}
+	c.Assert(len(r.moments) <= maxMoments, qt.IsTrue)
+	c.Assert(len(r.settled) <= 2*minPruned+1, qt.IsTrue, qt.Commentf("%d", len(r.settled)))
+	c.Assert(refused(&r, 7*time.Second, partBad), qt.IsTrue)
+	for i := range 3 * maxSuspicions {
+		crash(&r, time.Duration(10+i)*time.Second, 3, []Part{Part(3e6 + i)})
+	}
+	c.Assert(len(r.suspicions) <= maxSuspicions, qt.IsTrue)
+	c.Assert(slices.IsSortedFunc(r.Suspicions(), func(a, b Suspicion) int { return slices.Compare(a.Parts(), b.Parts()) }), qt.IsTrue)
+}
