ingress: keep backups within the attempts of the route

A silent server's backup that failed was followed by another one while the retry budget lasted, without regard to the servers that had run the request already: four where the route allows two (BUDGET). The number was compared only when the first timer was set. It now is before each backup, and before a send after a refusal.

--- a/ingress/backup.go
+++ b/ingress/backup.go
@@ -78,7 +78,7 @@
 	if a.silence.fired == maxSilences {
 		go q.server.scheduler.Fault(q.service.Name(), a.grant.Address(), dispatch.OutcomeStalled)
 	}
-	allowed := q.sends < maxSends && q.allowRetry()
+	allowed := q.sends < maxSends && q.ran+1 < q.route.MaxAttempts() && q.allowRetry()
 	q.server.log.Info("server silent", "id", q.id, "send", a.number, "server", a.grant.Server(), "silent", silent,
 		"after_event", q.stream.lastID, "backup", allowed)
 	if !allowed {
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -262,9 +262,9 @@
 	defer q.mu.Unlock()
 	switch outcome {
 	case dispatch.OutcomeUnreachable:
-		return q.sends < maxSends
+		return q.sends < maxSends && q.ran < q.route.MaxAttempts()
 	case dispatch.OutcomeRejected, dispatch.OutcomeReplaced:
-		if q.sends >= maxSends {
+		if q.sends >= maxSends || q.ran >= q.route.MaxAttempts() {
 			return false
 		}
 	default:
