ingress: measure a server's silence only while its next event is awaited

The silence timer ran on while an event was written to the caller: a caller that paused made its server look silent, which got a backup, was cancelled and avoided for two seconds. The timer now starts when the next event is awaited.

--- a/ingress/backup.go
+++ b/ingress/backup.go
@@ -50,17 +50,24 @@
 		q.server.log.Info("server no longer silent", "id", q.id, "send", a.number, "server", a.grant.Server(), "silent", now.Sub(a.silence.lastData))
 	}
 	a.silence.lastData, a.silence.fired = now, 0
-	if a.events == nil || !q.mayResume() {
-		a.silence.stop()
-		return true
+	a.silence.stop()
+	return true
+}
+
+// awaitEvent starts the silence timer for the next event of the current attempt.
+func (q *request) awaitEvent(a *attempt) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.mayResume() {
+		return
 	}
+	a.silence.lastData = q.server.timers.Now()
 	a.silence.timeout = q.server.minSilence + q.route.TokenIntervalObjective()
 	if a.silence.timer == nil {
 		a.silence.timer = time.AfterFunc(a.silence.timeout, func() { q.serverSilent(a) })
 	} else {
 		a.silence.timer.Reset(a.silence.timeout)
 	}
-	return true
 }
 
 // serverSilent starts a backup of the current attempt, whose server has sent nothing
--- a/ingress/backup_test.go
+++ b/ingress/backup_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengagedock.example/dispatch"
 )
 
 // Guards against BUDGET: the servers that run one request, the silent one included, stay
@@ -48,3 +51,24 @@
 	c.Assert(strings.Contains(body, "b"), qt.IsFalse)
 	c.Assert(second.seen(), qt.HasLen, 0)
 }
+
+// A caller that reads slowly does not make its server look silent.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	events := ""
+	for i := range 40 {
+		events += fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", 900_000))
+	}
+	second := newBackend(c, streamResponse(threeEvents, true))
+	b := newTestbed(t, newBackend(c, streamResponse(events, true)), second)
+	b.server.minSilence = 50 * time.Millisecond
+	response, err := http.DefaultClient.Do(b.request("POST", "/stream/quick/", ""))
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	time.Sleep(600 * time.Millisecond)
+	_, err = io.Copy(io.Discard, response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(second.seen(), qt.HasLen, 0)
+	c.Assert(b.scheduler.ended(), qt.DeepEquals, []dispatch.Outcome{dispatch.OutcomeComplete})
+}
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -184,6 +184,13 @@
 	s.outcomes = append(s.outcomes, outcome)
 }
 
+// ended returns the outcomes of the placements that ended.
+func (s *fakeScheduler) ended() []dispatch.Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.outcomes)
+}
+
 func (s *fakeScheduler) Fault(string, string, dispatch.Outcome) {}
 
 // localScheduler places requests with the scheduler that entries use.
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -149,8 +149,12 @@
 func (q *request) forwardStream(a *attempt) (dispatch.Outcome, error) {
 	control := http.NewResponseController(q.w)
 	_ = control.SetWriteDeadline(q.deadline.Add(responseMargin)) // if it fails, a caller that stops reading is detected later
-	next, err := a.firstEvent, a.firstErr
-	for ; ; next, err = a.events.next() {
+	for first := true; ; first = false {
+		next, err := a.firstEvent, a.firstErr
+		if !first {
+			q.awaitEvent(a)
+			next, err = a.events.next()
+		}
 		if err != nil && err != io.EOF {
 			return brokenOutcome(a.ctx), eris.Wrapf(errTruncated, "after event %q: %v", q.stream.lastID, err)
 		}
