ingress: keep the backup of a server that ends within an event

A stream that ends inside an event has been broken off, but it counted as progress first, which cancelled the backup that was about to go on with it (LOST). Its end is judged before.

--- a/ingress/backup_test.go
+++ b/ingress/backup_test.go
@@ -72,3 +72,21 @@
 	c.Assert(second.seen(), qt.HasLen, 0)
 	c.Assert(b.scheduler.ended(), qt.DeepEquals, []dispatch.Outcome{dispatch.OutcomeComplete})
 }
+
+// Guards against LOST: a silent server that ends its stream within an event does not end
+// the backup beside it.
+func TestBackupOutlivesPartialEvent(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	head, _, _ := strings.Cut(streamResponse("", false), "0\r\n")
+	chunk := func(text string) string { return strings.TrimPrefix(streamResponse(text, false), head) }
+	first := newBackend(c, head+chunk("id: 1\ndata: a\n\n")+silence+chunk("id: 2\nda")+"0\r\n\r\n")
+	first.silenceTime = 100 * time.Millisecond
+	second := newBackend(c, silence+streamResponse(threeEvents[strings.Index(threeEvents, "id: 2"):], true))
+	second.silenceTime = 200 * time.Millisecond
+	b := newTestbed(t, first, second)
+	b.server.minSilence = 20 * time.Millisecond
+	_, body, err := b.do(b.request("POST", "/stream/quick/", ""))
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, threeEvents)
+}
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -155,14 +155,18 @@
 			q.awaitEvent(a)
 			next, err = a.events.next()
 		}
-		if err != nil && err != io.EOF {
+		switch {
+		case err == io.EOF && a.events.partial():
+			return dispatch.OutcomeBroken, eris.Wrapf(errTruncated, "ended within an event after event %q", q.stream.lastID)
+		case err != nil && err != io.EOF:
 			return brokenOutcome(a.ctx), eris.Wrapf(errTruncated, "after event %q: %v", q.stream.lastID, err)
 		}
 		if !q.progressed(a) {
 			return dispatch.OutcomeStalled, errServerTimeout
 		}
 		if err == io.EOF {
-			return q.finishStream(a)
+			q.writeHeader(a.response)
+			return dispatch.OutcomeComplete, nil
 		}
 		if q.firstResponse.IsZero() {
 			q.firstResponse = q.server.timers.Now()
@@ -193,15 +197,6 @@
 	return true
 }
 
-// finishStream returns the outcome of a stream whose body ended without an error.
-func (q *request) finishStream(a *attempt) (dispatch.Outcome, error) {
-	if a.events.partial() {
-		return dispatch.OutcomeBroken, eris.Wrap(errTruncated, "ended within an event")
-	}
-	q.writeHeader(a.response)
-	return dispatch.OutcomeComplete, nil
-}
-
 // writeHeader forwards the response header before the first event. Until then
 // the stream may still fail with an error of this entry or start at another
 // server, and must carry no headers of this one.
