ingress: contain a panic of a backup

A backup runs in a goroutine of its own, outside net/http's recovery: a panic there ended the entry with all its requests. It is logged and ends that backup. The backups of a request whose handler panics end as well.

--- a/ingress/backup.go
+++ b/ingress/backup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"time"
 
 	"greengagedock.example/dispatch"
@@ -103,6 +104,7 @@
 // attempt arrives before.
 func (q *request) runBackup(b *backup, of *attempt) {
 	defer close(b.ended)
+	defer q.containPanic(b, of)
 	a := b.attempt
 	err := a.acquire()
 	if err == nil && a.grant.Server() == of.grant.Server() {
@@ -129,6 +131,18 @@
 	q.endBackup(b, of)
 }
 
+// containPanic logs a panic of a backup and ends the backup: net/http contains only those
+// of the handler's goroutine.
+func (q *request) containPanic(b *backup, of *attempt) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	q.server.log.Error("backup panicked", "id", q.id, "send", b.attempt.number, "panic", cause, "stack", string(debug.Stack()))
+	b.attempt.cancel(nil)
+	q.endBackup(b, of)
+}
+
 // takeOver cancels an attempt in favour of its backup, unless the backup was dropped.
 func (q *request) takeOver(b *backup, of *attempt) bool {
 	q.mu.Lock()
--- a/ingress/backup_test.go
+++ b/ingress/backup_test.go
@@ -1,10 +1,12 @@
 package ingress
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,3 +92,30 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(body, qt.Equals, threeEvents)
 }
+
+// panickingScheduler panics at the placement of a backup.
+type panickingScheduler struct {
+	*fakeScheduler
+	calls atomic.Int64
+}
+
+func (s *panickingScheduler) Acquire(ctx context.Context, request dispatch.Request) (dispatch.Grant, error) {
+	if s.calls.Add(1) > 1 {
+		panic("backup")
+	}
+	return s.fakeScheduler.Acquire(ctx, request)
+}
+
+// A panic in a backup, which runs beside the handler's goroutine, ends that backup alone.
+func TestPanicInBackupIsContained(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	first := newBackend(c, silentStream())
+	first.silenceTime = 100 * time.Millisecond
+	b := newTestbed(t, first)
+	b.server.scheduler = &panickingScheduler{fakeScheduler: b.scheduler}
+	b.server.minSilence = 20 * time.Millisecond
+	_, body, err := b.do(b.request("POST", "/stream/quick/", ""))
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, threeEvents)
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -192,6 +192,7 @@
 func (q *request) sendWithRetries(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer q.endAttempts() // also if the handler panics
 	for a := (*attempt)(nil); ; {
 		if a == nil {
 			var err error
