ingress: charge the retry budget for backups that are sent

A backup was charged before its placement: one silent request that no other server could take counted three retries and used up its sends, while a failure domain was silent and refused requests needed both. A backup is now placed first. A placement that depends on the silent server, as its prefill worker too, is none.

--- a/ingress/backup.go
+++ b/ingress/backup.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"runtime/debug"
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"greengagedock.example/dispatch"
 )
 
@@ -13,6 +16,12 @@
 // backup replaced is reported as stalled.
 const maxSilences = 2
 
+// Errors of backups that are not sent.
+var (
+	errSilentAgain   = eris.New("ingress: only the silent server is free")
+	errNoRetryBudget = eris.New("ingress: retry budget used up")
+)
+
 // backup is an attempt beside one whose server is silent. The response comes from the
 // one whose server is the first to send an event, or a whole response; the other is
 // cancelled. The server that is silent may thus go on while no other one takes over.
@@ -86,7 +95,7 @@
 	if a.silence.fired == maxSilences {
 		go q.server.scheduler.Fault(q.service.Name(), a.grant.Address(), dispatch.OutcomeStalled)
 	}
-	allowed := q.sends < maxSends && q.ran+1 < q.route.MaxAttempts() && q.allowRetry()
+	allowed := q.sends < maxSends && q.ran+1 < q.route.MaxAttempts()
 	q.server.log.Info("server silent", "id", q.id, "send", a.number, "server", a.grant.Server(), "silent", silent,
 		"after_event", q.stream.lastID, "backup", allowed)
 	if !allowed {
@@ -106,14 +115,12 @@
 	defer close(b.ended)
 	defer q.containPanic(b, of)
 	a := b.attempt
-	err := a.acquire()
-	if err == nil && a.grant.Server() == of.grant.Server() {
-		q.server.scheduler.Ended(q.service.Name(), a.grant.ID(), dispatch.OutcomeCancelled)
-		err = NewRefusal(dispatch.ReasonNoServer, defaultRetryAfter)
-	}
-	if err != nil {
+	if err := q.placeBackup(a, of); err != nil {
 		a.cancel(nil)
 		q.server.log.Info("no backup", "id", q.id, "send", a.number, "error", err)
+		q.mu.Lock()
+		q.sends-- // it was not sent
+		q.mu.Unlock()
 		q.endBackup(b, of)
 		return
 	}
@@ -131,6 +138,23 @@
 	q.endBackup(b, of)
 }
 
+// placeBackup gets a placement for a backup that does not depend on the silent server.
+func (q *request) placeBackup(a, of *attempt) error {
+	if err := a.acquire(); err != nil {
+		return err
+	}
+	silent := of.grant.Server()
+	dependent := a.grant.Server() == silent || slices.ContainsFunc(a.grant.PrefillWorkers(), func(w dispatch.PrefillWorker) bool { return w.Server() == silent })
+	if !dependent && q.allowRetry() {
+		return nil
+	}
+	q.server.scheduler.Ended(q.service.Name(), a.grant.ID(), dispatch.OutcomeCancelled)
+	if dependent {
+		return errSilentAgain
+	}
+	return errNoRetryBudget
+}
+
 // containPanic logs a panic of a backup and ends the backup: net/http contains only those
 // of the handler's goroutine.
 func (q *request) containPanic(b *backup, of *attempt) {
--- a/ingress/backup_test.go
+++ b/ingress/backup_test.go
@@ -119,3 +119,50 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(body, qt.Equals, threeEvents)
 }
+
+// retriesCounted returns how many sends the retry budget counts.
+func (l *retryLimiter) retriesCounted() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, usage := range l.services {
+		for _, retries := range usage.retries {
+			n += retries
+		}
+	}
+	return n
+}
+
+// A backup that was never sent costs no retry budget: others need it while a failure
+// domain is silent.
+func TestUnplacedBackupsCostNoRetryBudget(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	first := newBackend(c, silentStream())
+	first.silenceTime = 200 * time.Millisecond
+	b := newTestbed(t, first)
+	b.server.minSilence = fuzzSilenceTimeout
+	_, body, err := b.do(b.request("POST", "/stream/quick/", ""))
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, threeEvents)
+	c.Assert(b.server.retryLimiter.retriesCounted(), qt.Equals, 0)
+}
+
+// A backup that is sent costs one retry, and none is sent without budget.
+func TestBackupsStayWithinRetryBudget(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	for budget, want := range map[int]int{100: 1, 0: 0} {
+		first := newBackend(c, silentStream())
+		first.silenceTime = 100 * time.Millisecond
+		second := newBackend(c, hang)
+		b := newTestbed(t, first, second)
+		b.server.retryLimiter.budget = NewRetryBudget(0, budget, 10*time.Second)
+		b.server.minSilence = 20 * time.Millisecond
+		_, body, err := b.do(b.request("POST", "/stream/quick/", ""))
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, threeEvents)
+		c.Assert(second.seen(), qt.HasLen, want)
+		c.Assert(b.server.retryLimiter.retriesCounted(), qt.Equals, want)
+	}
+}
