ingress: follow a silent backup by another one, and report lasting silence

And while a backup was open, the first server's silence was not counted, so that a dead server was not reported to the scheduler.

The timers of both go on. A silent backup is ended if the route allows for another one; else it stays, as the first server does. Before: the two new tests failed (504, no report).

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -189,7 +189,7 @@
 // request is also sent to another one; q.mu must be held.
 func (q *request) silenceTimeout(grant dispatch.Grant, now time.Time) time.Duration {
 	left := q.deadline.Sub(now)
-	if !q.route.Repeatable() || q.ran+1 >= q.route.MaxAttempts() || q.backup != nil {
+	if !q.route.Repeatable() || q.ran+1 >= q.route.MaxAttempts() {
 		return left
 	}
 	if q.service.Engine() == nil {
--- a/ingress/backup.go
+++ b/ingress/backup.go
@@ -81,25 +81,37 @@
 }
 
 // serverSilent starts a backup of the current attempt, whose server has sent nothing
-// for its silence timeout. A backup that fails is followed by another one after the
-// same time, as far as attempts and retry budget go.
+// for its silence timeout. A backup that fails, or is silent as well, is followed by
+// another one, as far as attempts and retry budget go.
 func (q *request) serverSilent(a *attempt) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.server.timers.Now()
 	silent := now.Sub(a.silence.lastData)
-	if q.current != a || q.backup != nil || silent < a.silence.timeout || a.ctx.Err() != nil {
-		return // data arrived as the timer fired, or the attempt ends
+	if a.ctx.Err() != nil || silent < a.silence.timeout {
+		return // the attempt ends, or data arrived as the timer fired
 	}
 	a.silence.fired++
 	if a.silence.fired == maxSilences {
 		go q.server.scheduler.Fault(q.service.Name(), a.grant.Address(), dispatch.OutcomeStalled)
 	}
+	if q.backup != nil && q.backup.attempt == a {
+		if q.ran+2 < q.route.MaxAttempts() {
+			a.cancel(errServerTimeout) // the next backup is sent to another server
+		}
+		return
+	}
+	if q.current != a {
+		return
+	}
+	a.silence.timer.Reset(a.silence.timeout)
+	if q.backup != nil {
+		return
+	}
 	allowed := q.sends < maxSends && q.ran+1 < q.route.MaxAttempts()
 	q.server.log.Info("server silent", "id", q.id, "send", a.number, "server", a.grant.Server(), "silent", silent,
 		"after_event", q.stream.lastID, "backup", allowed)
 	if !allowed {
-		a.silence.timer.Reset(a.silence.timeout)
 		return
 	}
 	q.sends++
@@ -113,7 +125,7 @@
 // attempt arrives before.
 func (q *request) runBackup(b *backup, of *attempt) {
 	defer close(b.ended)
-	defer q.containPanic(b, of)
+	defer q.containPanic(b)
 	a := b.attempt
 	if err := q.placeBackup(a, of); err != nil {
 		a.cancel(nil)
@@ -121,7 +133,7 @@
 		q.mu.Lock()
 		q.sends-- // it was not sent
 		q.mu.Unlock()
-		q.endBackup(b, of)
+		q.endBackup(b)
 		return
 	}
 	outcome, err := a.open()
@@ -135,7 +147,7 @@
 	if !errors.Is(err, errSuperseded) {
 		q.recordFailure(a, outcome, err)
 	}
-	q.endBackup(b, of)
+	q.endBackup(b)
 }
 
 // placeBackup gets a placement for a backup that does not depend on the silent server.
@@ -157,14 +169,14 @@
 
 // containPanic logs a panic of a backup and ends the backup: net/http contains only those
 // of the handler's goroutine.
-func (q *request) containPanic(b *backup, of *attempt) {
+func (q *request) containPanic(b *backup) {
 	cause := recover()
 	if cause == nil {
 		return
 	}
 	q.server.log.Error("backup panicked", "id", q.id, "send", b.attempt.number, "panic", cause, "stack", string(debug.Stack()))
 	b.attempt.cancel(nil)
-	q.endBackup(b, of)
+	q.endBackup(b)
 }
 
 // takeOver cancels an attempt in favour of its backup, unless the backup was dropped.
@@ -179,16 +191,12 @@
 	return true
 }
 
-// endBackup removes a backup that failed, and has the attempt wait for another one.
-func (q *request) endBackup(b *backup, of *attempt) {
+// endBackup removes a backup that failed; the attempt's timer starts another one.
+func (q *request) endBackup(b *backup) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.backup != b {
-		return
-	}
-	q.backup = nil
-	if q.current == of && of.silence.timer != nil {
-		of.silence.timer.Reset(of.silence.timeout)
+	if q.backup == b {
+		q.backup = nil
 	}
 }
 
--- a/ingress/backup_test.go
+++ b/ingress/backup_test.go
@@ -166,3 +166,33 @@
 		c.Assert(b.server.retryLimiter.retriesCounted(), qt.Equals, want)
 	}
 }
+
+// Guards against LOST: a backup that is silent as well is followed by another one where the
+// route allows it.
+func TestSilentBackupIsFollowedByAnother(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	third := newBackend(c, streamResponse(threeEvents, true))
+	b := newTestbed(t, newBackend(c, hang), newBackend(c, hang), third)
+	b.server.minSilence = 50 * time.Millisecond
+	response, body, err := b.do(b.request("POST", "/stream/thrice/", ""))
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(body, qt.Equals, threeEvents)
+}
+
+// A server that stays silent is reported to the scheduler, also while its backup waits.
+func TestLastingSilenceIsReported(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	first := newBackend(c, silentStream())
+	first.silenceTime = 300 * time.Millisecond
+	b := newTestbed(t, first, newBackend(c, hang))
+	b.server.minSilence = 20 * time.Millisecond
+	_, body, err := b.do(b.request("POST", "/stream/quick/", ""))
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, threeEvents)
+	b.scheduler.mu.Lock()
+	defer b.scheduler.mu.Unlock()
+	c.Assert(b.scheduler.faults, qt.DeepEquals, []string{first.address})
+}
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -160,6 +160,7 @@
 	refusal  *Refusal
 	workers  []dispatch.PrefillWorker
 	outcomes []dispatch.Outcome
+	faults   []string // the addresses of servers reported as stalled
 }
 
 func (s *fakeScheduler) Acquire(ctx context.Context, request dispatch.Request) (dispatch.Grant, error) {
@@ -191,7 +192,11 @@
 	return slices.Clone(s.outcomes)
 }
 
-func (s *fakeScheduler) Fault(string, string, dispatch.Outcome) {}
+func (s *fakeScheduler) Fault(_, address string, _ dispatch.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = append(s.faults, address)
+}
 
 // localScheduler places requests with the scheduler that entries use.
 type localScheduler struct {
@@ -323,9 +328,10 @@
 		route("/again/", routing.KindIdempotent),
 		route("/stream/", routing.KindStream).WithResumable(true),
 		route("/stream/fixed/", routing.KindStream),
+		route("/stream/thrice/", routing.KindStream).WithResumable(true).WithMaxAttempts(3).WithTargets(routing.NewTarget("llm", 1)),
 		route("/stream/quick/", routing.KindStream).WithTimes(2*time.Second, 300*time.Millisecond, fuzzTokenInterval).WithResumable(true),
 		route("/public/", routing.KindNonIdempotent).WithPublic(true),
-	}, []routing.Service{routing.NewService("desk")}, map[string]routing.Account{"k1": routing.NewAccount("team", -1)},
+	}, []routing.Service{routing.NewService("desk"), routing.NewService("llm").WithEngine(routing.NewEngineProfile(8, 1000))}, map[string]routing.Account{"k1": routing.NewAccount("team", -1)},
 		routing.NewLimits(2000, 1000, 0, 0))
 }
 
