ingress: count each backup once, and one silence once

By reading in review: a backup that failed as it was dropped was counted twice among the servers that may have run the request; one that was given up at the deadline was not counted, so that a repeatable request could be refused as not run; and a lasting silence counted twice against its server.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -152,6 +152,9 @@
 		a.reserved.release()
 	}
 	a.cancel(nil)
+	if outcome == dispatch.OutcomeStalled && a.silence.fired >= maxSilences {
+		outcome = dispatch.OutcomeCancelled // the silence was reported already
+	}
 	a.request.server.scheduler.Ended(a.request.service.Name(), a.grant.ID(), outcome)
 }
 
--- a/ingress/backup.go
+++ b/ingress/backup.go
@@ -50,11 +50,7 @@
 		if q.backup.ready {
 			return false
 		}
-		if q.backup.attempt.sent {
-			q.ran++
-		}
-		q.backup.attempt.cancel(errSuperseded)
-		q.backup = nil
+		q.dropBackup()
 	}
 	if a.silence.fired > 0 {
 		q.server.log.Info("server no longer silent", "id", q.id, "send", a.number, "server", a.grant.Server(), "silent", now.Sub(a.silence.lastData))
@@ -64,6 +60,15 @@
 	return true
 }
 
+// dropBackup cancels the backup, whose server may have begun; q.mu must be held.
+func (q *request) dropBackup() {
+	if q.backup.attempt.sent {
+		q.ran++
+	}
+	q.backup.attempt.cancel(errSuperseded)
+	q.backup = nil
+}
+
 // awaitEvent starts the silence timer for the next event of the current attempt.
 func (q *request) awaitEvent(a *attempt) {
 	q.mu.Lock()
@@ -145,9 +150,14 @@
 	}
 	a.close(outcome)
 	if !errors.Is(err, errSuperseded) {
-		q.recordFailure(a, outcome, err)
+		q.logFailure(a, outcome, err)
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.backup == b { // else it was counted as it was dropped
+		q.backup = nil
+		q.countFailure(a, outcome)
 	}
-	q.endBackup(b)
 }
 
 // placeBackup gets a placement for a backup that does not depend on the silent server.
@@ -229,11 +239,11 @@
 func (q *request) endAttempts() {
 	q.mu.Lock()
 	b := q.backup
-	q.current, q.backup = nil, nil
-	q.mu.Unlock()
+	q.current = nil
 	if b != nil {
-		b.attempt.cancel(errSuperseded)
+		q.dropBackup()
 	}
+	q.mu.Unlock()
 	q.backups.Wait()
 	if b != nil && b.ready {
 		b.attempt.close(dispatch.OutcomeCancelled)
--- a/ingress/backup_test.go
+++ b/ingress/backup_test.go
@@ -6,13 +6,16 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"greengagedock.example/dispatch"
+	"greengagedock.example/flagtest"
 )
 
 // Guards against BUDGET: the servers that run one request, the silent one included, stay
@@ -196,3 +199,115 @@
 	defer b.scheduler.mu.Unlock()
 	c.Assert(b.scheduler.faults, qt.DeepEquals, []string{first.address})
 }
+
+// Guards against TWICE: a request that must not be repeated has no backup, however long its
+// server is silent.
+func TestNonIdempotentRequestHasNoBackup(t *testing.T) {
+	t.Parallel()
+	for path, answer := range map[string]string{"/once/": fullResponse(http.StatusOK, "late"), "/stream/fixed/": streamResponse(threeEvents, true)} {
+		c := qt.New(t)
+		first, second := newBackend(c, silence+answer), newBackend(c, answer)
+		first.silenceTime = 300 * time.Millisecond
+		b := newTestbed(t, first, second)
+		b.server.minSilence = 20 * time.Millisecond
+		r := b.request("POST", path, "")
+		r.Header.Set("Left", "400ms")
+		response, _, err := b.do(r)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+		c.Assert(second.seen(), qt.HasLen, 0)
+	}
+}
+
+// A backup that was sent may have run, also if it is given up at the deadline: the caller
+// is not told that its request has not run.
+func TestBackupGivenUpAtDeadlineMayHaveRun(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	second := newBackend(c, hang)
+	b := newTestbed(t, newBackend(c, silence+refused), second)
+	b.server.minSilence = 20 * time.Millisecond
+	r := b.request("POST", "/again/", "")
+	r.Header.Set("Left", "400ms")
+	response, _, err := b.do(r)
+	c.Assert(err, qt.IsNil)
+	c.Assert(second.seen(), qt.HasLen, 1)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+}
+
+// countingScheduler counts the placements that were granted and those that ended.
+type countingScheduler struct {
+	*fakeScheduler
+	mu             sync.Mutex
+	granted, ended map[string]int
+}
+
+func (s *countingScheduler) Acquire(ctx context.Context, request dispatch.Request) (dispatch.Grant, error) {
+	grant, err := s.fakeScheduler.Acquire(ctx, request)
+	if err == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.granted[grant.ID()]++
+	}
+	return grant, err
+}
+
+func (s *countingScheduler) Ended(service, id string, outcome dispatch.Outcome) {
+	s.mu.Lock()
+	s.ended[id]++
+	s.mu.Unlock()
+	s.fakeScheduler.Ended(service, id, outcome)
+}
+
+// settled reports whether each placement ended, and all memory is released.
+func (b *testbed) settled(s *countingScheduler) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.granted) == len(s.ended) && b.server.OpenRequests() == 0 && b.reserver.count() == 0
+}
+
+// Whoever answers, breaks off, is silent or leaves: each placement ends once, its memory is
+// released.
+func TestPlacementsOfSilentServersEndOnce(t *testing.T) {
+	flagtest.SetDefault(t, "rapid.seed", "1")
+	flagtest.SetDefault(t, "rapid.checks", "200")
+	c := qt.New(t)
+	whole, cut := streamResponse(threeEvents, true), streamResponse("id: 1\ndata: a\n\nid: 2\nda", false)
+	answers := []string{whole, silentStream(), silence + silentStream(), refused, silence + refused, "", silence, hang, cut, fullResponse(500, "no")}
+	rapid.Check(t, func(t *rapid.T) {
+		var backends []*backend
+		for range rapid.IntRange(1, 4).Draw(t, "servers") {
+			b := newBackend(c, rapid.SampledFrom(answers).Draw(t, "answer"))
+			b.silenceTime = time.Duration(rapid.IntRange(1, 20).Draw(t, "silence ms")) * time.Millisecond
+			backends = append(backends, b)
+		}
+		b := newTestbedOn(c, backends...)
+		defer b.http.Close()
+		b.scheduler.workers = []dispatch.PrefillWorker{dispatch.NewPrefillWorker("w", "w:1", 5)}
+		s := &countingScheduler{fakeScheduler: b.scheduler, granted: make(map[string]int), ended: make(map[string]int)}
+		b.server.scheduler = s
+		b.server.minSilence = fuzzSilenceTimeout
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rapid.IntRange(1, 60).Draw(t, "patience ms"))*time.Millisecond)
+		defer cancel()
+		r := b.request("POST", "/stream/quick/", "x").WithContext(ctx)
+		if rapid.Bool().Draw(t, "short time") {
+			r.Header.Set("Left", "45ms")
+		}
+		if response, err := http.DefaultClient.Do(r); err == nil {
+			_, _ = io.Copy(io.Discard, response.Body) // may be cut off
+			response.Body.Close()
+		}
+		cancel()
+		for end := time.Now().Add(2 * time.Second); !b.settled(s) && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if !b.settled(s) {
+			t.Fatalf("granted %v, ended %v, %d open, %d reserved", s.granted, s.ended, b.server.OpenRequests(), b.reserver.count())
+		}
+		for id, n := range s.ended {
+			if n != 1 {
+				t.Fatalf("placement %s ended %d times", id, n)
+			}
+		}
+	})
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -235,10 +235,19 @@
 
 // recordFailure records an attempt whose response could not be forwarded.
 func (q *request) recordFailure(a *attempt, outcome dispatch.Outcome, err error) {
-	q.server.log.Info("send failed", "id", q.id, "send", a.number, "server", a.grant.Server(), "outcome", string(outcome),
-		"parts", strings.Join(q.metadata.sharedParts, ","), "error", err)
+	q.logFailure(a, outcome, err)
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.countFailure(a, outcome)
+}
+
+func (q *request) logFailure(a *attempt, outcome dispatch.Outcome, err error) {
+	q.server.log.Info("send failed", "id", q.id, "send", a.number, "server", a.grant.Server(), "outcome", string(outcome),
+		"parts", strings.Join(q.metadata.sharedParts, ","), "error", err)
+}
+
+// countFailure counts a failed attempt; q.mu must be held.
+func (q *request) countFailure(a *attempt, outcome dispatch.Outcome) {
 	if mayHaveRun(outcome) {
 		q.ran++
 	}
