upstream: let a connection to a server outlive two lost probes

Connections to servers now close after 4 s. Those of a request that holds memory at other servers close after 3 s, as far as the bound for that memory demands; the option is set for such a request alone.

--- a/gateway/timeouts.go
+++ b/gateway/timeouts.go
@@ -77,10 +77,11 @@
 }
 
 // ServerDialer returns the dialer for requests to backend servers. A server that is
-// silent for a second or so keeps its connections; one that has vanished loses them in
-// time for the memory of a request to be released.
+// silent for a second or so keeps its connections, also if that takes two keep-alive
+// probes. A server that has vanished loses those of requests that hold memory at others
+// in time for it to be released.
 func (t Timeouts) ServerDialer() upstream.Dialer {
-	return upstream.NewDialer(t.silence(), t.silence())
+	return upstream.NewDialer(usualSilence, usualSilence).WithReserved(t.silence())
 }
 
 // Dialer returns the dialer for connections to entries, to the store and for commands
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -74,6 +74,13 @@
 	} else {
 		c.reused.Add(1)
 	}
+	if m.reserves() {
+		if err := c.dialer.limitSilence(conn.tcp, true); err != nil {
+			conn.tcp.Close()
+			return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
+		}
+		conn.reserved = true
+	}
 	stop := context.AfterFunc(ctx, func() { conn.tcp.Close() })
 	header := endToEndHeader(r.header)
 	c.headers.EncodeRequest(header, m)
@@ -118,6 +125,10 @@
 	}
 	r.closed = true
 	reusable := r.stop() && r.complete && !r.raw.Close && r.conn.requestWritten()
+	if reusable && r.conn.reserved {
+		r.conn.reserved = false
+		reusable = r.client.dialer.limitSilence(r.conn.tcp, false) == nil // else another one is opened
+	}
 	if !reusable {
 		r.conn.tcp.Close()
 		return
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -31,6 +31,8 @@
 	idleAt      time.Time
 	idleTimeout time.Duration
 	writeErr    chan error
+	// reserved is set while the connection's request holds memory at other servers.
+	reserved bool
 }
 
 func newConnection(c net.Conn, server string) *connection {
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -29,6 +30,7 @@
 type Dialer struct {
 	silence        time.Duration
 	unacknowledged time.Duration
+	reserved       time.Duration
 }
 
 // NewDialer returns a dialer whose connections fail once their peer has answered no
@@ -38,14 +40,47 @@
 	return Dialer{silence: silence, unacknowledged: unacknowledged}
 }
 
+// WithReserved returns a dialer whose connections, while their request holds memory at
+// other servers, fail after a shorter silence, in whole seconds and at least two.
+func (d Dialer) WithReserved(silence time.Duration) Dialer {
+	d.reserved = silence
+	return d
+}
+
+// Reserved returns the longest silence of a connection whose request holds memory at
+// other servers.
+func (d Dialer) Reserved() time.Duration { return cmp.Or(d.reserved, d.silence, defaultSilenceTimeout) }
+
 // Unacknowledged returns how long sent data may stay unacknowledged.
 func (d Dialer) Unacknowledged() time.Duration {
 	return cmp.Or(d.unacknowledged, defaultUnacknowledgedTimeout)
 }
 
-// keepAliveProbes returns the number of probes that are sent before a connection fails.
-func (d Dialer) keepAliveProbes() int {
-	return max(1, int(cmp.Or(d.silence, defaultSilenceTimeout)/keepAliveInterval)-1)
+// keepAliveProbes returns the number of probes that are sent before a connection fails
+// that is silent for a time.
+func keepAliveProbes(silence time.Duration) int {
+	return max(1, int(silence/keepAliveInterval)-1)
+}
+
+// limitSilence sets whether a connection is to fail after the shorter silence.
+func (d Dialer) limitSilence(conn net.Conn, reserved bool) error {
+	silence, unacknowledged := cmp.Or(d.silence, defaultSilenceTimeout), d.Unacknowledged()
+	if reserved {
+		silence = d.Reserved()
+		unacknowledged = min(unacknowledged, silence)
+	}
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		optErr = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPCNT, keepAliveProbes(silence)),
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds())),
+		)
+	})
+	return errors.Join(err, optErr)
 }
 
 // Dial opens a connection to an IP:PORT address.
@@ -56,7 +91,7 @@
 			Enable:   true,
 			Idle:     keepAliveInterval,
 			Interval: keepAliveInterval,
-			Count:    d.keepAliveProbes(),
+			Count:    keepAliveProbes(cmp.Or(d.silence, defaultSilenceTimeout)),
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var optErr error
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -54,6 +55,11 @@
 	return m
 }
 
+// reserves reports whether the request holds memory at other servers.
+func (m RequestMetadata) reserves() bool {
+	return slices.ContainsFunc(m.prefillWorkers, func(w PrefillWorker) bool { return w.reservation != "" })
+}
+
 // WithPriority returns the metadata with the priority at the server; 0 is the most urgent.
 func (m RequestMetadata) WithPriority(priority int) RequestMetadata {
 	m.priority = priority
