gateway, mesh: find entries that start meanwhile within two heartbeats

After a loss of power on all instances the seeds came up last: a dial that began before hung for half a second, a failed one delayed the next by 300 ms, and after 0.8 s rounds were 400 ms apart.

A seed at which no entry is known is now dialed anew in each round, for 100 ms (every fourth time for as long as others, for seeds far away), and an entry that knows no other one keeps the rounds of its start. Ruled out: more seeds or callers' addresses, which the settings don't give.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -123,6 +123,8 @@
 	address string
 	// exchange is set if the heartbeat and its response carry counters.
 	exchange bool
+	// unknown is set if the address is a seed at which no entry is known.
+	unknown bool
 }
 
 // roundTargets returns the entries that get a heartbeat in this round. In a small
@@ -131,9 +133,13 @@
 func (m *members) roundTargets(now time.Time, services []string) []heartbeatTarget {
 	all := m.heartbeatTargets()
 	var out []heartbeatTarget
+	addresses := make(map[string]bool, len(m.byID))
+	for _, known := range m.byID {
+		addresses[known.PeerAddress] = true
+	}
 	if len(all) < gossipMinEntries || m.self.State == memberLeaving {
 		for _, address := range all {
-			out = append(out, heartbeatTarget{address: address})
+			out = append(out, heartbeatTarget{address: address, unknown: !addresses[address]})
 		}
 		return out
 	}
@@ -141,10 +147,6 @@
 	if watchers := m.storeWatchers(now); len(watchers) > 0 {
 		chosen[watchers[m.random.IntN(len(watchers))].PeerAddress] = true
 	}
-	addresses := make(map[string]bool, len(m.byID))
-	for _, known := range m.byID {
-		addresses[known.PeerAddress] = true
-	}
 	exchange := make(map[string]bool)
 	for _, address := range all {
 		if !addresses[address] {
@@ -159,7 +161,7 @@
 	}
 	for _, address := range all {
 		if chosen[address] {
-			out = append(out, heartbeatTarget{address: address, exchange: exchange[address]})
+			out = append(out, heartbeatTarget{address: address, exchange: exchange[address], unknown: !addresses[address]})
 		}
 	}
 	return out
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -13,9 +13,15 @@
 	// heartbeatInterval is the time between rounds of heartbeats.
 	heartbeatInterval = 400 * time.Millisecond
 	// The first startupRounds rounds of heartbeats are startupInterval apart, so
-	// that entries that start together soon know each other.
+	// that entries that start together soon know each other; so are later ones of an
+	// entry that knows no other one.
 	startupRounds   = 10
 	startupInterval = 80 * time.Millisecond
+	// discoveryDialTimeout bounds a dial to a seed at which no entry is known: one whose
+	// instance starts meanwhile answers only a new one. Every longDiscoveryDial-th dial
+	// may take the time of others, for seeds that are far away.
+	discoveryDialTimeout = 100 * time.Millisecond
+	longDiscoveryDial    = 4
 	// heartbeatTimeout bounds the wait for the response to a heartbeat.
 	heartbeatTimeout = 900 * time.Millisecond
 	// minSchedulerCPUShare is the least CPU that an entry needs to be a scheduler,
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -218,7 +218,8 @@
 	defer tick.Stop()
 	inFlight := make(map[string]chan struct{})
 	for round := 0; ; round++ {
-		for _, target := range c.nextRound() {
+		targets, alone := c.nextRound(round)
+		for _, target := range targets {
 			if ended, ok := inFlight[target.address]; ok {
 				select {
 				case <-ended:
@@ -230,10 +231,13 @@
 			inFlight[target.address] = ended
 			go func() {
 				defer close(ended)
+				if target.unknown && !c.discover(ctx, client, target.address, round) {
+					return
+				}
 				c.sendHeartbeat(ctx, client, target)
 			}()
 		}
-		if round < startupRounds {
+		if round < startupRounds || alone {
 			sleep(ctx, startupInterval)
 			continue
 		}
@@ -245,14 +249,32 @@
 	}
 }
 
-// nextRound starts a round of heartbeats and returns the entries that get one.
-func (c *control) nextRound() []heartbeatTarget {
-	var out []heartbeatTarget
+// discover connects to a seed at which no entry is known, and reports whether it is up.
+func (c *control) discover(ctx context.Context, client *mesh.Client, address string, round int) bool {
+	if round%longDiscoveryDial != longDiscoveryDial-1 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, discoveryDialTimeout)
+		defer cancel()
+	}
+	if err := client.Connect(ctx, address); err != nil {
+		c.log.Debug("seed not reachable", "address", address, "error", err)
+		return false
+	}
+	return true
+}
+
+// nextRound starts a round of heartbeats and returns the entries that get one, and
+// whether this entry knows no other one.
+func (c *control) nextRound(round int) (targets []heartbeatTarget, alone bool) {
 	c.do(func(now time.Time) {
-		c.members.self.Heartbeats++
-		out = c.members.roundTargets(now, c.cache.services())
+		// The counter tells how long the entry has run, also one that searches for others.
+		if round < startupRounds || len(c.members.byID) > 0 || round%int(heartbeatInterval/startupInterval) == 0 {
+			c.members.self.Heartbeats++
+		}
+		targets = c.members.roundTargets(now, c.cache.services())
+		alone = len(c.members.byID) == 0
 	})
-	return out
+	return targets, alone
 }
 
 // sendHeartbeat sends one heartbeat.
--- a/mesh/client.go
+++ b/mesh/client.go
@@ -81,6 +81,17 @@
 // not delay the next dial.
 func (c *Client) MarkReachable(address string) { c.peer(address).reachable.Store(true) }
 
+// Connect opens a connection to an entry unless there is one, also right after a failed
+// dial. Errors wrap ErrUnreachable.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	p := c.peer(address)
+	p.reachable.Store(true)
+	if _, err := p.connect(ctx); err != nil {
+		return eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
+	}
+	return nil
+}
+
 // Drop closes the connection to an entry.
 func (c *Client) Drop(address string) {
 	c.mu.Lock()
