soak: report responses that are cut off though nothing failed

A stream that an entry cut off in the middle counted as merely not served, so the soak couldn't find streams that were given up while their server was silent. A response that was missing altogether was reported if the request had run.

Ruled out: excusing each request that overlaps a fault of a server it reached, or each that any server broke off: either also excuses an entry that then gives up a sound server.

A response that is missing or not whole is now a violation if a server received the request, no fault affected the entry, the deadline had not come, and no cut accounts for it: a server broke its response off or a proxy cut that connection, and no attempt that came later was sound. Proxies record the connections that they cut. A refused connection is no excuse of its own any more: such a request reaches no server, unless the client sends it again.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"greengagedock.example/platform/platformtest"
@@ -93,15 +91,14 @@
 		return
 	}
 	response, err := c.client.Do(q)
+	r.incomplete = err
 	if err == nil {
 		c.checkResponse(response, &r)
 		response.Body.Close()
 	}
 	r.duration = time.Since(r.start)
 	r.undisturbed = e.undisturbed(r.start, r.start.Add(r.duration))
-	if err != nil && r.undisturbed && !errors.Is(err, syscall.ECONNREFUSED) && c.fleet.runs.Count(r.id) > 0 {
-		c.fleet.checker.report("response lost: %s %s at %s ran, but its caller got no response: %v", r.kind, r.id, r.entry, err)
-	}
+	r.passedOn, r.cut = c.fleet.delivery(r.id)
 	c.fleet.checker.add(r)
 }
 
@@ -111,16 +108,17 @@
 	case response.StatusCode == http.StatusOK && !platformtest.FromServer(response):
 		r.problem = "status 200 without the header of a backend server"
 	case response.StatusCode == http.StatusOK && (r.kind == kindStream || r.kind == kindLongStream):
-		problem, err := platformtest.CheckStream(response.Body, r.id)
-		r.problem = problem
-		r.served = err == nil && problem == ""
+		r.problem, r.incomplete = platformtest.CheckStream(response.Body, r.id)
+		r.served = r.incomplete == nil && r.problem == ""
 	case response.StatusCode == http.StatusOK:
-		body, err := io.ReadAll(response.Body)
-		if err == nil && string(body) != platformtest.ResponseBody(r.id) {
+		var body []byte
+		body, r.incomplete = io.ReadAll(response.Body)
+		if r.incomplete == nil && string(body) != platformtest.ResponseBody(r.id) {
 			r.problem = fmt.Sprintf("body %q", body)
 		}
-		r.served = err == nil && r.problem == ""
-	case platformtest.GuaranteesNotRun(response):
-		r.notRun = true
+		r.served = r.incomplete == nil && r.problem == ""
+	default:
+		r.notRun = platformtest.GuaranteesNotRun(response)
+		_, r.incomplete = io.Copy(io.Discard, response.Body)
 	}
 }
--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -9,6 +9,8 @@
 const (
 	// responseSlack is how long after the caller's timeout a request may end.
 	responseSlack = 1200 * time.Millisecond
+	// deadlineMargin is how long before a request's deadline an entry may give it up.
+	deadlineMargin = 20 * time.Millisecond
 	// minServedShare is the share of the requests that must be served once the
 	// fleet has recovered from the faults.
 	minServedShare = 0.95
@@ -33,7 +35,14 @@
 	timeout  time.Duration
 	// undisturbed is whether no fault affected the entry meanwhile.
 	undisturbed bool
-	served      bool
+	// passedOn is whether the request reached a backend server.
+	passedOn bool
+	// cut is whether a fault of backend servers or their proxies accounts for an
+	// incomplete response.
+	cut    bool
+	served bool
+	// incomplete is why the response is missing or not whole, nil if it is whole.
+	incomplete error
 	// notRun is whether the response guarantees that the request has not run and never will.
 	notRun bool
 	// problem says what is wrong with the response, empty if nothing is.
@@ -114,17 +123,21 @@
 	if r.notRun && runs > 0 {
 		out = append(out, fmt.Sprintf("reported as not run, but ran: %s %s at %s: %d runs", r.kind, r.id, r.entry, runs))
 	}
+	if r.incomplete != nil && r.passedOn && r.undisturbed && !r.cut && r.duration < r.timeout-deadlineMargin {
+		out = append(out, fmt.Sprintf("response lost: %s %s at %s after %v, though no server failed: %v", r.kind, r.id, r.entry, r.duration, r.incomplete))
+	}
 	if r.undisturbed && r.duration > r.timeout+responseSlack {
 		out = append(out, fmt.Sprintf("ended late: %s %s at %s after %v, timeout %v", r.kind, r.id, r.entry, r.duration, r.timeout))
 	}
 	return out
 }
 
-// summary returns how many requests were sent, served and refused.
+// summary returns how many requests were sent, served and refused, and how many
+// responses were incomplete.
 func (c *checker) summary() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	served, refused := 0, 0
+	served, refused, incomplete := 0, 0, 0
 	for _, r := range c.results {
 		if r.served {
 			served++
@@ -132,6 +145,9 @@
 		if r.notRun {
 			refused++
 		}
+		if r.incomplete != nil {
+			incomplete++
+		}
 	}
-	return fmt.Sprintf("%d requests, %d served, %d refused", len(c.results), served, refused)
+	return fmt.Sprintf("%d requests, %d served, %d refused, %d incomplete", len(c.results), served, refused, incomplete)
 }
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -138,6 +138,31 @@
 	return out
 }
 
+// delivery reports whether a request that ends now reached a server, and whether a
+// fault of servers or their proxies accounts for a response that is not complete: an
+// attempt was cut, and none that a server received after the last cut was sound.
+func (f *fleet) delivery(id string) (passedOn, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var lastCut, lastSound time.Time
+	for _, s := range f.servers {
+		for _, a := range s.Attempts(id) {
+			passedOn = true
+			cutAt := s.proxy.cutAt(a.ClientAddr())
+			if cutAt.IsZero() {
+				cutAt = a.AbortedAt()
+			}
+			switch {
+			case cutAt.After(lastCut):
+				lastCut = cutAt
+			case cutAt.IsZero() && !a.Refused() && a.Received().After(lastSound):
+				lastSound = a.Received()
+			}
+		}
+	}
+	return passedOn, lastCut.After(lastSound)
+}
+
 // byAddress returns the entry whose caller address it is given, or nil.
 func (f *fleet) byAddress(address string) *entry {
 	for _, e := range f.entries {
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -26,9 +26,13 @@
 	listener net.Listener
 	target   string
 
-	mu    sync.Mutex
-	mode  proxyMode
+	mu   sync.Mutex
+	mode proxyMode
+	// conns holds the open connections, and whether they lead to the target.
 	conns map[net.Conn]bool
+	// cut holds when a connection to the target, by its local address, was reset or
+	// lost its first bytes.
+	cut map[string]time.Time
 }
 
 // newProxy returns a proxy that listens on a free port of the loopback address.
@@ -37,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, mode: proxyPass, conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: listener, target: target, mode: proxyPass, conns: make(map[net.Conn]bool), cut: make(map[string]time.Time)}
 	go p.accept()
 	return p, nil
 }
@@ -52,11 +56,29 @@
 	if mode != proxyReset {
 		return
 	}
-	for conn := range p.conns {
+	for conn, toTarget := range p.conns {
+		if toTarget {
+			p.markCut(conn)
+		}
 		abort(conn)
 	}
 }
 
+// markCut records that a connection to the target is cut; p.mu must be held.
+func (p *proxy) markCut(conn net.Conn) {
+	if address := conn.LocalAddr().String(); p.cut[address].IsZero() {
+		p.cut[address] = time.Now()
+	}
+}
+
+// cutAt returns when the connection that the target sees with the given remote
+// address was reset or lost its first bytes, zero if it is whole.
+func (p *proxy) cutAt(address string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cut[address]
+}
+
 // abort closes a connection with a reset.
 func abort(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -92,11 +114,12 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[from], p.conns[to] = true, true
+	p.conns[from], p.conns[to] = false, true
+	delete(p.cut, to.LocalAddr().String()) // of an earlier connection with this port
 	p.mu.Unlock()
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(to, from, true) })
-	both.Go(func() { p.copy(from, to, false) })
+	both.Go(func() { p.copy(to, from, to) })
+	both.Go(func() { p.copy(from, to, to) })
 	both.Wait()
 	p.mu.Lock()
 	delete(p.conns, from)
@@ -104,8 +127,8 @@
 	p.mu.Unlock()
 }
 
-// copy forwards bytes until either side closes; toTarget is their direction.
-func (p *proxy) copy(to, from net.Conn, toTarget bool) {
+// copy forwards bytes until either side closes; target is the one of the target.
+func (p *proxy) copy(to, from, target net.Conn) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 16<<10)
@@ -115,8 +138,11 @@
 		switch mode := p.currentMode(); {
 		case mode == proxyDelay:
 			time.Sleep(proxyDelayTime)
-		case mode == proxySilent || mode == proxyOneWay && !toTarget:
-			dropping = n > 0 || dropping
+		case n > 0 && (mode == proxySilent || mode == proxyOneWay && from == target):
+			dropping = true
+			p.mu.Lock()
+			p.markCut(target)
+			p.mu.Unlock()
 		}
 		if dropping {
 			n = 0 // once bytes are dropped, later ones must not follow: TCP has no gaps
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -1,14 +1,20 @@
 package main
 
 import (
+	"context"
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengagedock.example/platform/platformtest"
 )
 
 // One short run with a fixed seed; longer runs are started by hand.
@@ -33,6 +39,7 @@
 		"ran twice.*":                    {id: "twice", kind: kindNonIdempotent, served: true},
 		"reported as not run, but ran.*": {id: "ran", kind: kindIdempotent, notRun: true},
 		"wrong response.*":               {id: "ran", kind: kindStream, problem: "event 3 is missing"},
+		"response lost.*":                {id: "ran", kind: kindStream, undisturbed: true, passedOn: true, timeout: time.Second, incomplete: io.ErrUnexpectedEOF},
 		"ended late.*":                   {id: "ran", kind: kindNonIdempotent, undisturbed: true, timeout: time.Second, duration: 3 * time.Second},
 		"not recovered: 0 of 1 .*":       {id: "ran", kind: kindNonIdempotent, notRun: false},
 	} {
@@ -50,6 +57,91 @@
 	c.Assert(checker.reported, qt.HasLen, 1)
 }
 
+// An incomplete response is no violation if a fault, the deadline or a request that no
+// server received accounts for it.
+func TestCheckerExcusesIncompleteResponses(t *testing.T) {
+	c := qt.New(t)
+	lost := result{kind: kindStream, undisturbed: true, passedOn: true, timeout: time.Second, incomplete: io.ErrUnexpectedEOF}
+	checker := checker{runs: func(string) int { return 1 }}
+	c.Assert(checker.checkResult(lost), qt.HasLen, 1)
+	for name, excuse := range map[string]func(*result){
+		"disturbed":     func(r *result) { r.undisturbed = false },
+		"not passed on": func(r *result) { r.passedOn = false },
+		"cut":           func(r *result) { r.cut = true },
+		"deadline":      func(r *result) { r.duration = r.timeout - deadlineMargin },
+		"whole":         func(r *result) { r.incomplete = nil },
+	} {
+		excused := lost
+		excuse(&excused)
+		c.Assert(checker.checkResult(excused), qt.HasLen, 0, qt.Commentf(name))
+	}
+}
+
+// Only what servers and their proxies cut accounts for an incomplete response, and only
+// if no sound attempt came later.
+func TestDeliveryTellsWhoCutResponses(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{store: platformtest.NewStore()}
+	defer func() {
+		for _, s := range f.servers {
+			s.proxy.close()
+			s.http.Close()
+		}
+	}()
+	for range 2 {
+		c.Assert(f.addServer(true), qt.IsNil)
+	}
+	first, second := f.servers[0], f.servers[1]
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	send := func(s *backendServer, id, workers string, onceOpen func(cancel func())) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		q, err := platformtest.NewRequest(ctx, s.proxy.address(), http.MethodPost, "/stream/x", id, shortTokens, time.Second)
+		c.Assert(err, qt.IsNil)
+		q.Header.Set("Expect-Runner", s.ID())
+		q.Header.Set("Helpers", workers)
+		response, err := client.Do(q)
+		c.Assert(err, qt.IsNil)
+		defer response.Body.Close()
+		onceOpen(cancel)
+		_, _ = io.Copy(io.Discard, response.Body) // fails if the response is cut
+	}
+	read := func(func()) {}
+	leave := func(cancel func()) { cancel() }
+	setMode := func(mode proxyMode) func(func()) {
+		return func(cancel func()) {
+			first.proxy.setMode(mode)
+			time.AfterFunc(300*time.Millisecond, cancel)
+		}
+	}
+	abort := func(s *backendServer, id string) {
+		s.SetFailurePercent(100)
+		defer s.SetFailurePercent(0)
+		send(s, id, "", read)
+	}
+	for id, attempts := range map[string]func(id string){
+		"cut aborted":               func(id string) { abort(first, id) },
+		"cut reset":                 func(id string) { send(first, id, "", setMode(proxyReset)) },
+		"cut dropped":               func(id string) { send(first, id, "", setMode(proxyOneWay)) },
+		"cut left, then aborted":    func(id string) { send(second, id, "", leave); abort(first, id) },
+		"cut aborted, then refused": func(id string) { abort(first, id); send(second, id, "10.9.9.9:1", read) },
+		"sound whole":               func(id string) { send(first, id, "", read) },
+		"sound left":                func(id string) { send(first, id, "", leave) },
+		"sound delayed, left":       func(id string) { send(first, id, "", setMode(proxyDelay)) },
+		"sound aborted, then left":  func(id string) { abort(first, id); send(second, id, "", leave) },
+		"sound silent, then left":   func(id string) { first.SetSilent(300 * time.Millisecond); send(first, id, "", leave) },
+		"sound refused":             func(id string) { send(first, id, "10.9.9.9:1", read) },
+	} {
+		attempts(id)
+		first.proxy.setMode(proxyPass)
+		passedOn, cut := f.delivery(id)
+		c.Assert(passedOn, qt.IsTrue, qt.Commentf(id))
+		c.Assert(cut, qt.Equals, strings.HasPrefix(id, "cut "), qt.Commentf(id))
+	}
+	passedOn, cut := f.delivery("never sent")
+	c.Assert([]bool{passedOn, cut}, qt.DeepEquals, []bool{false, false})
+}
+
 func TestLoadSeeds(t *testing.T) {
 	c := qt.New(t)
 	seeds, err := loadSeeds("regressions.txt", 0, 0)
