soak: servers that fall silent for a second or so

Ruled out: a mode of the proxies for it, since what a proxy holds back or drops counts as a fault that excuses the entry.

A new fault makes one server, or in three of ten cases all of them, silent for 0.6 to 1.9 s each. It disturbs no entry. A mutation gives up a silent server before another one takes over.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -19,6 +20,8 @@
 	// removalDelay is the time between publishing a server as draining and
 	// removing it from the store.
 	removalDelay = 4500 * time.Millisecond
+	// allSilentProbability is the probability that a silence befalls all servers at once.
+	allSilentProbability = 0.3
 )
 
 // fault is a kind of fault; inject causes one and returns a description of it.
@@ -79,6 +82,7 @@
 		runAfter(ctx, d, func() { s.SetFailurePercent(0) })
 		return fmt.Sprint(s.ID(), " for ", d)
 	}},
+	{"server_silence", silenceServers},
 	{"server_drain", drainServer},
 	{"store_proxy", func(ctx context.Context, f *fleet) string {
 		mode, d := f.randomProxyMode(), f.randomDuration(300*time.Millisecond, 3*time.Second)
@@ -104,6 +108,23 @@
 	}},
 }
 
+// silenceServers makes one server silent, or all, so that none can replace another. The
+// servers go on soon and lose nothing, so this excuses no entry.
+func silenceServers(_ context.Context, f *fleet) string {
+	servers := f.active()
+	if f.random.Float64() >= allSilentProbability {
+		i := f.random.IntN(len(servers))
+		servers = servers[i : i+1]
+	}
+	var silenced []string
+	for _, s := range servers {
+		d := f.randomDuration(600*time.Millisecond, 1900*time.Millisecond)
+		s.SetSilent(d)
+		silenced = append(silenced, fmt.Sprint(s.ID(), " for ", d))
+	}
+	return strings.Join(silenced, ", ")
+}
+
 // drainServer publishes a new server in place of another one, which it
 // publishes as draining and later removes.
 func drainServer(ctx context.Context, f *fleet) string {
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -97,7 +97,9 @@
 		servesPrompts: servesPrompts, startMs: time.Now().UnixMilli(),
 	}
 	s.SetHolds(&f.holds)
-	s.http = httptest.NewServer(http.HandlerFunc(s.ServeHTTP))
+	s.http = httptest.NewUnstartedServer(http.HandlerFunc(s.ServeHTTP))
+	s.http.Listener = s.Listener(s.http.Listener)
+	s.http.Start()
 	var err error
 	if s.proxy, err = newProxy(strings.TrimPrefix(s.http.URL, "http://")); err != nil {
 		return err
--- a/cmd/soak/mutation_test.go
+++ b/cmd/soak/mutation_test.go
@@ -56,6 +56,11 @@
 		"if c.table != nil && table.Version() <= c.table.Version() {", "if c.table != nil {",
 		[]string{"config"}, "^configuration not active: ",
 	},
+	{
+		"silent server is given up before another one takes over", "ingress/backup.go",
+		"\tallowed := q.sends < maxSends && q.allowRetry()\n", "\ta.cancel(errServerTimeout)\n\tallowed := false\n",
+		[]string{"server_silence"}, "^response lost: stream ",
+	},
 }
 
 // maxMutationRuns is how many runs may be needed until a violation shows: runs
