soak: report an unknown outcome though a server ran the request and none failed

The soak only looked at responses that were cut off.

Ruled out: blaming an entry for each such answer, also when no server ran the request. A proxy may have swallowed it, which the entry can't tell from a run.

An answer that is neither the response of a server nor a guarantee that the request has not run is now a violation under the same conditions as a lost response, if a server ran the request.

Before: not reported.

--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -123,8 +123,13 @@
 	if r.notRun && runs > 0 {
 		out = append(out, fmt.Sprintf("reported as not run, but ran: %s %s at %s: %d runs", r.kind, r.id, r.entry, runs))
 	}
-	if r.incomplete != nil && r.passedOn && r.undisturbed && !r.cut && r.duration < r.timeout-deadlineMargin {
-		out = append(out, fmt.Sprintf("response lost: %s %s at %s after %v, though no server failed: %v", r.kind, r.id, r.entry, r.duration, r.incomplete))
+	if r.passedOn && r.undisturbed && !r.cut && r.duration < r.timeout-deadlineMargin {
+		switch unknown := !r.served && !r.notRun && r.problem == ""; {
+		case r.incomplete != nil:
+			out = append(out, fmt.Sprintf("response lost: %s %s at %s after %v, though no server failed: %v", r.kind, r.id, r.entry, r.duration, r.incomplete))
+		case unknown && runs > 0:
+			out = append(out, fmt.Sprintf("outcome unknown: %s %s at %s after %v, though no server failed", r.kind, r.id, r.entry, r.duration))
+		}
 	}
 	if r.undisturbed && r.duration > r.timeout+responseSlack {
 		out = append(out, fmt.Sprintf("ended late: %s %s at %s after %v, timeout %v", r.kind, r.id, r.entry, r.duration, r.timeout))
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -40,6 +40,7 @@
 		"reported as not run, but ran.*": {id: "ran", kind: kindIdempotent, notRun: true},
 		"wrong response.*":               {id: "ran", kind: kindStream, problem: "event 3 is missing"},
 		"response lost.*":                {id: "ran", kind: kindStream, undisturbed: true, passedOn: true, timeout: time.Second, incomplete: io.ErrUnexpectedEOF},
+		"outcome unknown.*":              {id: "ran", kind: kindIdempotent, undisturbed: true, passedOn: true, timeout: time.Second},
 		"ended late.*":                   {id: "ran", kind: kindNonIdempotent, undisturbed: true, timeout: time.Second, duration: 3 * time.Second},
 		"not recovered: 0 of 1 .*":       {id: "ran", kind: kindNonIdempotent, notRun: false},
 	} {
@@ -57,23 +58,29 @@
 	c.Assert(checker.reported, qt.HasLen, 1)
 }
 
-// An incomplete response is no violation if a fault, the deadline or a request that no
-// server received accounts for it.
-func TestCheckerExcusesIncompleteResponses(t *testing.T) {
+// A response that is incomplete or leaves the outcome unknown is no violation if a fault,
+// the deadline or a request that no server received or ran accounts for it.
+func TestCheckerExcusesUnservedRequests(t *testing.T) {
 	c := qt.New(t)
-	lost := result{kind: kindStream, undisturbed: true, passedOn: true, timeout: time.Second, incomplete: io.ErrUnexpectedEOF}
-	checker := checker{runs: func(string) int { return 1 }}
+	unknown := result{id: "ran", kind: kindStream, undisturbed: true, passedOn: true, timeout: time.Second}
+	lost := unknown
+	lost.incomplete = io.ErrUnexpectedEOF
+	checker := checker{runs: func(id string) int { return len(id) }}
+	c.Assert(checker.checkResult(unknown), qt.HasLen, 1)
 	c.Assert(checker.checkResult(lost), qt.HasLen, 1)
 	for name, excuse := range map[string]func(*result){
 		"disturbed":     func(r *result) { r.undisturbed = false },
 		"not passed on": func(r *result) { r.passedOn = false },
 		"cut":           func(r *result) { r.cut = true },
 		"deadline":      func(r *result) { r.duration = r.timeout - deadlineMargin },
-		"whole":         func(r *result) { r.incomplete = nil },
+		"served":        func(r *result) { r.incomplete, r.served = nil, true },
+		"not run":       func(r *result) { r.incomplete, r.id, r.notRun = nil, "", true },
+		"no run":        func(r *result) { r.incomplete, r.id = nil, "" },
 	} {
-		excused := lost
-		excuse(&excused)
-		c.Assert(checker.checkResult(excused), qt.HasLen, 0, qt.Commentf(name))
+		for _, excused := range []result{lost, unknown} {
+			excuse(&excused)
+			c.Assert(checker.checkResult(excused), qt.HasLen, 0, qt.Commentf(name))
+		}
 	}
 }
 
