--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -55,9 +55,15 @@
 	return nil
 }
 
+// learnsFrom reports whether a request says anything about parts of prompts: one without
+// such parts may, too.
+func (p *pool) learnsFrom(alloc *allocation) bool {
+	return len(alloc.parts) > 0 || p.service.Engine() != nil
+}
+
 // addSettling has a request settle once its answer has gone on for long enough.
 func (sched *Scheduler) addSettling(alloc *allocation) {
-	if p := sched.pools[alloc.service]; p != nil && p.primary && p.service.Engine() != nil {
+	if p := sched.pools[alloc.service]; p != nil && p.primary && p.learnsFrom(alloc) {
 		p.settling = append(p.settling, alloc)
 	}
 }
@@ -80,7 +86,7 @@
 // recordEvidence records what the end of a request says about the parts of its prompt.
 func (sched *Scheduler) recordEvidence(now time.Time, alloc *allocation, outcome Outcome) {
 	p := sched.pools[alloc.service]
-	if p == nil || !p.primary || p.service.Engine() == nil {
+	if p == nil || !p.primary || !p.learnsFrom(alloc) {
 		return
 	}
 	settled := alloc.started && (outcome == OutcomeComplete || now.Sub(alloc.startedAt) >= quarantine.SettleTime)
