--- a/cmd/soak/mutation_test.go
+++ b/cmd/soak/mutation_test.go
@@ -58,7 +58,7 @@
 	},
 	{
 		"silent server is given up before another one takes over", "ingress/backup.go",
-		"\tallowed := q.sends < maxSends && q.allowRetry()\n", "\ta.cancel(errServerTimeout)\n\tallowed := false\n",
+		"\tallowed := q.sends < maxSends && q.ran+1 < q.route.MaxAttempts()\n", "\ta.cancel(errServerTimeout)\n\tallowed := false\n",
 		[]string{"server_silence"}, "^response lost: stream ",
 	},
 }
