ingress: answer a request that was read as its connection timed out

A timeout of the configuration closed a caller's connection. And a connection that was idle when a configuration with a longer idle time became active was closed after the old one, while callers go by the newest.

A timeout now ends the reading of a connection, as net/http's own do, and only if no other one was set since; what was read before is answered. An idle connection is given the active configuration's time. `configuration activated` shows both times.

Before: TestIdleConnectionGetsLongerTimeout got no response; TestRequestReadAtTimeoutIsAnswered needs the new functions and was not shown failing.

--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -129,7 +129,7 @@
 		return
 	}
 	c.table = table
-	c.log.Info("configuration activated", "version", table.Version(), "revision", revision)
+	c.log.Info("configuration activated", "version", table.Version(), "revision", revision, "header_timeout", table.Limits().HeaderTimeout(), "idle_timeout", table.Limits().IdleTimeout())
 }
 
 // remove removes a known item. A server that is removed within removalGrace after
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -29,8 +29,14 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// awaitingRequest is set until the first byte of the next request arrives.
+	// timeouts counts the timeouts that were set: one that was replaced has no effect.
+	timeouts int
+	// expired is set once a timeout has ended the reading of the connection.
+	expired bool
+	// awaitingRequest is set until the first byte of the next request arrives, and
+	// idleSince is when the connection began to wait for it.
 	awaitingRequest bool
+	idleSince       time.Time
 }
 
 // connectionKey is the context key of a request's connection.
@@ -68,20 +74,54 @@
 	return n, err
 }
 
-// closeAfter replaces the connection's timeout by d, 0 for none; it reports
-// false if the previous timeout has already closed the connection.
-func (c *connection) closeAfter(d time.Duration, awaitingRequest bool) bool {
+// closeAfter replaces the connection's timeout by d, 0 for none. What was read before the
+// previous timeout took effect can still be answered.
+func (c *connection) closeAfter(d time.Duration, awaitingRequest bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitingRequest = awaitingRequest
-	if c.timer != nil && !c.timer.Stop() {
-		return false
+	c.idleSince = c.server.timers.Now()
+	c.setTimeout(d)
+	if c.expired {
+		c.expired = false
+		c.logError(c.Conn.SetReadDeadline(time.Time{}))
 	}
-	c.timer = nil
-	if d > 0 {
-		c.timer = time.AfterFunc(d, func() { c.Close() })
+}
+
+// setTimeout replaces the connection's timeout by d, 0 for none; c.mu must be held.
+func (c *connection) setTimeout(d time.Duration) {
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+	c.timeouts++
+	if n := c.timeouts; d > 0 {
+		c.timer = time.AfterFunc(d, func() { c.timeOut(n) })
+	}
+}
+
+// timeOut ends the reading of the connection, upon which net/http closes it, unless the
+// n-th timeout was replaced. The active configuration may allow for a longer idle time
+// than when the connection became idle.
+func (c *connection) timeOut(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n != c.timeouts {
+		return
+	}
+	if left := c.server.limits().IdleTimeout() - c.server.timers.Now().Sub(c.idleSince); c.awaitingRequest && left > 0 {
+		c.setTimeout(left)
+		return
+	}
+	c.expired = true
+	c.logError(c.Conn.SetReadDeadline(time.Unix(1, 0)))
+}
+
+// logError logs an error of the connection, which its next use also returns.
+func (c *connection) logError(err error) {
+	if err != nil {
+		c.server.log.Debug("caller's connection failed", "caller", c.RemoteAddr(), "error", err)
 	}
-	return true
 }
 
 // connState sets the timeout for what a connection waits for next.
@@ -99,11 +139,11 @@
 	}
 }
 
-// clearHeaderTimeout ends the header timeout of a request whose header is read;
-// it reports whether the connection is still open.
-func clearHeaderTimeout(r *http.Request) bool {
-	c, ok := r.Context().Value(connectionKey{}).(*connection)
-	return !ok || c.closeAfter(0, false)
+// clearHeaderTimeout ends the header timeout of a request whose header is read.
+func clearHeaderTimeout(r *http.Request) {
+	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+		c.closeAfter(0, false)
+	}
 }
 
 // limits returns the limits of the active configuration.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -108,10 +108,7 @@
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
 	defer s.logPanic(r)
-	if !clearHeaderTimeout(r) {
-		s.log.Warn("connection timed out as its request became complete", "caller", r.RemoteAddr, "target", r.RequestURI)
-		panic(http.ErrAbortHandler)
-	}
+	clearHeaderTimeout(r)
 	q := &request{server: s, w: w, r: r, start: s.timers.Now()}
 	q.serve()
 }
