caller: keep a silent server's response until another one takes over

What callers saw: a stream whose engine was silent for event_stall (5 s), or for half of the time left before the first token, ended with `event: error` or a 502, and so did a completion that is not streamed if its engine fell silent within the body, although the engine would have gone on. With X-Time-Left of 2 s a silence of one second was enough.

Cause: the client closed the connection to the silent server first, and the request looked for another one afterwards: none listed, none placed, the retry budget used up, or the next server refuses, fails or is silent itself.

A silent server's request now gets a backup: the client reports the silence and goes on waiting, and the request is also sent to another server, within its attempts and the retry budgets. The first open attempt that sends an event, or its whole response, goes on and the others are cancelled. A backup that is silent gets one in turn, so that two dead servers cost no more than before. A server that was only silent is not avoided afterwards, since the one that takes over may fail; a slot for the silent server stays held until then. Requests for a group of servers, reservations of memory and plain calls keep their waits.

--- a/backend/client.go
+++ b/backend/client.go
@@ -67,7 +67,11 @@
 		return nil, &AttemptError{outcome: OutcomeNotStarted, err: err}
 	}
 	sentAt := c.clock.Now()
-	watchdog := newWatchdog(attempt.firstTimeout, cancel)
+	watchdog := newWatchdog(attempt.silent)
+	if attempt.silent == nil {
+		watchdog = newWatchdog(func() { cancel(ErrStalled) })
+	}
+	watchdog.start(attempt.firstTimeout, attempt.eventTimeout)
 	httpResponse, err := c.transport(attempt).RoundTrip(request)
 	watchdog.stop()
 	if err != nil {
--- a/backend/client_attempt.go
+++ b/backend/client_attempt.go
@@ -16,6 +16,7 @@
 	deadline     time.Time
 	firstTimeout time.Duration
 	eventTimeout time.Duration
+	silent       func()
 	priority     int
 	resumeFrom   int
 	plain        bool
@@ -35,6 +36,14 @@
 	return a
 }
 
+// OnSilence returns the attempt with a function to call when the limit on a wait
+// has passed, and again after each later one, while the response is still waited
+// for. Without one the attempt fails with ErrStalled.
+func (a Attempt) OnSilence(silent func()) Attempt {
+	a.silent = silent
+	return a
+}
+
 // ResumingFrom returns the attempt with a request to skip the answer's first
 // tokens.
 func (a Attempt) ResumingFrom(tokens int) Attempt {
--- a/backend/client_watchdog.go
+++ b/backend/client_watchdog.go
@@ -1,28 +1,54 @@
 package backend
 
 import (
-	"context"
+	"sync"
 	"time"
 )
 
-// watchdog cancels an attempt whose server sends nothing within a timeout.
+// watchdog calls a function while a server sends nothing.
 type watchdog struct {
-	timer *time.Timer
+	silent func()
+
+	mu     sync.Mutex
+	timer  *time.Timer
+	repeat time.Duration
+	active bool
 }
 
-// newWatchdog returns a watchdog started with the timeout; 0 stands for none.
-func newWatchdog(timeout time.Duration, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{timer: time.AfterFunc(time.Hour, func() { cancel(ErrStalled) })}
-	w.start(timeout)
+// newWatchdog returns a stopped watchdog that calls silent.
+func newWatchdog(silent func()) *watchdog {
+	w := &watchdog{silent: silent}
+	w.timer = time.AfterFunc(time.Hour, w.fire)
+	w.timer.Stop()
 	return w
 }
 
-func (w *watchdog) start(timeout time.Duration) {
-	if timeout > 0 {
+// start has silent called after the timeout, 0 for never, and then after each
+// repeat of it, until stop.
+func (w *watchdog) start(timeout, repeat time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.active, w.repeat = timeout > 0, repeat
+	if w.active {
 		w.timer.Reset(timeout)
-		return
 	}
+}
+
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.active = false
 	w.timer.Stop()
 }
 
-func (w *watchdog) stop() { w.timer.Stop() }
+func (w *watchdog) fire() {
+	w.mu.Lock()
+	active := w.active
+	if active && w.repeat > 0 {
+		w.timer.Reset(w.repeat)
+	}
+	w.mu.Unlock()
+	if active {
+		w.silent()
+	}
+}
--- a/backend/response.go
+++ b/backend/response.go
@@ -19,9 +19,6 @@
 	// response is read on Close, to reuse its connection.
 	drainTimeout  = time.Second
 	maxDrainBytes = 1 << 10
-	// minFirstTimeout is the least time left for the first event when the
-	// header arrived late.
-	minFirstTimeout = time.Millisecond
 )
 
 // Response is a server's response to an attempt.
@@ -90,9 +87,10 @@
 
 var errNoLength = eris.New("backend: answer states no length")
 
-// Read reads from the body and fails when the server stalls.
+// Read reads from the body. When the server stalls it fails, or calls the
+// attempt's function for a silent server.
 func (r *Response) Read(p []byte) (int, error) {
-	r.watchdog.start(r.readTimeout())
+	r.watchdog.start(r.readTimeout(), r.attempt.eventTimeout)
 	n, err := r.httpResponse.Body.Read(p)
 	r.watchdog.stop()
 	r.started = r.started || n > 0
@@ -111,8 +109,10 @@
 	if r.attempt.firstTimeout == 0 {
 		return 0
 	}
-	left := r.attempt.firstTimeout - r.client.clock.Now().Sub(r.sentAt)
-	return max(left, minFirstTimeout)
+	if left := r.attempt.firstTimeout - r.client.clock.Now().Sub(r.sentAt); left > 0 {
+		return left
+	}
+	return r.attempt.eventTimeout
 }
 
 // ReplaceID returns the JSON body with its id replaced. The body's id must be
@@ -166,9 +166,9 @@
 }
 
 func (r *Response) drain() {
-	r.watchdog.start(drainTimeout)
+	timeout := time.AfterFunc(drainTimeout, func() { r.cancel(nil) })
 	io.CopyN(io.Discard, r.httpResponse.Body, maxDrainBytes)
 	r.httpResponse.Body.Close()
-	r.watchdog.stop()
+	timeout.Stop()
 	r.cancel(nil)
 }
--- a/backend/stream_test.go
+++ b/backend/stream_test.go
@@ -32,7 +32,7 @@
 		attempt:      Attempt{slot: testSlot("r1.2", "", time.Time{})}.ResumingFrom(resumeFrom),
 		httpResponse: &http.Response{Body: io.NopCloser(body), Request: request, Header: make(http.Header)},
 		cancel:       cancel,
-		watchdog:     newWatchdog(0, cancel),
+		watchdog:     newWatchdog(func() { cancel(ErrStalled) }),
 	}
 	return response.Stream(func() error { return nil })
 }
--- a/caller/delivery.go
+++ b/caller/delivery.go
@@ -1,11 +1,8 @@
 package caller
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
-
-	"greengagedock.example/backend"
 )
 
 // delivery determines how a response reaches the caller.
@@ -37,19 +34,28 @@
 func (*completionDelivery) delivery() {}
 func (*plainDelivery) delivery()      {}
 
-// deliver passes the response on. The error is a *Failure if the caller has
-// left.
-func (e *execution) deliver(response *backend.Response) error {
+// deliver passes the response of an attempt on, which a backup may have opened
+// already. The error is a *Failure if the caller has left.
+func (e *execution) deliver(a *attempt) error {
+	e.begin(a)
+	if !a.opened {
+		if err := a.open(); err != nil {
+			return err
+		}
+	}
+	if d, ok := e.delivery.(*streamDelivery); ok {
+		return d.copyEvents(a)
+	}
+	if !e.progressed(a.tokens) {
+		return errSuperseded
+	}
 	switch d := e.delivery.(type) {
-	case *streamDelivery:
-		return d.copyEvents(response.Stream(d.flush))
 	case *completionDelivery:
-		return d.read(response)
+		d.body = a.body
 	case *plainDelivery:
-		return d.read(response)
-	default:
-		return nil
+		d.response = &plainResponse{status: a.response.Status(), header: filterHeader(a.response.Header()), body: a.body}
 	}
+	return nil
 }
 
 // writeBuffered writes the buffered response, if any, after its slot has been
@@ -82,37 +88,43 @@
 
 // copyEvents writes each event with the request's ID. The final event is held
 // back until the stream is known to be whole.
-func (d *streamDelivery) copyEvents(stream *backend.Stream) error {
+func (d *streamDelivery) copyEvents(a *attempt) error {
+	e := a.execution
+	a.delivering = true
 	d.finalEvent = d.finalEvent[:0]
-	for {
-		event, err := stream.Next()
-		if err == io.EOF {
-			return d.finish(stream)
-		}
-		if err != nil {
+	for event, err := a.firstEvent, a.firstErr; ; event, err = a.stream.Next() {
+		if err != nil && err != io.EOF {
 			d.flush()
 			return err
 		}
+		tokens := a.stream.Tokens()
 		if event.Final() {
-			d.finalEvent = event.AppendWithID(d.finalEvent, d.request.id)
-			continue
+			tokens = d.request.tokens // a backup must send the final event too
 		}
-		d.buffer = event.AppendWithID(d.buffer[:0], d.request.id)
-		if err := d.write(d.buffer); err != nil {
-			return err
+		if !e.progressed(tokens) {
+			return errSuperseded
+		}
+		switch {
+		case err == io.EOF:
+			return d.finish()
+		case event.Final():
+			d.finalEvent = event.AppendWithID(d.finalEvent, d.request.id)
+		default:
+			d.buffer = event.AppendWithID(d.buffer[:0], d.request.id)
+			if err := d.write(d.buffer); err != nil {
+				return err
+			}
 		}
-		d.request.tokens = stream.Tokens()
 	}
 }
 
-func (d *streamDelivery) finish(stream *backend.Stream) error {
+func (d *streamDelivery) finish() error {
 	if err := d.write(d.finalEvent); err != nil {
 		return err
 	}
 	if err := d.write(doneEvent); err != nil {
 		return err
 	}
-	d.request.tokens = stream.Tokens()
 	return d.flush()
 }
 
@@ -153,45 +165,9 @@
 	d.request.w.WriteHeader(http.StatusOK)
 }
 
-type completionBody struct {
-	ID    string `json:"id"`
-	Usage struct {
-		CompletionTokens int `json:"completion_tokens"`
-	} `json:"usage"`
-}
-
-// read buffers the model's whole response, with its ID replaced by the
-// request's.
-func (d *completionDelivery) read(response *backend.Response) error {
-	body, err := response.Body(d.request.server.limits.MaxAnswer())
-	if err != nil {
-		return err
-	}
-	var fields completionBody
-	if err := json.Unmarshal(body, &fields); err != nil {
-		return response.RecordFault(backend.FaultMalformed)
-	}
-	replaced, err := response.ReplaceID(body, d.request.id)
-	if err != nil {
-		return err
-	}
-	d.request.tokens = fields.Usage.CompletionTokens
-	d.body = replaced
-	return nil
-}
-
 // plainResponse is the whole response of a plain service.
 type plainResponse struct {
 	status int
 	header http.Header
 	body   []byte
 }
-
-func (d *plainDelivery) read(response *backend.Response) error {
-	body, err := response.Body(d.request.server.limits.MaxAnswer())
-	if err != nil {
-		return err
-	}
-	d.response = &plainResponse{status: response.Status(), header: filterHeader(response.Header()), body: body}
-	return nil
-}
--- a/caller/execution.go
+++ b/caller/execution.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"greengagedock.example/backend"
@@ -37,6 +38,15 @@
 	idempotent bool
 	delivery   delivery
 
+	// sendCtx is the context of the attempts.
+	sendCtx        context.Context
+	backupsRunning sync.WaitGroup
+	// mu guards the fields below and the request's tokens and attempts while a
+	// backup may run.
+	mu          sync.Mutex
+	current     *attempt // whose response is delivered, nil between attempts
+	ready       *attempt // the backup that takes over from it
+	backups     []*backup
 	avoid       []string
 	mayHaveRun  bool
 	retrying    bool
@@ -46,72 +56,75 @@
 
 // run returns nil once the response is whole.
 func (e *execution) run(ctx context.Context) *Failure {
-	for range maxAttempts {
-		slot, failure := e.acquire(ctx)
-		if failure != nil {
-			return failure
-		}
-		if e.retrying && !e.request.server.serverBudgets.spend(slot.Server(), serverBudgetSize) {
-			e.request.server.slots.Release(slot, backend.OutcomeNotStarted)
-			e.avoidServer(slot)
-			continue
+	e.sendCtx = ctx
+	if !e.idempotent {
+		// The result must be recorded even if the caller disconnects.
+		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), e.deadline)
+		defer cancel()
+		e.sendCtx = detached
+	}
+	for a := (*attempt)(nil); a != nil || e.request.attempts < maxAttempts; {
+		if a == nil {
+			slot, failure := e.acquire(ctx)
+			if failure != nil {
+				return failure
+			}
+			if e.retrying && !e.request.server.serverBudgets.spend(slot.Server(), serverBudgetSize) {
+				e.request.server.slots.Release(slot, backend.OutcomeNotStarted)
+				e.avoidServer(slot)
+				continue
+			}
+			a = e.attemptFor(e.sendCtx, slot)
 		}
-		err := e.runAttempt(ctx, slot)
+		err := e.deliver(a)
+		a.close()
+		next := e.awaitBackup(err)
 		if err == nil {
+			e.request.server.slots.Release(a.slot, backend.OutcomeFinished)
 			return e.writeBuffered()
 		}
-		if failure := e.handleAttemptError(ctx, slot, err); failure != nil {
+		if next != nil {
+			e.releaseReplaced(a.slot, err)
+		} else if failure := e.handleAttemptError(ctx, a.slot, err); failure != nil {
 			return failure
 		}
+		a = next
 	}
 	return e.attemptsExhausted()
 }
 
 // acquire requests a slot for the next attempt.
 func (e *execution) acquire(ctx context.Context) (backend.Slot, *Failure) {
+	slot, err := e.request.server.slots.Acquire(ctx, e.slotRequest())
+	if err != nil {
+		return backend.Slot{}, e.slotFailure(ctx, err)
+	}
+	e.request.logRoute(slot)
+	return slot, nil
+}
+
+// slotRequest returns the slot request of the next attempt.
+func (e *execution) slotRequest() backend.SlotRequest {
 	q := e.request
 	q.attempts++
 	id := backend.AttemptID(q.snapshot.Self(), q.uniqueID, q.attempts)
-	request := backend.NewSlotRequest(id, q.snapshot.Self(), q.access.account.Name(), e.workload, e.cost, e.deadline).
+	return backend.NewSlotRequest(id, q.snapshot.Self(), q.access.account.Name(), e.workload, e.cost, e.deadline).
 		WithPrefix(e.prefix).
 		WithPriority(q.access.document.Priority()).
 		WithShare(q.access.account.Share()).
 		Avoiding(e.avoid...)
-	slot, err := q.server.slots.Acquire(ctx, request)
-	if err != nil {
-		return backend.Slot{}, e.slotFailure(ctx, err)
-	}
-	q.logRoute(slot)
-	return slot, nil
 }
 
-// runAttempt sends one attempt and delivers its response. If it fails, the slot
-// is not released.
-func (e *execution) runAttempt(ctx context.Context, slot backend.Slot) error {
-	if !e.idempotent {
-		// The result must be recorded even if the caller disconnects.
-		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), e.deadline)
-		defer cancel()
-		ctx = detached
-	}
+// attemptFor returns the attempt to send with the slot, which may get backups.
+func (e *execution) attemptFor(ctx context.Context, slot backend.Slot) *attempt {
 	e.request.server.serverBudgets.credit(slot.Server())
-	response, err := e.request.server.client.Send(ctx, e.newAttempt(slot))
-	if err != nil {
-		return err
-	}
-	defer response.Close()
-	if !response.MatchesAttempt() {
-		return response.RecordFault(backend.FaultCrossed)
-	}
-	if err := e.deliver(response); err != nil {
-		return err
-	}
-	e.request.server.slots.Release(slot, backend.OutcomeFinished)
-	return nil
+	a := e.newAttempt(ctx, slot, e.outgoing(slot))
+	a.outgoing = a.outgoing.OnSilence(func() { e.serverSilent(a) })
+	return a
 }
 
-// newAttempt returns the attempt to send with the slot.
-func (e *execution) newAttempt(slot backend.Slot) backend.Attempt {
+// outgoing returns what to send to the slot's server.
+func (e *execution) outgoing(slot backend.Slot) backend.Attempt {
 	attempt := backend.NewAttempt(slot, e.method, e.path, e.header, e.body, e.deadline)
 	limits := e.request.server.limits
 	switch e.delivery.(type) {
--- a/caller/group.go
+++ b/caller/group.go
@@ -139,15 +139,9 @@
 	if i < len(g.slots)-1 {
 		return client.SendPart(ctx, g.newAttempt(i))
 	}
-	response, err := client.Send(ctx, e.withEventTimeout(g.newAttempt(i)))
-	if err != nil {
-		return err
-	}
-	defer response.Close()
-	if !response.MatchesAttempt() {
-		return response.RecordFault(backend.FaultCrossed)
-	}
-	return e.deliver(response)
+	a := e.newAttempt(ctx, g.slots[i], e.withEventTimeout(g.newAttempt(i)))
+	defer a.close()
+	return e.deliver(a)
 }
 
 // newAttempt returns the attempt to send for one part.
--- a/caller/limits.go
+++ b/caller/limits.go
@@ -77,7 +77,7 @@
 }
 
 // EventStallTimeout returns how long a server may take between two events of a
-// stream.
+// stream until the request is also sent to another one.
 func (l Limits) EventStallTimeout() time.Duration {
 	return orDefault(l.eventStallTimeout, defaultEventStallTimeout)
 }
