caller: keep a group's memory while the server of its answer is silent

What callers saw: a prompt that needs several engines ended with `event: error` (busy) when the engine of the last part sent nothing for event_stall (5 s) within its answer, although it would have gone on. In a fleet with no more engines than parts no new try could succeed before the first one's memory was free.

Cause: the silence closed the response and released the memory of all parts first; the new try gathered afterwards and prefilled everything again. Another group needs the memory that this one holds, so a backup beside it is no way here.

The answer of a group is now waited for until its deadline, or until a part is gone or not renewed for 10 s, after which the engine has freed it anyway. An engine that dies for good without closing its connection is so noticed after 10 to 13 s instead of 5 s.

Before: TestGroupOutlivesShortSilence fails after 7.5 s with "the memory of 2 servers did not come free together". Now: it passes, 8 of 8 with the race detector, with one reservation of each part; TestGroupsWithoutLeases passes as before.

--- a/caller/group.go
+++ b/caller/group.go
@@ -131,21 +131,21 @@
 }
 
 // sendPart sends one part for prefill; with the last part it delivers the
-// response.
+// response. A server that is silent is waited for until it no longer renews its
+// part, since another group needs the memory that this one holds.
 func (g *serverGroup) sendPart(ctx context.Context, i int) error {
 	e := g.execution
-	client := e.request.server.client
 	e.mayHaveRun = true
 	if i < len(g.slots)-1 {
-		return client.SendPart(ctx, g.newAttempt(i))
+		return e.request.server.client.SendPart(ctx, g.outgoing(i))
 	}
-	a := e.newAttempt(ctx, g.slots[i], e.withEventTimeout(g.newAttempt(i)))
+	a := e.newAttempt(ctx, g.slots[i], g.outgoing(i).ResumingFrom(e.request.tokens))
 	defer a.close()
 	return e.deliver(a)
 }
 
-// newAttempt returns the attempt to send for one part.
-func (g *serverGroup) newAttempt(i int) backend.Attempt {
+// outgoing returns what to send for one part.
+func (g *serverGroup) outgoing(i int) backend.Attempt {
 	e := g.execution
 	firstToken := 0
 	for _, cost := range g.partCosts[:i] {
@@ -156,15 +156,6 @@
 	return attempt.WithPart(part).WithClassPriority(backend.ClassLong)
 }
 
-// withEventTimeout limits the time between the events of the response.
-func (e *execution) withEventTimeout(attempt backend.Attempt) backend.Attempt {
-	stall := e.request.server.limits.EventStallTimeout()
-	if _, ok := e.delivery.(*streamDelivery); ok {
-		return attempt.WithTimeouts(0, stall).ResumingFrom(e.request.tokens)
-	}
-	return attempt.WithTimeouts(0, stall)
-}
-
 // handleAttemptError returns nil if another try may follow one that failed
 // after some work.
 func (g *serverGroup) handleAttemptError(ctx, groupCtx context.Context, slot backend.Slot, err error) *Failure {
--- a/caller/group_test.go
+++ b/caller/group_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,7 +90,7 @@
 	entry   *testEntry
 }
 
-func newGroupCluster(c testing.TB, engines int) *groupCluster {
+func newGroupCluster(c testing.TB, limits Limits, engines int) *groupCluster {
 	f := &groupCluster{slots: &groupSlots{
 		used: make(map[string]int), held: make(map[string]int), random: rand.New(rand.NewPCG(1, 2)),
 	}}
@@ -97,7 +99,7 @@
 		f.engines = append(f.engines, engine)
 		f.slots.servers = append(f.slots.servers, newFakeServer(c, fmt.Sprint(i), "strip", engine.ServeHTTP))
 	}
-	f.entry = newTestEntry(c, Limits{}, f.slots.servers...)
+	f.entry = newTestEntry(c, limits, f.slots.servers...)
 	f.entry.Server.slots = f.slots
 	f.entry.snapshot.documents = []*registry.Document{groupDocument(c)}
 	return f
@@ -164,7 +166,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			f := newGroupCluster(c, 4)
+			f := newGroupCluster(c, Limits{}, 4)
 			var sent sync.WaitGroup
 			var mu sync.Mutex
 			whole := 0
@@ -203,10 +205,56 @@
 // are refused.
 func TestChatPromptIsNotSplit(t *testing.T) {
 	c := qt.New(t)
-	f := newGroupCluster(c, 4)
+	f := newGroupCluster(c, Limits{}, 4)
 	body := fmt.Sprintf(`{"model": "strip-1", "messages": [{"role": "user", "content": %q}], "max_tokens": 20}`, strings.Repeat(" word", 2000))
 	response, text := f.entry.mustDo(c, "POST", "/v1/chat/completions", agencyKey, body)
 	c.Assert(response.StatusCode, qt.Equals, 413)
 	c.Assert(failureOf(c, text).Reason, qt.Equals, ReasonTooLarge)
 	f.waitReleased(c)
 }
+
+// silentWriter is silent for a time before its nth write.
+type silentWriter struct {
+	http.ResponseWriter
+	n int
+}
+
+func (w *silentWriter) Write(p []byte) (int, error) {
+	w.n--
+	if w.n == 0 {
+		time.Sleep(silenceTime)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+func (w *silentWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Flush implements http.Flusher.
+func (w *silentWriter) Flush() { w.ResponseWriter.(http.Flusher).Flush() }
+
+// Guards against a group that gives up its memory, and fails for want of other servers,
+// although the server of its last part, silent for a short time, would have gone on.
+func TestGroupOutlivesShortSilence(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := newGroupCluster(c, Limits{}.WithStallTimeouts(0, testStall), 2)
+	reservations := atomic.Int32{}
+	for i, engine := range f.engines {
+		f.slots.servers[i] = newFakeServer(t, fmt.Sprint(i), "strip", func(w http.ResponseWriter, r *http.Request) {
+			switch r.URL.Path {
+			case "/v1/kv/reserve":
+				reservations.Add(1)
+			case "/v1/completions":
+				w = &silentWriter{w, 3}
+			}
+			engine.ServeHTTP(w, r)
+		})
+	}
+	status, text, want, err := f.complete("archive", "10s")
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(text, qt.Contains, "[DONE]", qt.Commentf("%s", text))
+	c.Assert(text, qt.Contains, want)
+	c.Assert(reservations.Load(), qt.Equals, int32(2))
+	f.waitReleased(c)
+}
