caller: log what net/http reports about a caller's connection as an error

What callers saw: a connection that closes without a response, for which the log of the entry has no line at its usual level.

Cause: net/http logs a handler that panics through ErrorLog, which was at debug level. On a server without TLS its other lines are failures to accept and misuse by the handler, so all of them belong at the usual level.

Before: TestPanicIsLogged waits 5 s for the line. Now: it passes, 3 of 3 with the race detector.

--- a/caller/server.go
+++ b/caller/server.go
@@ -59,7 +59,7 @@
 		ReadHeaderTimeout: limits.HeaderTimeout(),
 		IdleTimeout:       limits.IdleTimeout(),
 		MaxHeaderBytes:    limits.MaxHeader(),
-		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Error}),
 	}
 	return s
 }
