caller: wait for the entry that runs a call while it opens the connection

What callers saw: a non-idempotent call that was sent to another entry than its owner ended with 502 `home_unreached`, outcome unknown, after one second if the owner did not answer the opening of a connection for that long, although no byte was sent, the call's deadline was seconds away and no other entry may run it.

Cause: a limit of one second on opening the connection, with nothing to do instead when it ends. The deadline and the silence of the owner's heartbeats bound the wait already, as they do once the connection is open.

Before: TestForwardedCallOutlivesShortSilence, in which the owner answers after 1.2 s, fails after 1.1 s with 502. Now: it passes, and it and the tests of silent and unreachable owners pass 3 of 3 with the race detector.

--- a/caller/forward.go
+++ b/caller/forward.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	forwardDialTimeout = time.Second
 	forwardIdleTimeout = 30 * time.Second
 	// silencePollInterval is the time between two checks whether an owner is
 	// silent.
@@ -22,9 +21,11 @@
 	defaultForwardTimeout = time.Minute
 )
 
+// newForwardTransport returns a transport that waits for the owner of a call until
+// the call's deadline, or until the owner is silent, since no other entry may run it.
 func newForwardTransport() http.RoundTripper {
 	return &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: forwardDialTimeout}).DialContext,
+		DialContext:        new(net.Dialer).DialContext,
 		DisableCompression: true,
 		IdleConnTimeout:    forwardIdleTimeout,
 	}
--- a/caller/plain_test.go
+++ b/caller/plain_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -270,3 +273,39 @@
 	c.Assert(detail.Message, qt.Equals, ownerSilent.message)
 	(<-accepted).Close()
 }
+
+// newFullListener returns a listener whose queue of connections is full, so that it
+// answers no further one until it accepts.
+func newFullListener(c *qt.C) net.Listener {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	c.Assert(syscall.Listen(fd, 0), qt.IsNil)
+	file := os.NewFile(uintptr(fd), "listener")
+	defer file.Close()
+	listener, err := net.FileListener(file)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	for {
+		conn, err := net.DialTimeout("tcp", listener.Addr().String(), 100*time.Millisecond)
+		if err != nil {
+			return listener
+		}
+		c.Cleanup(func() { conn.Close() })
+	}
+}
+
+// Guards against a call that ends as unknown because the only entry that may run it does
+// not answer the opening of a connection for a short time.
+func TestForwardedCallOutlivesShortSilence(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	service := new(fakeService)
+	owner := newTestEntry(t, Limits{}, newFakeServer(t, "repairs-1", "repairs", service.serve))
+	listener := newFullListener(c)
+	time.AfterFunc(1200*time.Millisecond, func() { http.Serve(listener, owner.Handler()) })
+	forwarder := newForwardingEntry(t, listener.Addr().String())
+	response, text := forwarder.mustDo(t, "POST", recordsPath, agencyKey, "stove", "X-Request-Id", ownedID)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	c.Assert(service.runs.Load(), qt.Equals, int32(1))
+}
