peer: let an entry that is heard again declare its attempts before they are cancelled

What callers saw: a running stream was cancelled at its engine, though its entry and the engine were sound, when a keeper that had been cut off for more than ten seconds came back; the stream resumed elsewhere, or was cut if no other engine took it.

Cause: the returning keeper had counted the stream, granted by the entry that stood in, as unclaimed for the whole time of the partition, and took the first heartbeat of its owner for a sign that the owner would have declared it. The owner learns of the returning keeper only from that exchange and declares afterwards.

An owner that is heard must now have been heard without a gap for the ten seconds in which it could have declared its attempts.

--- a/peer/membership.go
+++ b/peer/membership.go
@@ -47,6 +47,7 @@
 type member struct {
 	owner              backend.Owner
 	lastHeard          time.Time
+	heardSince         time.Time // without a gap of a lease's duration
 	lastSeq            uint64
 	clockOffset        time.Duration
 	listVersion        int64
@@ -138,6 +139,9 @@
 		m.members[from.Entry()] = peer
 		newIncarnation = true
 	}
+	if now.Sub(peer.lastHeard) >= leaseDuration(m.list) {
+		peer.heardSince = now
+	}
 	peer.lastHeard = now
 	peer.lastSeq = hb.Seq
 	peer.listVersion = hb.ListVersion
--- a/peer/node.go
+++ b/peer/node.go
@@ -134,8 +134,8 @@
 
 // isOrphaned reports whether an owner will not declare its attempts on a server
 // that this entry keeps: it is this entry itself; it has a newer incarnation;
-// it is heard and has the same list, so it knows the keeper and would have
-// declared them; or it is neither listed nor heard. The last case requires the
+// it has been heard for a while and has the same list, so it knows the keeper and
+// would have declared them; or it is neither listed nor heard. The last case requires the
 // quorum lease, since a partitioned entry does not know the entries that were
 // listed since. A listed owner that is silent may only be partitioned itself.
 func (n *Node) isOrphaned(now time.Time, server string, owner backend.Owner) bool {
@@ -147,7 +147,8 @@
 	case peer != nil && peer.owner.Incarnation() > owner.Incarnation():
 		return true
 	case peer != nil && now.Sub(peer.lastHeard) < leaseDuration(n.membership.list):
-		return n.keeper.kept[server].keeperByList && peer.listVersion == n.membership.list.Version()
+		return n.keeper.kept[server].keeperByList && peer.listVersion == n.membership.list.Version() &&
+			now.Sub(peer.heardSince) >= cancelUnclaimedAfter
 	default:
 		return n.quorumLease && !listed && (peer == nil || now.Sub(peer.lastHeard) >= forgetSilentAfter)
 	}
--- a/peer/returning_keeper_test.go
+++ b/peer/returning_keeper_test.go
@@ -36,15 +36,17 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			for seed := range uint64(12) {
-				sim := newSimulation(seed, 5, 4)
-				sim.underLoad = true
-				sim.advance(16 * time.Second)
-				keeper := sim.keepers()["engine-0"]
-				test.away(sim, keeper)
-				sim.advance(8 * time.Second)
-				test.comeBack(sim, keeper)
-				sim.advance(20 * time.Second)
-				qt.Assert(t, sim.faults, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+				for _, away := range []time.Duration{8 * time.Second, 2 * cancelUnclaimedAfter} {
+					sim := newSimulation(seed, 5, 4)
+					sim.underLoad = true
+					sim.advance(16 * time.Second)
+					keeper := sim.keepers()["engine-0"]
+					test.away(sim, keeper)
+					sim.advance(away)
+					test.comeBack(sim, keeper)
+					sim.advance(20 * time.Second)
+					qt.Assert(t, sim.faults, qt.HasLen, 0, qt.Commentf("seed %d, away for %v", seed, away))
+				}
 			}
 		})
 	}
