peer: ask a silent keeper again while there is no other one

What callers saw: 503 `busy` after one second, seconds before the request's deadline, when the entry that keeps the service's servers was silent for about that long and no other entry keeps any of them. The same for the lease of a group of servers.

Cause: a slot request without a reply for one second is withdrawn from its keeper first, and refused if there is no other keeper to ask.

Such a request is now sent to the same keeper again, which repeats its decision, once a second and up to the four keepers that one request may ask, while the keeper is heard at least every three seconds. If there is another keeper, or the keeper is no longer heard, the request is withdrawn and moves as before.

Before: TestSlotRequestOutlivesShortSilenceOfKeeper (silent for 1.2 s) fails, as the request is refused within that time.

--- a/peer/slot_requests.go
+++ b/peer/slot_requests.go
@@ -81,6 +81,11 @@
 		n.refuse(p)
 		return
 	}
+	n.askKeeper(now, p, keeper, why)
+}
+
+// askKeeper sends the request to a keeper.
+func (n *Node) askKeeper(now time.Time, p *pendingRequest, keeper, why string) {
 	p.keeper = keeper
 	p.sentAt = now
 	p.queued = false
@@ -228,9 +233,7 @@
 			p.reason = backend.ReasonDeadline
 			n.refuse(p)
 		case !p.queued && waited >= replyTimeout:
-			n.withdrawFromKeeper(now, p)
-			p.reason = backend.ReasonBusy
-			n.askNextKeeper(now, p)
+			n.handleNoReply(now, p)
 		case p.queued && (!n.reachable(now, p.keeper) || waited >= rerouteAfter && n.hasRoomElsewhere(now, p)):
 			n.withdrawFromKeeper(now, p)
 			n.askNextKeeper(now, p)
@@ -238,6 +241,28 @@
 	}
 }
 
+// handleNoReply moves a request to the next keeper. If there is none, it asks the
+// silent one again while that is reachable: the keeper may go on, and the request
+// or its reply may have been lost.
+func (n *Node) handleNoReply(now time.Time, p *pendingRequest) {
+	p.reason = backend.ReasonBusy
+	if n.hasOtherKeeper(now, p) || !n.reachable(now, p.keeper) || len(p.tried) >= maxKeepersAsked {
+		n.withdrawFromKeeper(now, p)
+		n.askNextKeeper(now, p)
+		return
+	}
+	n.askKeeper(now, p, p.keeper, "no other")
+}
+
+// hasOtherKeeper reports whether there is a keeper that was not tried yet.
+func (n *Node) hasOtherKeeper(now time.Time, p *pendingRequest) bool {
+	if p.request.Workload().IsGroupLease() {
+		keeper, _ := n.chooseGroupLeaseKeeper(now, p)
+		return keeper != ""
+	}
+	return len(n.candidates(now, p)) > 0
+}
+
 // rerouteFrom moves the requests that were pending at an entry whose
 // incarnation has changed.
 func (n *Node) rerouteFrom(now time.Time, entry string) {
