ingress: repeat a renewal of reserved memory that failed

A renewal that failed was repeated only at the next one's time, 1.7 s later: a prefill worker that is silent for a second or so in a bad phase lost its reservation, and the prompt's request was cut off there (LOST, found by reading in the audit for silent servers). Each reservation is now renewed by itself, and what fails is repeated after 50 ms.

Before: TestFailedRenewalIsRepeatedSoon counts two calls in the time of two renewals; it was written with the change.

--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -251,13 +251,19 @@
 	failAddress string
 	// reserveCalls counts Reserve calls, and longestHold is the longest hold time of any.
 	reserveCalls int
-	longestHold  time.Duration
+	// failCalls is the number of Reserve calls that fail after the first one.
+	failCalls   int
+	longestHold time.Duration
 }
 
 func (m *fakeReserver) Reserve(_ context.Context, address, id string, tokens int, hold time.Duration) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reserveCalls++
+	if m.reserveCalls > 1 && m.failCalls > 0 {
+		m.failCalls--
+		return errNotRun
+	}
 	m.longestHold = max(m.longestHold, hold)
 	if address == m.failAddress {
 		return errNotRun
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -341,6 +341,24 @@
 	c.Assert(b.reserver.reserveCalls > 1, qt.IsTrue)
 }
 
+// Guards against LOST: a prefill worker that is silent as its reservation is renewed keeps
+// it, since the renewal is repeated well before it expires.
+func TestFailedRenewalIsRepeatedSoon(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbed(t, newBackend(c, hang))
+	b.server.reservationHold = 2 * time.Second
+	b.reserver.failCalls = 3
+	b.scheduler.workers = []dispatch.PrefillWorker{dispatch.NewPrefillWorker("s1", "10.0.0.1:1", 5000)}
+	r := b.request("POST", "/once/", "")
+	r.Header.Set("Left", "1300ms") // less than two renewals
+	_, _, _ = b.do(r)
+	b.waitForRelease()
+	b.reserver.mu.Lock()
+	defer b.reserver.mu.Unlock()
+	c.Assert(b.reserver.failCalls, qt.Equals, 0)
+	c.Assert(b.reserver.reserveCalls, qt.Equals, 1+3+1)
+}
+
 // A stream that is cut off before its first event must leave no header of its
 // server in the error that the caller gets, nor in the next server's response.
 func TestFailedStreamForwardsNoServerHeader(t *testing.T) {
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -12,6 +12,8 @@
 const (
 	// renewFraction is the fraction of the hold time after which a reservation is renewed.
 	renewFraction = 0.45
+	// renewRetryDelay is the delay after which a renewal that failed is repeated.
+	renewRetryDelay = 50 * time.Millisecond
 	// maxReleaseAttempts and releaseRetryDelay bound the attempts to release a
 	// reservation; if all fail, it expires after its hold time.
 	maxReleaseAttempts = 3
@@ -52,7 +54,9 @@
 	}
 	if len(r.active) > 0 {
 		q.server.log.Info("KV memory reserved", "id", q.id, "tickets", len(r.active), "ticket", r.active[0].id)
-		go r.renew(ctx)
+		for _, res := range r.active {
+			go r.renew(ctx, res)
+		}
 	}
 	return r, nil
 }
@@ -72,23 +76,26 @@
 	return out
 }
 
-// renew renews the reservations until they are released.
-func (r *reservations) renew(ctx context.Context) {
-	tick := time.NewTicker(time.Duration(renewFraction * float64(r.hold)))
-	defer tick.Stop()
+// renew renews a reservation until it is released. A worker that is silent for a second or
+// so must not lose it, so a renewal that fails is repeated soon.
+func (r *reservations) renew(ctx context.Context, res kvReservation) {
+	interval := time.Duration(renewFraction * float64(r.hold))
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	for {
 		select {
-		case <-tick.C:
+		case <-timer.C:
 		case <-r.stop:
 			return
 		case <-ctx.Done():
 			return
 		}
-		for _, res := range r.active {
-			if err := r.server.kvReserver.Reserve(ctx, res.address, res.id, res.tokens, r.hold); err != nil {
-				r.server.log.Info("KV reservation not renewed", "id", r.id, "address", res.address, "error", err)
-			}
+		next := interval
+		if err := r.server.kvReserver.Reserve(ctx, res.address, res.id, res.tokens, r.hold); err != nil {
+			r.server.log.Info("KV reservation not renewed", "id", r.id, "address", res.address, "error", err)
+			next = min(renewRetryDelay, interval)
 		}
+		timer.Reset(next)
 	}
 }
 
