gateway, ingress, dispatch: send nothing to servers that say they leave

A server that leaves says so in all its answers (Server-Leaving). Entries did not read the header, and went on to send to such a server until the store listed it as draining or gone, which takes up to three intervals of its reports, and longer while the store is away (DRAIN).

An answer with the header (plain answer, stream head, refusal, order to reserve or release memory) now ends new sends to that incarnation from this entry at once: the view that is consulted before each send no longer has it as usable, neither as server nor as prefill worker, retry, resumed stream, backup or in need. A placement is checked again after its memory was reserved, and made anew without touching the retry budget (outcome "withdrawn"). The scheduler of the service learns it with the next placement call or event, the others with heartbeats: as news for three seconds, then if digests differ. Open requests are finished. A notice lasts as long as its incarnation is published and a minute beyond, and 4096 are kept at most. Another incarnation that answers with 421 says nothing about the one that was asked. Fields are added at the end of messages only.

Ruled out: copying the notices into each view, since a view is then late by one publication; refreshing a notice on each gossip, since entries would remind each other for ever.

Before: with each part of the change taken out in turn (the check of views, the reading of answers and of orders, the second check, the incarnation, the grant that is asked for again, heartbeats' news and digests, the placement call), one of the new tests fails. Now all pass.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -124,6 +124,15 @@
 // PrefillWorkers returns the servers that prefill parts of the prompt.
 func (g Grant) PrefillWorkers() []PrefillWorker { return g.prefillWorkers }
 
+// Servers returns the ids of the server and of the prefill workers.
+func (g Grant) Servers() []string {
+	out := []string{g.server}
+	for _, worker := range g.prefillWorkers {
+		out = append(out, worker.server)
+	}
+	return out
+}
+
 // TimeToFirstToken returns the expected time from the grant to the first event.
 func (g Grant) TimeToFirstToken() time.Duration { return g.timeToFirstToken }
 
@@ -146,6 +155,9 @@
 	OutcomeRejected Outcome = "full"
 	// OutcomeReplaced means that another incarnation has the server's address.
 	OutcomeReplaced Outcome = "gone"
+	// OutcomeWithdrawn means that the request was not sent, since a server of its
+	// placement takes no more requests.
+	OutcomeWithdrawn Outcome = "withdrawn"
 	// OutcomeUnreachable means that the server could not be reached.
 	OutcomeUnreachable Outcome = "unsent"
 	// OutcomeBroken means that the answer was cut off or malformed.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -302,15 +302,18 @@
 	return 0
 }
 
-// grantOf returns the grant of a request that is submitted again, and false if
-// its server is gone.
+// grantOf returns the grant of a request that is submitted again, and false if one of
+// its servers is gone or takes no more requests.
 func (sched *Scheduler) grantOf(alloc *allocation) (Grant, bool) {
 	s := sched.serverOf(alloc)
-	if s == nil {
+	if s == nil || !s.usable {
 		return Grant{}, false
 	}
 	var workers []PrefillWorker
 	for _, part := range alloc.prefillParts {
+		if !part.server.usable {
+			return Grant{}, false
+		}
 		if part.server != s {
 			workers = append(workers, NewPrefillWorker(part.server.info.ID(), part.server.info.Address(), alloc.reservedOn(part.server)))
 		}
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -22,6 +22,8 @@
 	scheduler *Scheduler
 	now       time.Time
 	owner     Owner
+	notices   routing.Notices
+	view      *routing.View
 }
 
 func newFleet(engines, plain int) *fleet {
@@ -50,7 +52,8 @@
 	for _, s := range servers {
 		byID[s.ID()] = s
 	}
-	f.scheduler.SetView(f.now, routing.NewView(1, table, byID, nil))
+	f.view = routing.NewView(1, table, byID, nil).WithNotices(&f.notices)
+	f.scheduler.SetView(f.now, f.view)
 }
 
 // prompt returns a request with the given objectives.
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -226,7 +226,7 @@
 func (s *server) recordOutcome(now time.Time, outcome Outcome) {
 	cost := 0.0
 	switch outcome {
-	case OutcomeCancelled, OutcomeRejected:
+	case OutcomeCancelled, OutcomeWithdrawn, OutcomeRejected:
 		if outcome == OutcomeRejected {
 			s.refusedUntil = later(s.refusedUntil, now.Add(minSuspension/4))
 		}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -58,6 +58,9 @@
 	storeFailing atomic.Bool
 
 	view atomic.Pointer[routing.View]
+	// notices holds what backend servers stated about themselves.
+	notices        routing.Notices
+	noticesExpired time.Time
 	// loggedDigest is suspicionsDigest as of the last suspicions logged.
 	loggedDigest uint64
 	// entries is the number of entries that share the fleet-wide limits.
@@ -93,7 +96,7 @@
 		random:   rand.New(rand.NewPCG(incarnation, 0)),
 	}
 	c.state.Store(memberStarting)
-	c.view.Store(c.cache.view())
+	c.view.Store(c.newView())
 	c.entries.Store(startupEntries)
 	c.started = timers.Now()
 	return c
@@ -153,6 +156,7 @@
 	c.entries.Store(int64(entries))
 	c.updateShares(now)
 	c.logSuspicions(now)
+	c.expireNotices(now)
 	for _, decision := range c.scheduler.Tick(now) {
 		c.deliver(decision)
 	}
@@ -191,7 +195,7 @@
 // cacheChanged publishes a changed cache to the view and the scheduler, and marks
 // the entry ready once it has a configuration and servers.
 func (c *control) cacheChanged(now time.Time) {
-	view := c.cache.view()
+	view := c.newView()
 	c.view.Store(view)
 	c.scheduler.SetView(now, view)
 	if c.members.self.State == memberStarting && view.Table() != nil && len(view.Servers()) > 0 {
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -69,6 +69,20 @@
 	// Suspicions if the digests differ.
 	SuspicionsDigest uint64
 	Suspicions       []suspicionMessage
+	// NoticesDigest is the digest of the notices that the sender knows. Notices lists
+	// the latest ones, and in a response all of them if the digests differ.
+	NoticesDigest uint64
+	Notices       []noticeMessage
+}
+
+// noticeMessage is what a backend server stated about itself.
+type noticeMessage struct {
+	Server string
+	// Start identifies the server's incarnation, in Unix milliseconds.
+	Start   int64
+	Leaving bool
+	// Age is the time since the server stated it, or was last known to exist.
+	Age time.Duration
 }
 
 // suspicionMessage is a suspicion against parts of the prompts of a service.
@@ -145,6 +159,7 @@
 	TokenInterval time.Duration
 	Exclude       []string
 	Parts         []quarantine.Part
+	Notices       []noticeMessage
 }
 
 // placementReply is the response to a placementMessage. The request is queued if
@@ -175,6 +190,7 @@
 	Ended       []endMessage
 	Faults      []faultMessage
 	Withdrawn   []string
+	Notices     []noticeMessage
 }
 
 type endMessage struct {
--- /dev/null
+++ b/gateway/notices_test.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"greengagedock.example/dispatch"
+	"greengagedock.example/routing"
+)
+
+// leaver is the incarnation of a server that leaves.
+var leaver = routing.NewIncarnation("s3", 0)
+
+// newNoticeEntry returns an entry with servers, whose control loop does not run.
+func newNoticeEntry(number int, now time.Time) *control {
+	c := newSuspicionEntry(number, now)
+	servers := make(map[string]routing.Server)
+	for i := range 12 {
+		id := fmt.Sprint("s", i)
+		servers[id] = routing.NewServer(id, "llm", id+":1", "a", 16)
+	}
+	c.view.Store(routing.NewView(1, c.cache.table, servers, nil).WithNotices(&c.notices))
+	return c
+}
+
+// used reports whether an entry's scheduler grants a server to a request that has failed
+// at all others.
+func used(c *control, now time.Time, server string) bool {
+	var others []string
+	for id := range c.View().Servers() {
+		if id != server {
+			others = append(others, id)
+		}
+	}
+	request := dispatch.NewRequest("used", "llm").WithTokens(1000, 100).WithExclude(others...).
+		WithTimes(now, now.Add(300*time.Millisecond), now.Add(10*time.Second)).WithFirstTokenDeadline(now.Add(2 * time.Second))
+	granted, ok := c.scheduler.Submit(now, c.owner, request).(dispatch.Granted)
+	c.scheduler.Ended(now, "used", dispatch.OutcomeCancelled)
+	return ok && granted.Grant().Server() == server
+}
+
+// Guards against DRAIN: other entries know of a leaving server after one heartbeat to or
+// from an entry that does, also long after the news.
+func TestLeavingServerIsKnownAfterOneHeartbeat(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	first, second, third := newNoticeEntry(1, now), newNoticeEntry(2, now), newNoticeEntry(3, now)
+	c.Assert(used(first, now, "s3"), qt.IsTrue)
+	first.addNotice(now, routing.NewLeaving(leaver, now))
+	c.Assert(used(first, now, "s3"), qt.IsFalse)
+	c.Assert(first.View().Usable("s3"), qt.IsFalse)
+
+	exchange(now, first, second)
+	c.Assert(second.View().Usable("s3"), qt.IsFalse)
+	c.Assert(used(second, now, "s3"), qt.IsFalse)
+	now = now.Add(20 * time.Second)
+	second.expireNotices(now)
+	exchange(now, third, second)
+	c.Assert(third.View().Usable("s3"), qt.IsFalse)
+	c.Assert(used(third, now, "s3"), qt.IsFalse)
+	c.Assert(third.View().Usable("s4"), qt.IsTrue)
+
+	// Nothing more is sent between entries that know the same.
+	now = now.Add(4 * time.Second)
+	heartbeat := third.newHeartbeat(now, heartbeatTarget{address: second.members.self.PeerAddress})
+	c.Assert(heartbeat.Notices, qt.HasLen, 0)
+	c.Assert(second.answerHeartbeat(now, heartbeat).Notices, qt.HasLen, 0)
+}
+
+// Guards against DRAIN: the scheduler learns of a leaving server before it decides on the
+// next placement call.
+func TestLeavingServerIsKnownWithNextCall(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	sender := newNoticeEntry(1, now)
+	message := []noticeMessage{encodeNotice(now, routing.NewLeaving(leaver, now))}
+	for name, send := range map[string]func(scheduler *control){
+		"events": func(scheduler *control) {
+			_, err := scheduler.handleEvents(eventsMessage{Entry: "e1", Notices: message})
+			c.Assert(err, qt.IsNil)
+		},
+		"placement": func(scheduler *control) {
+			call := encodeRequest(sender.owner, sender.crashingRequest(time.Now(), "r"), time.Now())
+			call.Notices = message
+			_, err := scheduler.handlePlacement(call)
+			c.Assert(err, qt.IsNil)
+		},
+	} {
+		scheduler := newNoticeEntry(2, now)
+		stop := make(chan struct{})
+		go scheduler.run(stop)
+		send(scheduler)
+		close(stop)
+		<-scheduler.done
+		c.Assert(scheduler.View().Usable("s3"), qt.IsFalse, qt.Commentf(name))
+		c.Assert(used(scheduler, time.Now(), "s3"), qt.IsFalse, qt.Commentf(name))
+	}
+}
+
+// Guards against DRAIN: a scheduler that grants a server that leaves is told of it, in
+// the call for the next placement at the latest.
+func TestSchedulerThatGrantsLeavingServerIsTold(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	entry, scheduler := newNoticeEntry(1, now), newNoticeEntry(2, now)
+	entry.members.observe(now, scheduler.members.self)
+	entry.members.byID["e2"].State, entry.members.byID["e2"].CPUCores = memberReady, 1
+	entry.notices.Add(now, routing.NewLeaving(leaver, now))
+	stop := make(chan struct{})
+	defer close(stop)
+	go entry.run(stop)
+	client := &schedulerClient{control: entry}
+	client.repeatNotices("llm", dispatch.NewGrant("r", "s4", "s4:1", nil, 0))
+	c.Assert(entry.pending(scheduler), qt.HasLen, 0)
+	client.repeatNotices("llm", dispatch.NewGrant("r", "s4", "s4:1", []dispatch.PrefillWorker{dispatch.NewPrefillWorker("s3", "s3:1", 0)}, 0))
+	c.Assert(entry.pending(scheduler), qt.HasLen, 1)
+}
+
+// pending returns the notices that are to be sent to a scheduler.
+func (c *control) pending(scheduler *control) (out []noticeMessage) {
+	c.do(func(time.Time) {
+		if events := c.pendingEvents[scheduler.members.self.PeerAddress]; events != nil {
+			out = events.Notices
+		}
+	})
+	return out
+}
+
+// Entries of the version without notices understand the messages with them, and the
+// other way round.
+func TestNoticesAreCompatibleWithOlderEntries(t *testing.T) {
+	c := qt.New(t)
+	type olderEvents struct {
+		Entry     string
+		Withdrawn []string
+	}
+	body, err := msgpack.Marshal(eventsMessage{Entry: "e1", Withdrawn: []string{"r"}, Notices: []noticeMessage{{Server: "s3", Leaving: true}}})
+	c.Assert(err, qt.IsNil)
+	var older olderEvents
+	c.Assert(msgpack.Unmarshal(body, &older), qt.IsNil)
+	c.Assert(older, qt.DeepEquals, olderEvents{Entry: "e1", Withdrawn: []string{"r"}})
+	body, err = msgpack.Marshal(older)
+	c.Assert(err, qt.IsNil)
+	var events eventsMessage
+	c.Assert(msgpack.Unmarshal(body, &events), qt.IsNil)
+	c.Assert(events, qt.DeepEquals, eventsMessage{Entry: "e1", Withdrawn: []string{"r"}})
+
+	type olderHeartbeat struct {
+		Revision         int64
+		SuspicionsDigest uint64
+	}
+	body, err = msgpack.Marshal(heartbeatMessage{Revision: 4, NoticesDigest: 5, Notices: []noticeMessage{{Server: "s3"}}})
+	c.Assert(err, qt.IsNil)
+	var olderBeat olderHeartbeat
+	c.Assert(msgpack.Unmarshal(body, &olderBeat), qt.IsNil)
+	c.Assert(olderBeat, qt.DeepEquals, olderHeartbeat{Revision: 4})
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -73,6 +73,9 @@
 	if heartbeat.SuspicionsDigest != reply.SuspicionsDigest {
 		reply.Suspicions = c.encodeSuspicions(now)
 	}
+	if heartbeat.NoticesDigest != reply.NoticesDigest {
+		reply.Notices = encodeNotices(now, c.notices.Current(now))
+	}
 	return reply
 }
 
@@ -93,6 +96,7 @@
 	}
 	c.members.mergeCounters(now, heartbeat.Counters)
 	c.mergeSuspicions(now, heartbeat.Suspicions)
+	c.mergeNotices(now, heartbeat.From.ID, heartbeat.Notices)
 	for _, other := range heartbeat.Members {
 		if c.members.learn(other) {
 			c.log.Info("entry discovered", "entry", other.ID, "incarnation", other.Incarnation, "from", heartbeat.From.ID)
@@ -110,7 +114,8 @@
 // newHeartbeat returns this entry's heartbeat for a target, or its response to one if
 // the target has no address.
 func (c *control) newHeartbeat(now time.Time, to heartbeatTarget) heartbeatMessage {
-	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision, StoreAge: c.storeAge(now), Digest: c.members.digest(), SuspicionsDigest: c.suspicionsDigest()}
+	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision, StoreAge: c.storeAge(now), Digest: c.members.digest(), SuspicionsDigest: c.suspicionsDigest(),
+		NoticesDigest: c.notices.Digest(now), Notices: encodeNotices(now, c.notices.News(now))}
 	if to.address == "" {
 		return heartbeat
 	}
@@ -184,6 +189,9 @@
 
 func (c *control) handlePlacement(call placementMessage) (placementReply, error) {
 	owner, request := call.decode(c.timers.Now())
+	if len(call.Notices) > 0 {
+		c.do(func(now time.Time) { c.mergeNotices(now, call.Entry, call.Notices) })
+	}
 	decision, err := c.schedule(context.Background(), owner, request)
 	if err != nil {
 		return placementReply{}, eris.Wrap(errCall, err.Error())
@@ -193,6 +201,7 @@
 
 func (c *control) handleEvents(call eventsMessage) (emptyReply, error) {
 	c.do(func(now time.Time) {
+		c.mergeNotices(now, call.Entry, call.Notices)
 		for _, id := range call.Started {
 			c.scheduler.Started(now, id)
 		}
--- a/gateway/schedulerclient.go
+++ b/gateway/schedulerclient.go
@@ -7,6 +7,7 @@
 	"greengagedock.example/dispatch"
 	"greengagedock.example/ingress"
 	"greengagedock.example/mesh"
+	"greengagedock.example/routing"
 )
 
 const (
@@ -52,6 +53,7 @@
 		return nil, err
 	}
 	var scheduler memberMessage
+	var call placementMessage
 	local, changed := false, false
 	if !s.control.do(func(now time.Time) {
 		known := s.control.members.scheduler(now, request.Service())
@@ -59,6 +61,10 @@
 			local = true
 		} else {
 			scheduler = known.memberMessage
+			call = encodeRequest(s.control.owner, request, now)
+			if events := s.control.pendingEvents[scheduler.PeerAddress]; events != nil {
+				call.Notices = events.Notices // the events may arrive later
+			}
 		}
 		changed = s.control.noteScheduler(request.Service(), scheduler.PeerAddress)
 	}) {
@@ -74,7 +80,6 @@
 	callCtx, cancel := context.WithTimeout(ctx, placementTimeout)
 	defer cancel()
 	var reply placementReply
-	call := encodeRequest(s.control.owner, request, s.control.timers.Now())
 	if err := s.client.Call(callCtx, scheduler.PeerAddress, callPlacement, call, &reply); err != nil {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
@@ -85,6 +90,7 @@
 	decision := reply.decode(request.ID())
 	if granted, ok := decision.(dispatch.Granted); ok {
 		s.recordGrant(request, granted.Grant())
+		s.repeatNotices(request.Service(), granted.Grant())
 	}
 	return decision, nil
 }
@@ -120,6 +126,17 @@
 	s.control.do(func(now time.Time) { s.control.scheduler.Adopt(now, s.control.owner, running) })
 }
 
+// repeatNotices tells a scheduler that grants servers which take no more requests what
+// this entry knows of them.
+func (s *schedulerClient) repeatNotices(service string, grant dispatch.Grant) {
+	view := s.control.View()
+	for _, id := range grant.Servers() {
+		if notice, ok := view.Notice(id); ok {
+			s.Notice(service, notice)
+		}
+	}
+}
+
 func (s *schedulerClient) withdraw(request dispatch.Request) {
 	s.notify(request.Service(), func(now time.Time, events *eventsMessage) {
 		s.control.scheduler.Withdraw(request.ID())
@@ -153,6 +170,14 @@
 	})
 }
 
+// Notice reports what a server stated about itself.
+func (s *schedulerClient) Notice(service string, notice routing.Notice) {
+	s.notify(service, func(now time.Time, events *eventsMessage) {
+		s.control.addNotice(now, notice)
+		events.Notices = append(events.Notices, encodeNotice(now, notice))
+	})
+}
+
 // notify applies an event to this entry's own scheduler and batches it for the
 // scheduler of the service.
 func (s *schedulerClient) notify(service string, f func(now time.Time, events *eventsMessage)) {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -28,6 +28,7 @@
 	sent      bool // guarded by the request's mutex
 
 	grant    dispatch.Grant
+	server   routing.Incarnation // to which the request is sent
 	reserved *reservations
 	response *upstream.Response
 	// opened is whether the response can be forwarded. A stream then has events and its
@@ -95,12 +96,18 @@
 	if a.reserved, err = q.reserve(a.ctx, a.grant); err != nil {
 		return dispatch.OutcomeRejected, err
 	}
+	if !q.usable(a.grant) {
+		// A server began to leave while memory was reserved.
+		return dispatch.OutcomeWithdrawn, errNotSent
+	}
+	a.server = q.incarnation(a.grant.Server())
 	a.silence.start(a, now)
 	metadata := upstream.NewRequestMetadata(a.grant.Server(), q.account.Name(), q.deadline.Sub(now)).WithLastEventID(a.lastEventID)
 	a.response, err = q.server.client.Send(a.ctx, a.grant.Address(), q.outgoing, metadata.WithPrefillWorkers(a.reserved.prefillWorkers(a.grant)...))
 	if err != nil {
 		return sendOutcome(a.ctx, err), err
 	}
+	q.server.noteResponse(q.id, q.service.Name(), a.server, a.response.Metadata())
 	if a.response.Metadata().NotRun() {
 		return a.notRun()
 	}
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -53,7 +53,7 @@
 	if header.Get("Refused") != "" {
 		m = m.WithNotRun(false, "")
 	}
-	return m
+	return m.WithLeaving(header.Get("Leaving") != "")
 }
 
 // backend is a server that answers its i-th connection with its i-th step, the
@@ -159,8 +159,13 @@
 	next     int
 	refusal  *Refusal
 	workers  []dispatch.PrefillWorker
-	outcomes []dispatch.Outcome
-	faults   []string // the addresses of servers reported as stalled
+	// workersOnce limits the prefill workers to the first grant.
+	workersOnce bool
+	outcomes    []dispatch.Outcome
+	faults      []string // the addresses of servers reported as stalled
+	notices     routing.Notices
+	// ids are the server ids of the grants, in turn; s1, s2 and so on without them.
+	ids []string
 }
 
 func (s *fakeScheduler) Acquire(ctx context.Context, request dispatch.Request) (dispatch.Grant, error) {
@@ -174,9 +179,19 @@
 	}
 	b := s.backends[s.next]
 	s.next++
-	return dispatch.NewGrant(request.ID(), fmt.Sprint("s", s.next), b.address, s.workers, 0), nil
+	id := fmt.Sprint("s", s.next)
+	if s.ids != nil {
+		id = s.ids[s.next-1]
+	}
+	workers := s.workers
+	if s.workersOnce && s.next > 1 {
+		workers = nil
+	}
+	return dispatch.NewGrant(request.ID(), id, b.address, workers, 0), nil
 }
 
+func (s *fakeScheduler) Notice(_ string, notice routing.Notice) { s.notices.Add(time.Now(), notice) }
+
 func (s *fakeScheduler) Started(string, string) {}
 
 func (s *fakeScheduler) Ended(_, _ string, outcome dispatch.Outcome) {
@@ -243,36 +258,40 @@
 	s.scheduler.ReportFault(time.Now(), service, address, outcome)
 }
 
+func (s *localScheduler) Notice(string, routing.Notice) {}
+
 // fakeReserver records what is reserved, by address and reservation id.
 type fakeReserver struct {
 	mu          sync.Mutex
 	held        map[string]int
 	failAddress string
+	// response is the metadata of each response.
+	response upstream.ResponseMetadata
 	// reserveCalls counts Reserve calls, and longestHold is the longest hold time of any.
 	reserveCalls int
 	longestHold  time.Duration
 }
 
-func (m *fakeReserver) Reserve(_ context.Context, address, id string, tokens int, hold time.Duration) error {
+func (m *fakeReserver) Reserve(_ context.Context, address, id string, tokens int, hold time.Duration) (upstream.ResponseMetadata, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reserveCalls++
 	m.longestHold = max(m.longestHold, hold)
 	if address == m.failAddress {
-		return errNotRun
+		return m.response, errNotRun
 	}
 	if m.held == nil {
 		m.held = make(map[string]int)
 	}
 	m.held[address+" "+id] = tokens
-	return nil
+	return m.response, nil
 }
 
-func (m *fakeReserver) Release(_ context.Context, address, id string) error {
+func (m *fakeReserver) Release(_ context.Context, address, id string) (upstream.ResponseMetadata, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.held, address+" "+id)
-	return nil
+	return m.response, nil
 }
 
 func (m *fakeReserver) count() int {
@@ -351,7 +370,7 @@
 // newServer returns a server that routes by the table.
 func (b *testbed) newServer(table *routing.Table, servers map[string]routing.Server) *Server {
 	timers := &timer.Service{}
-	b.view.Store(routing.NewView(1, table, servers, nil))
+	b.view.Store(routing.NewView(1, table, servers, nil).WithNotices(&b.scheduler.notices))
 	client := upstream.NewClient(fakeHeaders{}, timers, upstream.Dialer{})
 	return NewServer(fakeViews{view: &b.view, storeAway: &b.storeAway}, b.scheduler, &b.reserver, client, fakeHeaders{},
 		NewLimits(NewRetryBudget(0.2, 100, 10*time.Second), 1<<20, 0, 92*time.Millisecond), discardRecorder{}, hclog.NewNullLogger(), timers)
--- a/ingress/interfaces.go
+++ b/ingress/interfaces.go
@@ -6,6 +6,7 @@
 
 	"greengagedock.example/dispatch"
 	"greengagedock.example/routing"
+	"greengagedock.example/upstream"
 )
 
 // Views provides the current configuration and the known backend servers.
@@ -28,15 +29,19 @@
 	Ended(service, id string, outcome dispatch.Outcome)
 	// Fault reports that a request failed because of a server other than the one it was sent to.
 	Fault(service, address string, outcome dispatch.Outcome)
+	// Notice reports what a server of the service stated about itself. When it returns,
+	// the views take it into account.
+	Notice(service string, notice routing.Notice)
 }
 
-// KVReserver reserves KV memory on model engines.
+// KVReserver reserves KV memory on model engines. The metadata are those of the engine's
+// response, also of one with an error; they are zero without a response.
 type KVReserver interface {
 	// Reserve reserves KV memory for a number of tokens on the engine at address
 	// for the hold time; calling it again with the same id renews the reservation.
-	Reserve(ctx context.Context, address, id string, tokens int, hold time.Duration) error
+	Reserve(ctx context.Context, address, id string, tokens int, hold time.Duration) (upstream.ResponseMetadata, error)
 	// Release ends the reservation with that id.
-	Release(ctx context.Context, address, id string) error
+	Release(ctx context.Context, address, id string) (upstream.ResponseMetadata, error)
 }
 
 // Refusal is the error of a request that could not be placed; it has not run.
--- /dev/null
+++ b/ingress/notice_test.go
@@ -0,0 +1,104 @@
+package ingress
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengagedock.example/dispatch"
+	"greengagedock.example/routing"
+	"greengagedock.example/upstream"
+)
+
+// withHeader returns a response with another header line.
+func withHeader(response, line string) string {
+	return strings.Replace(response, "\r\n", "\r\n"+line+"\r\n", 1)
+}
+
+const leaving = "Leaving: 1"
+
+// Guards against DRAIN: after any answer with which a server says that it leaves, no
+// placement sends it another request, though the published list still has it as ready.
+func TestLeavingServerGetsNoMoreRequests(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name, path, first string
+	}{
+		{"plain answer", "/again/", withHeader(fullResponse(200, "a"), leaving)},
+		{"failure", "/once/", withHeader(fullResponse(500, "a"), leaving)},
+		{"stream head", "/stream/", withHeader(streamResponse(streamBody(0), true), leaving)},
+		{"refusal", "/once/", withHeader(refused, leaving)},
+		{"stream that breaks off", "/stream/", withHeader(streamResponse("id: 1\ndata: 1\n\n", false), leaving)},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			leaver := newBackend(c, test.first, fullResponse(200, "late"), fullResponse(200, "late"))
+			answer := fullResponse(200, "other")
+			if strings.HasPrefix(test.path, "/stream/") {
+				answer = streamResponse(streamBody(0), true)
+			}
+			other := newBackend(c, answer, answer)
+			b := newTestbedOn(c, leaver, leaver, other, leaver, other)
+			b.scheduler.ids = []string{"s1", "s1", "s2", "s1", "s2"}
+			for range 2 {
+				response, _, err := b.do(b.request(http.MethodPost, test.path, "x"))
+				c.Assert(err, qt.IsNil)
+				c.Assert(response.StatusCode == http.StatusOK || response.StatusCode == http.StatusInternalServerError, qt.IsTrue)
+			}
+			c.Assert(leaver.seen(), qt.HasLen, 1)
+		})
+	}
+}
+
+// Guards against DRAIN: the answers to orders count as well, and a placement is made anew
+// that was granted before the answer to its own order.
+func TestLeavingPrefillWorkerIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	first, second := newBackend(c, fullResponse(200, "first")), newBackend(c, fullResponse(200, "second"))
+	b := newTestbedOn(c, first, second)
+	b.scheduler.ids = []string{"s1", "s1"}
+	b.scheduler.workers = []dispatch.PrefillWorker{dispatch.NewPrefillWorker("s2", "10.0.0.1:1", 5000)}
+	b.reserver.response = upstream.ResponseMetadata{}.WithLeaving(true)
+	b.scheduler.workersOnce = true
+	response, body, _ := b.do(b.request(http.MethodPost, "/once/", "x"))
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(body, qt.Equals, "second")
+	c.Assert(first.seen(), qt.HasLen, 0)
+	c.Assert(b.scheduler.ended()[0], qt.Equals, dispatch.OutcomeWithdrawn)
+	for i := 0; b.reserver.count() > 0 && i < 100; i++ {
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Assert(b.reserver.count(), qt.Equals, 0)
+}
+
+// Guards against cutting off running requests: the stream of a server that leaves goes
+// on to its end.
+func TestLeavingServerFinishesItsStream(t *testing.T) {
+	c := qt.New(t)
+	text := streamBody(0)
+	whole := withHeader(streamResponse(text, true), leaving)
+	at := strings.Index(whole, "id: 3")
+	server := newBackend(c, whole[:at]+silence+whole[at:])
+	server.silenceTime = 100 * time.Millisecond
+	b := newTestbedOn(c, server)
+	_, body, err := b.do(b.request(http.MethodPost, "/stream/", "x"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, text)
+}
+
+// Guards against a sound server that is not used: another incarnation that answers at the
+// address says nothing about the one that was asked, nor an earlier one about a later.
+func TestOnlyTheServerThatAnsweredIsLeaving(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbedOn(c, newBackend(c))
+	metadata := upstream.ResponseMetadata{}.WithLeaving(true)
+	s1 := routing.NewIncarnation("s1", 0)
+	b.server.noteResponse("a1", "desk", s1, metadata.WithNotRun(true, ""))
+	c.Assert(b.view.Load().Usable("s1"), qt.IsTrue)
+	b.server.noteResponse("a1", "desk", routing.NewIncarnation("s1", 7), metadata)
+	c.Assert(b.view.Load().Usable("s1"), qt.IsTrue)
+	b.server.noteResponse("a1", "desk", s1, metadata)
+	c.Assert(b.view.Load().Usable("s1"), qt.IsFalse)
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -260,7 +260,7 @@
 // mayHaveRun reports whether a server may have run a request that ended with the outcome.
 func mayHaveRun(outcome dispatch.Outcome) bool {
 	switch outcome {
-	case dispatch.OutcomeUnreachable, dispatch.OutcomeRejected, dispatch.OutcomeReplaced:
+	case dispatch.OutcomeUnreachable, dispatch.OutcomeWithdrawn, dispatch.OutcomeRejected, dispatch.OutcomeReplaced:
 		return false
 	default:
 		return true
@@ -273,7 +273,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	switch outcome {
-	case dispatch.OutcomeUnreachable:
+	case dispatch.OutcomeUnreachable, dispatch.OutcomeWithdrawn:
 		return q.sends < maxSends && q.ran < q.route.MaxAttempts()
 	case dispatch.OutcomeRejected, dispatch.OutcomeReplaced:
 		if q.sends >= maxSends || q.ran >= q.route.MaxAttempts() {
@@ -304,9 +304,12 @@
 // usable reports whether all servers of a grant may still take new requests.
 func (q *request) usable(grant dispatch.Grant) bool {
 	view := q.server.views.View()
-	return view.Usable(grant.Server()) && !slices.ContainsFunc(grant.PrefillWorkers(), func(h dispatch.PrefillWorker) bool {
-		return !view.Usable(h.Server())
-	})
+	return !slices.ContainsFunc(grant.Servers(), func(id string) bool { return !view.Usable(id) })
+}
+
+// incarnation returns the published incarnation of a server.
+func (q *request) incarnation(server string) routing.Incarnation {
+	return q.server.views.View().Servers()[server].Incarnation()
 }
 
 // placementRequest returns the request for a placement; q.mu must be held.
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagedock.example/dispatch"
+	"greengagedock.example/routing"
 	"greengagedock.example/upstream"
 )
 
@@ -20,14 +21,16 @@
 
 // reservations are the KV reservations of one send.
 type reservations struct {
-	server *Server
-	id     string
-	active []kvReservation
-	hold   time.Duration
-	stop   chan struct{}
+	server  *Server
+	id      string
+	service string
+	active  []kvReservation
+	hold    time.Duration
+	stop    chan struct{}
 }
 
 type kvReservation struct {
+	server  routing.Incarnation
 	address string
 	id      string
 	tokens  int
@@ -36,15 +39,15 @@
 // reserve reserves KV memory for the tokens that a grant's prefill workers
 // process. After an error nothing stays reserved.
 func (q *request) reserve(ctx context.Context, grant dispatch.Grant) (*reservations, error) {
-	r := &reservations{server: q.server, id: q.id, hold: q.server.reservationHold, stop: make(chan struct{})}
+	r := &reservations{server: q.server, id: q.id, service: q.service.Name(), hold: q.server.reservationHold, stop: make(chan struct{})}
 	for _, worker := range grant.PrefillWorkers() {
 		if worker.ReservedTokens() == 0 {
 			continue
 		}
-		res := kvReservation{address: worker.Address(), id: strings.ReplaceAll(grant.ID(), "/", "-"), tokens: worker.ReservedTokens()}
+		res := kvReservation{server: q.incarnation(worker.Server()), address: worker.Address(), id: strings.ReplaceAll(grant.ID(), "/", "-"), tokens: worker.ReservedTokens()}
 		// A failed Reserve call may still have taken effect, so it is released as well.
 		r.active = append(r.active, res)
-		if err := q.server.kvReserver.Reserve(ctx, res.address, res.id, res.tokens, r.hold); err != nil {
+		if err := r.reserveOne(ctx, res); err != nil {
 			q.server.log.Info("KV memory not reserved", "id", q.id, "address", res.address, "tokens", res.tokens, "error", err)
 			r.release()
 			return nil, err
@@ -57,6 +60,12 @@
 	return r, nil
 }
 
+func (r *reservations) reserveOne(ctx context.Context, res kvReservation) error {
+	metadata, err := r.server.kvReserver.Reserve(ctx, res.address, res.id, res.tokens, r.hold)
+	r.server.noteResponse(r.id, r.service, res.server, metadata)
+	return err
+}
+
 // prefillWorkers returns the prefill workers of a grant with their reservations.
 func (r *reservations) prefillWorkers(grant dispatch.Grant) []upstream.PrefillWorker {
 	var out []upstream.PrefillWorker
@@ -85,7 +94,7 @@
 			return
 		}
 		for _, res := range r.active {
-			if err := r.server.kvReserver.Reserve(ctx, res.address, res.id, res.tokens, r.hold); err != nil {
+			if err := r.reserveOne(ctx, res); err != nil {
 				r.server.log.Info("KV reservation not renewed", "id", r.id, "address", res.address, "error", err)
 			}
 		}
@@ -110,7 +119,10 @@
 		if try > 0 {
 			time.Sleep(releaseRetryDelay)
 		}
-		if err = r.server.kvReserver.Release(context.Background(), res.address, res.id); err == nil {
+		var metadata upstream.ResponseMetadata
+		metadata, err = r.server.kvReserver.Release(context.Background(), res.address, res.id)
+		r.server.noteResponse(r.id, r.service, res.server, metadata)
+		if err == nil {
 			return
 		}
 	}
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -21,6 +21,7 @@
 	errServerTimeout = eris.New("ingress: server sent nothing in time")
 	errTruncated     = eris.New("ingress: response truncated")
 	errNotRun        = eris.New("ingress: server did not run the request")
+	errNotSent       = eris.New("ingress: a server of the placement takes no more requests")
 	errServerError   = eris.New("ingress: server returned an error")
 )
 
--- /dev/null
+++ b/routing/notice.go
@@ -0,0 +1,214 @@
+package routing
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// noticeRetention is how long a notice is kept that the server has not repeated and
+	// whose incarnation is not published.
+	noticeRetention = time.Minute
+	// maxNotices bounds the notices that are kept; those not repeated for longest go first.
+	maxNotices = 4096
+	// noticeNewsTime is how long after a notice was learned it is news to other entries.
+	noticeNewsTime = 3 * time.Second
+	// maxNoticesToSend bounds the notices that are sent in one message.
+	maxNoticesToSend = 128
+)
+
+// Incarnation identifies a backend server from one of its starts to its end. Another
+// server may get its address, and a later incarnation its id.
+type Incarnation struct {
+	id             string
+	startUnixMilli int64
+}
+
+// NewIncarnation returns the incarnation of the server with an id that started at a time in Unix milliseconds.
+func NewIncarnation(id string, startUnixMilli int64) Incarnation {
+	return Incarnation{id: id, startUnixMilli: startUnixMilli}
+}
+
+// ID returns the id of the server.
+func (i Incarnation) ID() string { return i.id }
+
+// StartUnixMilli returns the start time in Unix milliseconds, 0 if unknown.
+func (i Incarnation) StartUnixMilli() int64 { return i.startUnixMilli }
+
+// Notice is what a server has stated about itself in a response.
+type Notice struct {
+	server  Incarnation
+	leaving bool
+	// statedAt is when the server stated it, or was last known to exist.
+	statedAt time.Time
+}
+
+// NewLeaving returns the notice of a server that takes no new requests until its end.
+func NewLeaving(server Incarnation, statedAt time.Time) Notice {
+	return Notice{server: server, leaving: true, statedAt: statedAt}
+}
+
+// Server returns the incarnation of the server.
+func (n Notice) Server() Incarnation { return n.server }
+
+// Leaving reports whether the server takes no new requests until its end.
+func (n Notice) Leaving() bool { return n.leaving }
+
+// StatedAt returns when the server stated it, or was last known to exist.
+func (n Notice) StatedAt() time.Time { return n.statedAt }
+
+// keptNotice is a notice with the time at which it was learned.
+type keptNotice struct {
+	Notice
+	learnedAt time.Time
+}
+
+// Notices holds the notices of all servers. Its zero value is empty and ready to use;
+// it is safe for concurrent use.
+type Notices struct {
+	mu       sync.RWMutex
+	byServer map[Incarnation]*keptNotice
+}
+
+// Add adds a notice and reports whether it was not known before.
+func (ns *Notices) Add(now time.Time, n Notice) bool {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	known := ns.byServer[n.server]
+	if known == nil {
+		if ns.byServer == nil {
+			ns.byServer = make(map[Incarnation]*keptNotice)
+		}
+		if len(ns.byServer) >= maxNotices {
+			ns.dropOldest()
+		}
+		ns.byServer[n.server] = &keptNotice{Notice: n, learnedAt: now}
+		return true
+	}
+	if n.statedAt.After(known.statedAt) {
+		known.statedAt = n.statedAt
+	}
+	if !n.leaving || known.leaving {
+		return false
+	}
+	known.leaving, known.learnedAt = true, now
+	return true
+}
+
+// dropOldest drops the notice that was not repeated for longest.
+func (ns *Notices) dropOldest() {
+	var oldest *keptNotice
+	for _, known := range ns.byServer {
+		if oldest == nil || known.statedAt.Before(oldest.statedAt) {
+			oldest = known
+		}
+	}
+	delete(ns.byServer, oldest.server)
+}
+
+// Leaving reports whether a server has stated that it is leaving.
+func (ns *Notices) Leaving(server Incarnation) bool {
+	notice, _ := ns.of(server)
+	return notice.leaving
+}
+
+// of returns the notice of a server, if there is one.
+func (ns *Notices) of(server Incarnation) (Notice, bool) {
+	if ns == nil {
+		return Notice{}, false
+	}
+	ns.mu.RLock()
+	defer ns.mu.RUnlock()
+	known := ns.byServer[server]
+	if known == nil {
+		return Notice{}, false
+	}
+	return known.Notice, true
+}
+
+// Expire drops the notices that no longer matter: those of servers that are not
+// published and have not repeated them for a while.
+func (ns *Notices) Expire(now time.Time, view *View) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	for server, known := range ns.byServer {
+		if published, ok := view.servers[server.id]; ok && published.Incarnation() == server {
+			known.statedAt = now
+			continue
+		}
+		if now.Sub(known.statedAt) > noticeRetention {
+			delete(ns.byServer, server)
+		}
+	}
+}
+
+// News returns the notices that were learned a short time ago, the newest first, as far
+// as one message has room.
+func (ns *Notices) News(now time.Time) []Notice {
+	return ns.latest(func(n *keptNotice) bool { return now.Sub(n.learnedAt) <= noticeNewsTime })
+}
+
+// Current returns the notices of servers that may still exist, the newest first, as far
+// as one message has room.
+func (ns *Notices) Current(now time.Time) []Notice {
+	return ns.latest(func(n *keptNotice) bool { return n.current(now) })
+}
+
+// current reports whether others should know of the notice. It ends before noticeRetention
+// does, so that entries don't remind each other of what they are about to forget.
+func (n *keptNotice) current(now time.Time) bool {
+	return now.Sub(n.statedAt) <= noticeRetention/2
+}
+
+func (ns *Notices) latest(include func(*keptNotice) bool) []Notice {
+	ns.mu.RLock()
+	defer ns.mu.RUnlock()
+	if len(ns.byServer) == 0 {
+		return nil
+	}
+	var kept []*keptNotice
+	for _, known := range ns.byServer {
+		if include(known) {
+			kept = append(kept, known)
+		}
+	}
+	slices.SortFunc(kept, func(a, b *keptNotice) int {
+		return cmp.Or(b.learnedAt.Compare(a.learnedAt), cmp.Compare(a.server.id, b.server.id))
+	})
+	var out []Notice
+	for _, known := range kept[:min(len(kept), maxNoticesToSend)] {
+		out = append(out, known.Notice)
+	}
+	return out
+}
+
+// Digest returns a hash of the current notices, 0 if there are none.
+func (ns *Notices) Digest(now time.Time) uint64 {
+	ns.mu.RLock()
+	defer ns.mu.RUnlock()
+	var out uint64
+	for server, known := range ns.byServer {
+		if known.current(now) {
+			out ^= xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(server.id), uint64(server.startUnixMilli)))
+		}
+	}
+	return out
+}
+
+// CountLeaving returns the number of servers that have stated that they are leaving.
+func (ns *Notices) CountLeaving() int {
+	ns.mu.RLock()
+	defer ns.mu.RUnlock()
+	count := 0
+	for _, known := range ns.byServer {
+		if known.leaving {
+			count++
+		}
+	}
+	return count
+}
--- a/routing/server.go
+++ b/routing/server.go
@@ -41,6 +41,11 @@
 // ID returns the id under which the incarnation is published.
 func (s Server) ID() string { return s.id }
 
+// Incarnation returns the identity of the server.
+func (s Server) Incarnation() Incarnation {
+	return Incarnation{id: s.id, startUnixMilli: s.startUnixMilli}
+}
+
 // Service returns the name of the service that the server belongs to.
 func (s Server) Service() string { return s.service }
 
--- a/routing/view.go
+++ b/routing/view.go
@@ -6,6 +6,7 @@
 	table     *Table
 	servers   map[string]Server
 	evacuated map[string]bool
+	notices   *Notices
 }
 
 // NewView returns a view; evacuated holds the failure domains whose servers get no new requests.
@@ -13,6 +14,14 @@
 	return &View{revision: revision, table: table, servers: servers, evacuated: evacuated}
 }
 
+// WithNotices returns the view with what servers state about themselves, which takes
+// effect in the view as soon as it is added.
+func (v *View) WithNotices(notices *Notices) *View {
+	out := *v
+	out.notices = notices
+	return &out
+}
+
 // Revision returns the store revision of the view.
 func (v *View) Revision() int64 { return v.revision }
 
@@ -25,5 +34,17 @@
 // Usable reports whether the server may get new requests.
 func (v *View) Usable(id string) bool {
 	server, ok := v.servers[id]
-	return ok && !server.draining && !v.evacuated[server.domain]
+	return ok && !server.draining && !v.evacuated[server.domain] && !v.notices.Leaving(server.Incarnation())
+}
+
+// Notice returns what a published server has stated about itself, if anything.
+func (v *View) Notice(id string) (Notice, bool) {
+	server, ok := v.servers[id]
+	if !ok {
+		return Notice{}, false
+	}
+	return v.notices.of(server.Incarnation())
 }
+
+// Leaving reports whether a server has stated that it takes no new requests until its end.
+func (v *View) Leaving(server Incarnation) bool { return v.notices.Leaving(server) }
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -91,6 +91,7 @@
 	misdirected  bool
 	faultAddress string
 	keepAlive    time.Duration
+	leaving      bool
 }
 
 // NewResponseMetadata returns the metadata of a response to the attempt.
@@ -113,12 +114,21 @@
 	return m
 }
 
+// WithLeaving returns the metadata with whether the server takes no new requests until its end.
+func (m ResponseMetadata) WithLeaving(leaving bool) ResponseMetadata {
+	m.leaving = leaving
+	return m
+}
+
 // NotRun reports whether the server states that the request did not run.
 func (m ResponseMetadata) NotRun() bool { return m.notRun }
 
 // Misdirected reports whether another incarnation has the address.
 func (m ResponseMetadata) Misdirected() bool { return m.misdirected }
 
+// Leaving reports whether the server takes no new requests until its end.
+func (m ResponseMetadata) Leaving() bool { return m.leaving }
+
 // FaultAddress returns the address of the server that caused the failure, empty
 // if it is the one that responded.
 func (m ResponseMetadata) FaultAddress() string { return m.faultAddress }
