dispatch, gateway, ingress: leave servers alone that refuse for a time

A server that turns a request away with 503 may state for how long it wants no more (Retry-After).

The time now holds for that incarnation at once in this entry, on every path: placement, a grant that is checked before it is sent, retries, backups, prefill workers, suspended servers in need, and the last resort of servers that failed. The scheduler hears it with the next call or event and tells the others in answers to their heartbeats. The time is relative in messages and would grow by each message's time on the way, so an entry that heard it at second hand does not pass it on. A shorter time does not end a longer one.

Servers that return together are held to slots and cold limits as before.

Ruled out: an absolute time in messages, since clocks differ; one entry's refusal as a reason to suspend the server, since it is not faulty.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -57,6 +57,8 @@
 const (
 	// ReasonNoServer means that no server of the service may be used.
 	ReasonNoServer Reason = "no_server"
+	// ReasonServersRefuse means that all servers have stated that they want no requests for a time.
+	ReasonServersRefuse Reason = "servers_refuse"
 	// ReasonBusy means that no slot becomes free in time.
 	ReasonBusy Reason = "busy"
 	// ReasonPastDeadline means that the deadline has passed, or that the request can't be served in time.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -44,7 +44,7 @@
 	if decision := p.refuseQuarantined(now, request); decision != nil {
 		return decision
 	}
-	if decision := p.refuseHopeless(request); decision != nil {
+	if decision := p.refuseHopeless(now, request); decision != nil {
 		return decision
 	}
 	available := p.candidates(now, request)
@@ -118,7 +118,7 @@
 			continue
 		}
 		if !s.available(now) {
-			if !s.unresponsive && !now.Before(s.refusedUntil) {
+			if !s.unresponsive && s.accepts(now) {
 				failed = append(failed, s)
 			}
 			continue
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -36,11 +36,15 @@
 }
 
 // refuseHopeless refuses a request that would wait in vain: while the service has no
-// usable server, or if even all of them together can't hold the prompt.
-func (p *pool) refuseHopeless(request Request) Decision {
+// usable server or none that wants requests, or if even all of them together can't hold
+// the prompt.
+func (p *pool) refuseHopeless(now time.Time, request Request) Decision {
 	if p.usableServers == 0 {
 		return NewRefused(request.id, ReasonNoServer, retryAfterNoServer)
 	}
+	if until, refused := p.refusedByAll(now); refused {
+		return NewRefused(request.id, ReasonServersRefuse, ReturnAfter(request.id, now, until))
+	}
 	if !p.needsSpread(request) {
 		return nil
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -97,7 +97,7 @@
 // again under the same id, and gets the grant if it was placed meanwhile.
 func (sched *Scheduler) Submit(now time.Time, owner Owner, request Request) Decision {
 	if alloc := sched.running[request.id]; alloc != nil {
-		if grant, ok := sched.grantOf(alloc); ok {
+		if grant, ok := sched.grantOf(now, alloc); ok {
 			return NewGranted(grant)
 		}
 		sched.release(now, alloc)
@@ -303,15 +303,15 @@
 }
 
 // grantOf returns the grant of a request that is submitted again, and false if one of
-// its servers is gone or takes no more requests.
-func (sched *Scheduler) grantOf(alloc *allocation) (Grant, bool) {
+// its servers is gone or takes no more requests now.
+func (sched *Scheduler) grantOf(now time.Time, alloc *allocation) (Grant, bool) {
 	s := sched.serverOf(alloc)
-	if s == nil || !s.usable {
+	if s == nil || !s.accepts(now) {
 		return Grant{}, false
 	}
 	var workers []PrefillWorker
 	for _, part := range alloc.prefillParts {
-		if !part.server.usable {
+		if !part.server.accepts(now) {
 			return Grant{}, false
 		}
 		if part.server != s {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -68,6 +68,8 @@
 	consecutiveFailures int
 	// unresponsive is set if the server was unreachable or stalled at the last attempt.
 	unresponsive bool
+	// refusesUntil is when the server wants the next request, as it has stated.
+	refusesUntil time.Time
 	// refusedUntil is when a server that is full, or whose address another one has,
 	// may be asked again.
 	refusedUntil time.Time
@@ -195,9 +197,14 @@
 	return s.info.Slots()
 }
 
+// accepts reports whether the server is not known to reject a request that is sent now.
+func (s *server) accepts(now time.Time) bool {
+	return s.usable && !now.Before(s.refusedUntil) && !now.Before(s.refusesUntil)
+}
+
 // available reports whether the server may get another request now.
 func (s *server) available(now time.Time) bool {
-	if !s.usable || now.Before(s.suspendedUntil) || now.Before(s.refusedUntil) {
+	if now.Before(s.suspendedUntil) || !s.accepts(now) {
 		return false
 	}
 	// After failures the server gets one request at a time as a probe.
@@ -207,7 +214,7 @@
 // availableInNeed reports whether a request that gets no other server may use this
 // one although it is suspended: it responds, and only some of its responses fail.
 func (s *server) availableInNeed(now time.Time) bool {
-	return s.usable && !s.unresponsive && !now.Before(s.refusedUntil) && s.consecutiveFailures <= maxFailuresInNeed
+	return s.accepts(now) && !s.unresponsive && s.consecutiveFailures <= maxFailuresInNeed
 }
 
 // admitsCold reports whether the server's capacity allows a request now; it is
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -31,6 +31,7 @@
 	for id, info := range view.Servers() {
 		if p := sched.pools[info.Service()]; p != nil {
 			p.setServer(now, info, view.Usable(id))
+			p.servers[id].refuse(view.RefusesUntil(id))
 		}
 	}
 	for _, p := range sched.pools {
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -83,6 +83,10 @@
 	Leaving bool
 	// Age is the time since the server stated it, or was last known to exist.
 	Age time.Duration
+	// RefusesFor is the time for which the server wants no more requests, and Hops the
+	// number of entries that passed it on.
+	RefusesFor time.Duration
+	Hops       int
 }
 
 // suspicionMessage is a suspicion against parts of the prompts of a service.
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -13,28 +13,39 @@
 // noticesExpiryInterval is the interval at which notices are checked for their expiry.
 const noticesExpiryInterval = time.Second
 
+// maxRefusal bounds the time of a refusal that another entry reports.
+const maxRefusal = 15 * time.Minute
+
 // newView returns the view of the cache with the notices of servers.
 func (c *control) newView() *routing.View { return c.cache.view().WithNotices(&c.notices) }
 
-// addNotice adds what a server stated.
-func (c *control) addNotice(now time.Time, notice routing.Notice) {
-	if c.notices.Add(now, notice) {
+// addNotice adds what a server stated, and reports whether it says more than was known.
+func (c *control) addNotice(now time.Time, notice routing.Notice) bool {
+	wasLeaving := c.notices.Leaving(notice.Server())
+	if !c.notices.Add(now, notice) {
+		return false
+	}
+	if notice.Leaving() && !wasLeaving {
 		c.scheduler.SetView(now, c.View())
 	}
+	c.scheduler.Refuse(notice.Server(), notice.RefusesUntil())
+	return true
 }
 
 // mergeNotices adds what another entry reports about servers.
 func (c *control) mergeNotices(now time.Time, entry string, notices []noticeMessage) {
-	changed := false
 	for _, m := range notices {
-		if !m.Leaving || !c.notices.Add(now, m.decode(now)) {
+		notice := m.decode(now)
+		known, _ := c.notices.Of(notice.Server())
+		if !c.addNotice(now, notice) {
 			continue
 		}
-		c.log.Info("server leaving", "server", m.Server, "started", m.Start, "from", entry)
-		changed = true
-	}
-	if changed {
-		c.scheduler.SetView(now, c.View())
+		if notice.Leaving() && !known.Leaving() {
+			c.log.Info("server leaving", "server", m.Server, "started", m.Start, "from", entry)
+		}
+		if now.Before(notice.RefusesUntil()) && !now.Before(known.RefusesUntil()) {
+			c.log.Info("server refuses requests", "server", m.Server, "started", m.Start, "for", m.RefusesFor, "from", entry)
+		}
 	}
 }
 
@@ -48,7 +59,10 @@
 }
 
 func encodeNotice(now time.Time, n routing.Notice) noticeMessage {
-	return noticeMessage{Server: n.Server().ID(), Start: n.Server().StartUnixMilli(), Leaving: n.Leaving(), Age: now.Sub(n.StatedAt())}
+	return noticeMessage{
+		Server: n.Server().ID(), Start: n.Server().StartUnixMilli(), Leaving: n.Leaving(), Age: now.Sub(n.StatedAt()),
+		RefusesFor: max(0, n.RefusesUntil().Sub(now)), Hops: n.Hops(),
+	}
 }
 
 func encodeNotices(now time.Time, notices []routing.Notice) []noticeMessage {
@@ -60,5 +74,9 @@
 }
 
 func (m noticeMessage) decode(now time.Time) routing.Notice {
-	return routing.NewLeaving(routing.NewIncarnation(m.Server, m.Start), now.Add(-max(0, m.Age)))
+	notice := routing.NewRefusing(routing.NewIncarnation(m.Server, m.Start), time.Time{}, now.Add(-max(0, m.Age))).WithLeaving(m.Leaving)
+	if m.RefusesFor > 0 {
+		notice = notice.WithRefusal(now.Add(min(m.RefusesFor, maxRefusal)), m.Hops+1)
+	}
+	return notice
 }
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -159,3 +159,32 @@
 	c.Assert(msgpack.Unmarshal(body, &olderBeat), qt.IsNil)
 	c.Assert(olderBeat, qt.DeepEquals, olderHeartbeat{Revision: 4})
 }
+
+// Guards against BUDGET: the scheduler that hears of a refusal tells all entries, which
+// don't pass it on; none of them uses the server before its time, and all do after it.
+func TestRefusalReachesOtherEntries(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	first, scheduler, third, fourth := newNoticeEntry(1, now), newNoticeEntry(2, now), newNoticeEntry(3, now), newNoticeEntry(4, now)
+	first.addNotice(now, routing.NewRefusing(leaver, now.Add(5*time.Second), now))
+	c.Assert(used(first, now, "s3"), qt.IsFalse)
+	scheduler.mergeNotices(now, "e1", encodeNotices(now, first.notices.News(now)))
+	c.Assert(used(scheduler, now, "s3"), qt.IsFalse)
+	now = now.Add(4 * time.Second)
+	c.Assert(used(third, now, "s3"), qt.IsTrue)
+	exchange(now, third, scheduler)
+	c.Assert(third.View().Accepts("s3", now), qt.IsFalse)
+	c.Assert(used(third, now, "s3"), qt.IsFalse)
+	c.Assert(third.View().Accepts("s4", now), qt.IsTrue)
+	exchange(now, fourth, third)
+	c.Assert(fourth.View().Accepts("s3", now), qt.IsTrue)
+	now = now.Add(1200 * time.Millisecond)
+	for _, entry := range []*control{first, scheduler, third} {
+		c.Assert(entry.View().Accepts("s3", now), qt.IsTrue)
+		c.Assert(used(entry, now, "s3"), qt.IsTrue)
+		entry.expireNotices(now)
+		c.Assert(entry.notices.Digest(now), qt.Equals, uint64(0))
+	}
+	long := noticeMessage{Server: "s5", RefusesFor: 1000 * time.Hour}
+	c.Assert(long.decode(now).RefusesUntil().Sub(now), qt.Equals, maxRefusal)
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -167,7 +167,7 @@
 		values["entries"] = len(p.control.members.live(now, p.settings.timeouts.listed())) + 1
 		values["revision"] = p.control.cache.revision
 		values["quarantined"] = p.control.quarantined()
-		values["servers_leaving"] = p.control.notices.CountLeaving()
+		values["servers_leaving"], values["servers_refusing"] = p.control.notices.Count(now)
 		if table := p.control.cache.table; table != nil {
 			values["version"] = table.Version()
 		}
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -53,7 +53,8 @@
 	if header.Get("Refused") != "" {
 		m = m.WithNotRun(false, "")
 	}
-	return m.WithLeaving(header.Get("Leaving") != "")
+	wait, _ := time.ParseDuration(header.Get("Wait")) // 0 if missing
+	return m.WithLeaving(header.Get("Leaving") != "").WithRetryAfter(wait, "")
 }
 
 // backend is a server that answers its i-th connection with its i-th step, the
@@ -217,11 +218,12 @@
 type localScheduler struct {
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
+	notices   *routing.Notices // of the view
 }
 
 // newLocalScheduler returns a scheduler of the servers in a view.
 func newLocalScheduler(view *routing.View) *localScheduler {
-	s := &localScheduler{scheduler: dispatch.NewScheduler("e1")}
+	s := &localScheduler{scheduler: dispatch.NewScheduler("e1"), notices: &routing.Notices{}}
 	s.scheduler.SetView(time.Now(), view)
 	return s
 }
@@ -258,7 +260,12 @@
 	s.scheduler.ReportFault(time.Now(), service, address, outcome)
 }
 
-func (s *localScheduler) Notice(string, routing.Notice) {}
+func (s *localScheduler) Notice(_ string, notice routing.Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notices.Add(time.Now(), notice)
+	s.scheduler.Refuse(notice.Server(), notice.RefusesUntil())
+}
 
 // fakeReserver records what is reserved, by address and reservation id.
 type fakeReserver struct {
--- a/ingress/notice.go
+++ b/ingress/notice.go
@@ -8,12 +8,19 @@
 // noteResponse reports what a server states about itself in the response to a request
 // with an id.
 func (s *Server) noteResponse(id, service string, server routing.Incarnation, metadata upstream.ResponseMetadata) {
-	if !metadata.Leaving() || metadata.Misdirected() || server.ID() == "" {
+	if metadata.Misdirected() || server.ID() == "" {
 		return
 	}
-	if s.views.View().Leaving(server) {
-		return
+	if metadata.Leaving() && !s.views.View().Leaving(server) {
+		s.log.Info("server leaving", "id", id, "service", service, "server", server.ID(), "started", server.StartUnixMilli())
+		s.scheduler.Notice(service, routing.NewLeaving(server, s.timers.Now()))
+	}
+	if problem := metadata.RetryAfterProblem(); problem != "" {
+		s.log.Warn("server states an odd time of refusal", "id", id, "service", service, "server", server.ID(), "problem", problem, "used", metadata.RetryAfter())
+	}
+	if wait := metadata.RetryAfter(); wait > 0 {
+		now := s.timers.Now()
+		s.log.Info("server refuses requests", "id", id, "service", service, "server", server.ID(), "started", server.StartUnixMilli(), "for", wait)
+		s.scheduler.Notice(service, routing.NewRefusing(server, now.Add(wait), now))
 	}
-	s.log.Info("server leaving", "id", id, "service", service, "server", server.ID(), "started", server.StartUnixMilli())
-	s.scheduler.Notice(service, routing.NewLeaving(server, s.timers.Now()))
 }
--- a/ingress/notice_test.go
+++ b/ingress/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -102,3 +103,58 @@
 	b.server.noteResponse("a1", "desk", s1, metadata)
 	c.Assert(b.view.Load().Usable("s1"), qt.IsFalse)
 }
+
+// Guards against BUDGET: a server that refuses a request for a time gets nothing until
+// it is over, also not as a prefill worker, and then gets requests again.
+func TestRefusingServerGetsNoRequestsForItsTime(t *testing.T) {
+	c := qt.New(t)
+	const wait = 300 * time.Millisecond
+	refusing := newBackend(c, withHeader(refused, "Wait: "+wait.String()), fullResponse(200, "again"))
+	other := newBackend(c, fullResponse(200, "other"), fullResponse(200, "other"))
+	b := newTestbedOn(c, refusing, refusing, other, refusing, other, refusing)
+	b.scheduler.ids = []string{"s1", "s1", "s2", "s1", "s2", "s1"}
+	start := time.Now()
+	for range 2 {
+		_, body, _ := b.do(b.request(http.MethodPost, "/once/", "x"))
+		c.Assert(body, qt.Equals, "other")
+	}
+	c.Assert(refusing.seen(), qt.HasLen, 1)
+	c.Assert(b.server.acceptsAll("s2", "s1"), qt.Equals, time.Since(start) >= wait)
+	time.Sleep(wait - min(wait, time.Since(start)) + 50*time.Millisecond)
+	c.Assert(b.server.acceptsAll("s2", "s1"), qt.IsTrue)
+	_, body, _ := b.do(b.request(http.MethodPost, "/once/", "x"))
+	c.Assert(body, qt.Equals, "again")
+}
+
+// acceptsAll reports whether the servers may get requests now.
+func (s *Server) acceptsAll(ids ...string) bool {
+	for _, id := range ids {
+		if !s.views.View().Accepts(id, s.timers.Now()) {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against BUDGET and against callers that are held: once its only server has
+// refused, callers are refused at once with the time that is left.
+func TestCallersAreToldWhenServersReturn(t *testing.T) {
+	c := qt.New(t)
+	server := newBackend(c, withHeader(refused, "Wait: 5s"))
+	b := newTestbedOn(c, server)
+	view := routing.NewView(1, testTable(), map[string]routing.Server{"s1": routing.NewServer("s1", "desk", server.address, "a", 6)}, nil)
+	b.view.Store(view.WithNotices(&b.scheduler.notices))
+	scheduler := newLocalScheduler(view)
+	scheduler.notices = &b.scheduler.notices
+	b.server.scheduler = scheduler
+	b.server.retryLimiter.budget = RetryBudget{} // the first request is not placed again
+	for range 4 {
+		response, _, _ := b.do(b.request(http.MethodPost, "/once/", "x"))
+		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "0.30")
+		c.Assert(seconds > 4 && seconds < 8, qt.IsTrue, qt.Commentf("%v", seconds))
+	}
+	c.Assert(server.seen(), qt.HasLen, 1)
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -304,7 +304,8 @@
 // usable reports whether all servers of a grant may still take new requests.
 func (q *request) usable(grant dispatch.Grant) bool {
 	view := q.server.views.View()
-	return !slices.ContainsFunc(grant.Servers(), func(id string) bool { return !view.Usable(id) })
+	now := q.server.timers.Now()
+	return !slices.ContainsFunc(grant.Servers(), func(id string) bool { return !view.Accepts(id, now) })
 }
 
 // incarnation returns the published incarnation of a server.
@@ -383,6 +384,8 @@
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
 		retryAfter, reason = refusal.retryAfter, string(refusal.reason)
+	} else if until, ok := q.server.views.View().AllRefuseUntil(q.service.Name(), q.server.timers.Now()); ok {
+		retryAfter, reason = dispatch.ReturnAfter(q.id, q.server.timers.Now(), until), string(dispatch.ReasonServersRefuse)
 	}
 	q.refuse(reason, retryAfter)
 }
--- a/routing/notice.go
+++ b/routing/notice.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 	maxNotices = 4096
 	// noticeNewsTime is how long after a notice was learned it is news to other entries.
 	noticeNewsTime = 3 * time.Second
+	// maxNoticeHops is the number of entries between the one that was refused and the last
+	// one that tells others: each adds the time of its message to the time of the refusal.
+	maxNoticeHops = 1
 	// maxNoticesToSend bounds the notices that are sent in one message.
 	maxNoticesToSend = 128
 )
@@ -44,6 +48,10 @@
 type Notice struct {
 	server  Incarnation
 	leaving bool
+	// refusesUntil is when the server wants the next request, zero if it has not stated it.
+	refusesUntil time.Time
+	// hops is the number of entries that passed on refusesUntil.
+	hops int
 	// statedAt is when the server stated it, or was last known to exist.
 	statedAt time.Time
 }
@@ -53,12 +61,36 @@
 	return Notice{server: server, leaving: true, statedAt: statedAt}
 }
 
+// NewRefusing returns the notice of a server that wants no requests until a time.
+func NewRefusing(server Incarnation, until, statedAt time.Time) Notice {
+	return Notice{server: server, refusesUntil: until, statedAt: statedAt}
+}
+
+// WithRefusal returns the notice with the time until which the server wants no requests
+// and the number of entries that passed it on.
+func (n Notice) WithRefusal(until time.Time, hops int) Notice {
+	n.refusesUntil, n.hops = until, hops
+	return n
+}
+
+// WithLeaving returns the notice with whether the server is leaving.
+func (n Notice) WithLeaving(leaving bool) Notice {
+	n.leaving = leaving
+	return n
+}
+
 // Server returns the incarnation of the server.
 func (n Notice) Server() Incarnation { return n.server }
 
 // Leaving reports whether the server takes no new requests until its end.
 func (n Notice) Leaving() bool { return n.leaving }
 
+// RefusesUntil returns when the server wants the next request, zero if it has not stated it.
+func (n Notice) RefusesUntil() time.Time { return n.refusesUntil }
+
+// Hops returns the number of entries that passed on the time of RefusesUntil.
+func (n Notice) Hops() int { return n.hops }
+
 // StatedAt returns when the server stated it, or was last known to exist.
 func (n Notice) StatedAt() time.Time { return n.statedAt }
 
@@ -75,7 +107,7 @@
 	byServer map[Incarnation]*keptNotice
 }
 
-// Add adds a notice and reports whether it was not known before.
+// Add adds a notice and reports whether it says more than was known before.
 func (ns *Notices) Add(now time.Time, n Notice) bool {
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
@@ -93,11 +125,17 @@
 	if n.statedAt.After(known.statedAt) {
 		known.statedAt = n.statedAt
 	}
-	if !n.leaving || known.leaving {
-		return false
+	changed := false
+	if n.leaving && !known.leaving {
+		known.leaving, changed = true, true
 	}
-	known.leaving, known.learnedAt = true, now
-	return true
+	if n.refusesUntil.After(known.refusesUntil) {
+		known.refusesUntil, known.hops, changed = n.refusesUntil, n.hops, true
+	}
+	if changed {
+		known.learnedAt = now
+	}
+	return changed
 }
 
 // dropOldest drops the notice that was not repeated for longest.
@@ -113,12 +151,12 @@
 
 // Leaving reports whether a server has stated that it is leaving.
 func (ns *Notices) Leaving(server Incarnation) bool {
-	notice, _ := ns.of(server)
+	notice, _ := ns.Of(server)
 	return notice.leaving
 }
 
-// of returns the notice of a server, if there is one.
-func (ns *Notices) of(server Incarnation) (Notice, bool) {
+// Of returns the notice of a server, if there is one.
+func (ns *Notices) Of(server Incarnation) (Notice, bool) {
 	if ns == nil {
 		return Notice{}, false
 	}
@@ -131,17 +169,17 @@
 	return known.Notice, true
 }
 
-// Expire drops the notices that no longer matter: those of servers that are not
-// published and have not repeated them for a while.
+// Expire drops the notices that no longer matter: refusals whose time is over, and
+// leaving servers that are not published and have not repeated it for a while.
 func (ns *Notices) Expire(now time.Time, view *View) {
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
 	for server, known := range ns.byServer {
 		if published, ok := view.servers[server.id]; ok && published.Incarnation() == server {
 			known.statedAt = now
-			continue
 		}
-		if now.Sub(known.statedAt) > noticeRetention {
+		leaving := known.leaving && now.Sub(known.statedAt) <= noticeRetention
+		if !leaving && !now.Before(known.refusesUntil) {
 			delete(ns.byServer, server)
 		}
 	}
@@ -150,22 +188,31 @@
 // News returns the notices that were learned a short time ago, the newest first, as far
 // as one message has room.
 func (ns *Notices) News(now time.Time) []Notice {
-	return ns.latest(func(n *keptNotice) bool { return now.Sub(n.learnedAt) <= noticeNewsTime })
+	return ns.latest(now, func(n *keptNotice) bool { return now.Sub(n.learnedAt) <= noticeNewsTime })
 }
 
 // Current returns the notices of servers that may still exist, the newest first, as far
 // as one message has room.
 func (ns *Notices) Current(now time.Time) []Notice {
-	return ns.latest(func(n *keptNotice) bool { return n.current(now) })
+	return ns.latest(now, func(n *keptNotice) bool { return n.current(now) })
 }
 
 // current reports whether others should know of the notice. It ends before noticeRetention
 // does, so that entries don't remind each other of what they are about to forget.
 func (n *keptNotice) current(now time.Time) bool {
-	return now.Sub(n.statedAt) <= noticeRetention/2
+	return n.leaving && now.Sub(n.statedAt) <= noticeRetention/2 || now.Before(n.refusesUntil)
 }
 
-func (ns *Notices) latest(include func(*keptNotice) bool) []Notice {
+// toSend returns what other entries are told, and false if that is nothing.
+func (n *keptNotice) toSend(now time.Time) (Notice, bool) {
+	out := n.Notice
+	if !now.Before(out.refusesUntil) || out.hops > maxNoticeHops {
+		out.refusesUntil = time.Time{}
+	}
+	return out, out.leaving || !out.refusesUntil.IsZero()
+}
+
+func (ns *Notices) latest(now time.Time, include func(*keptNotice) bool) []Notice {
 	ns.mu.RLock()
 	defer ns.mu.RUnlock()
 	if len(ns.byServer) == 0 {
@@ -181,8 +228,10 @@
 		return cmp.Or(b.learnedAt.Compare(a.learnedAt), cmp.Compare(a.server.id, b.server.id))
 	})
 	var out []Notice
-	for _, known := range kept[:min(len(kept), maxNoticesToSend)] {
-		out = append(out, known.Notice)
+	for _, known := range kept {
+		if n, ok := known.toSend(now); ok && len(out) < maxNoticesToSend {
+			out = append(out, n)
+		}
 	}
 	return out
 }
@@ -194,21 +243,25 @@
 	var out uint64
 	for server, known := range ns.byServer {
 		if known.current(now) {
-			out ^= xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(server.id), uint64(server.startUnixMilli)))
+			key := append([]byte(strconv.FormatBool(known.leaving)), server.id...)
+			out ^= xxhash.Sum64(binary.BigEndian.AppendUint64(key, uint64(server.startUnixMilli)))
 		}
 	}
 	return out
 }
 
-// CountLeaving returns the number of servers that have stated that they are leaving.
-func (ns *Notices) CountLeaving() int {
+// Count returns the numbers of servers that are leaving and of those that want no
+// requests now.
+func (ns *Notices) Count(now time.Time) (leaving, refusing int) {
 	ns.mu.RLock()
 	defer ns.mu.RUnlock()
-	count := 0
 	for _, known := range ns.byServer {
 		if known.leaving {
-			count++
+			leaving++
+		}
+		if now.Before(known.refusesUntil) {
+			refusing++
 		}
 	}
-	return count
+	return leaving, refusing
 }
--- a/routing/notice_test.go
+++ b/routing/notice_test.go
@@ -34,7 +34,7 @@
 	c.Assert(view(5).Usable("s1"), qt.IsFalse)
 	notices.Expire(now.Add(noticeRetention+time.Second), view(6))
 	c.Assert(view(5).Usable("s1"), qt.IsTrue)
-	c.Assert(notices.CountLeaving(), qt.Equals, 0)
+	c.Assert(countLeaving(&notices), qt.Equals, 0)
 }
 
 // Guards against memory and messages without bound: many servers, and entries that tell
@@ -46,7 +46,7 @@
 		now := noticeStart.Add(time.Duration(i) * time.Millisecond)
 		notices.Add(now, NewLeaving(NewIncarnation(fmt.Sprint("s", i), 1), now))
 	}
-	c.Assert(notices.CountLeaving(), qt.Equals, maxNotices)
+	c.Assert(countLeaving(&notices), qt.Equals, maxNotices)
 	now := noticeStart.Add((maxNotices + 100) * time.Millisecond)
 	c.Assert(notices.Leaving(NewIncarnation("s0", 1)), qt.IsFalse)
 	c.Assert(notices.News(now), qt.HasLen, maxNoticesToSend)
@@ -66,6 +66,37 @@
 		}
 		from.Expire(now, empty)
 	}
-	c.Assert(entries[0].CountLeaving()+entries[1].CountLeaving(), qt.Equals, 0)
+	c.Assert(countLeaving(entries[0])+countLeaving(entries[1]), qt.Equals, 0)
 	c.Assert(entries[0].Digest(noticeStart), qt.Equals, uint64(0))
 }
+
+func countLeaving(notices *Notices) int {
+	leaving, _ := notices.Count(noticeStart)
+	return leaving
+}
+
+// Guards against a refusal without end: entries that pass it on to each other don't make
+// it longer, whatever their messages take.
+func TestPassedOnRefusalEnds(t *testing.T) {
+	c := qt.New(t)
+	const transit = 300 * time.Millisecond
+	entries := []*Notices{{}, {}, {}}
+	server := NewIncarnation("s1", 1)
+	now := noticeStart
+	entries[0].Add(now, NewRefusing(server, now.Add(2*time.Second), now))
+	for step := range 60 {
+		from, to := entries[step%3], entries[(step+1+step/3%2)%3]
+		for _, n := range append(from.News(now), from.Current(now)...) {
+			to.Add(now, NewRefusing(server, n.RefusesUntil().Add(transit), now).WithRefusal(n.RefusesUntil().Add(transit), n.Hops()+1))
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	for _, entry := range entries {
+		notice, _ := entry.Of(server)
+		c.Assert(notice.RefusesUntil().Sub(noticeStart) <= 2*time.Second+2*transit, qt.IsTrue)
+		entry.Expire(now, NewView(1, nil, nil, nil))
+		_, refusing := entry.Count(now)
+		c.Assert(refusing, qt.Equals, 0)
+		c.Assert(entry.byServer, qt.HasLen, 0)
+	}
+}
--- a/routing/view.go
+++ b/routing/view.go
@@ -1,5 +1,7 @@
 package routing
 
+import "time"
+
 // View is a snapshot of everything that was published at one store revision.
 type View struct {
 	revision  int64
@@ -37,13 +39,43 @@
 	return ok && !server.draining && !v.evacuated[server.domain] && !v.notices.Leaving(server.Incarnation())
 }
 
+// Accepts reports whether the server may get a new request now.
+func (v *View) Accepts(id string, now time.Time) bool {
+	return v.Usable(id) && !now.Before(v.RefusesUntil(id))
+}
+
+// RefusesUntil returns when a server that has refused a request wants the next one, zero
+// if it has stated no time.
+func (v *View) RefusesUntil(id string) time.Time {
+	notice, _ := v.Notice(id)
+	return notice.refusesUntil
+}
+
+// AllRefuseUntil returns when the first server of a service wants requests again, and
+// false if one wants them now or there is none.
+func (v *View) AllRefuseUntil(service string, now time.Time) (until time.Time, ok bool) {
+	for id, server := range v.servers {
+		if server.service != service || !v.Usable(id) {
+			continue
+		}
+		end := v.RefusesUntil(id)
+		if !now.Before(end) {
+			return time.Time{}, false
+		}
+		if !ok || end.Before(until) {
+			until, ok = end, true
+		}
+	}
+	return until, ok
+}
+
 // Notice returns what a published server has stated about itself, if anything.
 func (v *View) Notice(id string) (Notice, bool) {
 	server, ok := v.servers[id]
 	if !ok {
 		return Notice{}, false
 	}
-	return v.notices.of(server.Incarnation())
+	return v.notices.Of(server.Incarnation())
 }
 
 // Leaving reports whether a server has stated that it takes no new requests until its end.
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -92,6 +92,9 @@
 	faultAddress string
 	keepAlive    time.Duration
 	leaving      bool
+	retryAfter   time.Duration
+	// retryProblem is why the stated time is not used as it is.
+	retryProblem string
 }
 
 // NewResponseMetadata returns the metadata of a response to the attempt.
@@ -120,6 +123,13 @@
 	return m
 }
 
+// WithRetryAfter returns the metadata with the time for which the server wants no
+// requests, 0 if it states none, and with why a stated value is not used as it is.
+func (m ResponseMetadata) WithRetryAfter(wait time.Duration, problem string) ResponseMetadata {
+	m.retryAfter, m.retryProblem = wait, problem
+	return m
+}
+
 // NotRun reports whether the server states that the request did not run.
 func (m ResponseMetadata) NotRun() bool { return m.notRun }
 
@@ -129,6 +139,13 @@
 // Leaving reports whether the server takes no new requests until its end.
 func (m ResponseMetadata) Leaving() bool { return m.leaving }
 
+// RetryAfter returns the time for which the server wants no requests, 0 if it states none.
+func (m ResponseMetadata) RetryAfter() time.Duration { return m.retryAfter }
+
+// RetryAfterProblem returns why the time that the server states is not used as it is,
+// empty if it is.
+func (m ResponseMetadata) RetryAfterProblem() string { return m.retryProblem }
+
 // FaultAddress returns the address of the server that caused the failure, empty
 // if it is the one that responded.
 func (m ResponseMetadata) FaultAddress() string { return m.faultAddress }
