ingress: forward an event while the next one is incomplete

The response to a caller is flushed unless more of the server's stream is in the buffer, so that events which arrive together are sent together. Half an event counted as more: when a server stopped in the middle of an event, the complete ones before it were held back until it went on, or another server took over. Found by the new test of a stream without framing that is silent within an event.

Now a response is flushed unless another complete event is in the buffer.

Before: TestEventIsForwardedWhileTheNextIsIncomplete gets the second event after 601 ms, when the server goes on. Now it passes. TestLongAnswerIsCompleteOnlyAtItsEnd covers answers longer than the buffer in three framings with six ends; it passes before and after.

--- a/ingress/events.go
+++ b/ingress/events.go
@@ -60,8 +60,11 @@
 // partial reports whether the body ended within an event, without its blank line.
 func (e *eventReader) partial() bool { return len(e.buf) > 0 }
 
-// buffered reports whether more bytes can be read without blocking.
-func (e *eventReader) buffered() bool { return e.r.Buffered() > 0 }
+// buffered reports whether another event can be read without blocking.
+func (e *eventReader) buffered() bool {
+	next, _ := e.r.Peek(e.r.Buffered()) // never more than is buffered
+	return bytes.Contains(next, []byte("\n\n")) || bytes.Contains(next, []byte("\n\r\n"))
+}
 
 // streamPosition is how far a caller's stream has come; several servers may
 // produce parts of the stream.
