ingress: exclude the server that takes no requests, not its companion

A placement whose prefill worker may not be used was made anew with the worker's server excluded, so that an uninformed scheduler gave the same worker again, up to four times. Now the servers are excluded that take no requests.

Before: TestLeavingPrefillWorkerIsReplaced sees the sound server excluded. Now the worker.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -68,7 +68,8 @@
 		q.server.log.Info("placed", "id", q.id, "send", a.number, "service", q.service.Name(), "server", grant.Server(),
 			"helpers", workerIDs(grant), "prompt", a.placement.Prompt(), "expected", grant.TimeToFirstToken(), "waited", grant.Waited(), "why", grant.Explanation(),
 			"revision", q.server.views.View().Revision())
-		if q.usable(grant) {
+		unusable := q.unusable(grant)
+		if len(unusable) == 0 {
 			a.grant = grant
 			return nil
 		}
@@ -77,7 +78,7 @@
 			return NewRefusal(dispatch.ReasonNoServer, defaultRetryAfter)
 		}
 		q.mu.Lock()
-		q.exclude = append(q.exclude, grant.Server())
+		q.exclude = append(q.exclude, unusable...)
 		a.placement = q.placementRequest()
 		q.mu.Unlock()
 	}
@@ -96,7 +97,7 @@
 	if a.reserved, err = q.reserve(a.ctx, a.grant); err != nil {
 		return dispatch.OutcomeRejected, err
 	}
-	if !q.usable(a.grant) {
+	if len(q.unusable(a.grant)) > 0 {
 		// A server began to leave while memory was reserved.
 		return dispatch.OutcomeWithdrawn, errNotSent
 	}
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -182,6 +182,7 @@
 	outcomes    []dispatch.Outcome
 	faults      []string // the addresses of servers reported as stalled
 	notices     routing.Notices
+	excluded    []string // by the last request
 	// ids are the server ids of the grants, in turn; s1, s2 and so on without them.
 	ids []string
 }
@@ -189,6 +190,7 @@
 func (s *fakeScheduler) Acquire(ctx context.Context, request dispatch.Request) (dispatch.Grant, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.excluded = request.Exclude()
 	if s.next >= len(s.backends) {
 		if s.refusal != nil {
 			return dispatch.Grant{}, s.refusal
--- a/ingress/notice_test.go
+++ b/ingress/notice_test.go
@@ -68,6 +68,7 @@
 	c.Assert(body, qt.Equals, "second")
 	c.Assert(first.seen(), qt.HasLen, 0)
 	c.Assert(b.scheduler.ended()[0], qt.Equals, dispatch.OutcomeWithdrawn)
+	c.Assert(b.scheduler.excluded, qt.DeepEquals, []string{"s2"}) // not the sound server
 	for i := 0; b.reserver.count() > 0 && i < 100; i++ {
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -254,6 +254,10 @@
 	if a.body != nil && a.body.status >= http.StatusInternalServerError {
 		q.buffered = a.body
 	}
+	if outcome == dispatch.OutcomeWithdrawn {
+		q.exclude = append(q.exclude, q.unusable(a.grant)...)
+		return
+	}
 	q.exclude = append(q.exclude, a.grant.Server())
 }
 
@@ -301,11 +305,11 @@
 	return strings.Join(ids, ",")
 }
 
-// usable reports whether all servers of a grant may still take new requests.
-func (q *request) usable(grant dispatch.Grant) bool {
+// unusable returns the servers of a grant that take no new requests now.
+func (q *request) unusable(grant dispatch.Grant) []string {
 	view := q.server.views.View()
 	now := q.server.timers.Now()
-	return !slices.ContainsFunc(grant.Servers(), func(id string) bool { return !view.Accepts(id, now) })
+	return slices.DeleteFunc(grant.Servers(), func(id string) bool { return view.Accepts(id, now) })
 }
 
 // incarnation returns the published incarnation of a server.
