gateway: don't repeat notices that are over

A refusal whose time was over, and that was not yet dropped, was reported to the scheduler with each grant of its server, as a message without content. Found by reading.

Before: TestSchedulerThatGrantsLeavingServerIsTold sees such a message.

--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -110,6 +110,8 @@
 	entry.members.observe(now, scheduler.members.self)
 	entry.members.byID["e2"].State, entry.members.byID["e2"].CPUCores = memberReady, 1
 	entry.notices.Add(now, routing.NewLeaving(leaver, now))
+	over := routing.NewIncarnation("s4", 0)
+	entry.notices.Add(now, routing.NewRefusing(over, now, now.Add(-time.Second)))
 	stop := make(chan struct{})
 	defer close(stop)
 	go entry.run(stop)
--- a/gateway/schedulerclient.go
+++ b/gateway/schedulerclient.go
@@ -129,9 +129,9 @@
 // repeatNotices tells a scheduler that grants servers which take no more requests what
 // this entry knows of them.
 func (s *schedulerClient) repeatNotices(service string, grant dispatch.Grant) {
-	view := s.control.View()
+	view, now := s.control.View(), s.control.timers.Now()
 	for _, id := range grant.Servers() {
-		if notice, ok := view.Notice(id); ok {
+		if notice, ok := view.Notice(id); ok && !view.Accepts(id, now) {
 			s.Notice(service, notice)
 		}
 	}
