dispatch: don't repeat a grant with a prefill worker that started anew

A grant whose answer was lost is given again as it was. It was checked against the state of the worker's incarnation at the first grant, so a worker that had started anew since, and that says it leaves, was granted.

--- a/dispatch/notice_test.go
+++ b/dispatch/notice_test.go
@@ -73,6 +73,20 @@
 	c.Assert(before.PrefillWorkers(), qt.Not(qt.HasLen), 0)
 	f.leave(before.PrefillWorkers()[0].Server())
 	c.Assert(f.granted(c, request).Servers(), qt.Not(qt.Contains), before.PrefillWorkers()[0].Server())
+
+	// Nor is it once a prefill worker has started anew, and that incarnation leaves.
+	f = newFleet(4, 0)
+	before = f.granted(c, request)
+	restarted := before.PrefillWorkers()[0].Server()
+	servers := f.servers(4, 0)
+	for i, s := range servers {
+		if s.ID() == restarted {
+			servers[i] = s.WithIncarnation(7, 2)
+		}
+	}
+	f.publish(servers...)
+	f.notice(routing.NewLeaving(routing.NewIncarnation(restarted, 7), f.now))
+	c.Assert(f.granted(c, request).Servers(), qt.Not(qt.Contains), restarted)
 }
 
 // refuse has a server state that it wants no requests for a time.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -311,7 +311,8 @@
 	}
 	var workers []PrefillWorker
 	for _, part := range alloc.prefillParts {
-		if !part.server.accepts(now) {
+		current := sched.pools[alloc.service].servers[part.server.info.ID()]
+		if part.server != current || !current.accepts(now) {
 			return Grant{}, false
 		}
 		if part.server != s {
