gateway, routing: tell refusals for a second only, and leave them out of digests

Under overload all servers may refuse again and again. Digests that cover refusals then always differ, and each answer to a heartbeat lists everything: 60 notices take 4,922 bytes on top of a heartbeat. Refusals are now news for a second, two rounds of heartbeats, and digests cover leaving servers, which are few and stay so. An entry that misses the news of a refusal is refused by the server itself, once.

--- a/routing/notice.go
+++ b/routing/notice.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -18,7 +17,7 @@
 	// maxNotices bounds the notices that are kept; those not repeated for longest go first.
 	maxNotices = 4096
 	// noticeNewsTime is how long after a notice was learned it is news to other entries.
-	noticeNewsTime = 3 * time.Second
+	noticeNewsTime = time.Second
 	// maxNoticeHops is the number of entries between the one that was refused and the last
 	// one that tells others: each adds the time of its message to the time of the refusal.
 	maxNoticeHops = 1
@@ -191,8 +190,9 @@
 	return ns.latest(now, func(n *keptNotice) bool { return now.Sub(n.learnedAt) <= noticeNewsTime })
 }
 
-// Current returns the notices of servers that may still exist, the newest first, as far
-// as one message has room.
+// Current returns the notices of leaving servers that may still exist, the newest first,
+// as far as one message has room. Refusals are only news: they change all the time under
+// overload, and an entry that misses one is told by the server itself.
 func (ns *Notices) Current(now time.Time) []Notice {
 	return ns.latest(now, func(n *keptNotice) bool { return n.current(now) })
 }
@@ -200,7 +200,7 @@
 // current reports whether others should know of the notice. It ends before noticeRetention
 // does, so that entries don't remind each other of what they are about to forget.
 func (n *keptNotice) current(now time.Time) bool {
-	return n.leaving && now.Sub(n.statedAt) <= noticeRetention/2 || now.Before(n.refusesUntil)
+	return n.leaving && now.Sub(n.statedAt) <= noticeRetention/2
 }
 
 // toSend returns what other entries are told, and false if that is nothing.
@@ -243,8 +243,7 @@
 	var out uint64
 	for server, known := range ns.byServer {
 		if known.current(now) {
-			key := append([]byte(strconv.FormatBool(known.leaving)), server.id...)
-			out ^= xxhash.Sum64(binary.BigEndian.AppendUint64(key, uint64(server.startUnixMilli)))
+			out ^= xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(server.id), uint64(server.startUnixMilli)))
 		}
 	}
 	return out
