--- a/dispatch/quarantine_test.go
+++ b/dispatch/quarantine_test.go
@@ -166,8 +166,8 @@
 	delete(w.requests, server)
 	delete(w.servers, server)
 	w.publish()
-	for _, end := range running {
-		end(OutcomeBroken)
+	for _, id := range slices.Sorted(maps.Keys(running)) {
+		running[id](OutcomeBroken)
 	}
 	w.AfterFunc(restartTime, func() {
 		w.startServer()
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -97,7 +97,7 @@
 // again under the same id, and gets the grant if it was placed meanwhile.
 func (sched *Scheduler) Submit(now time.Time, owner Owner, request Request) Decision {
 	if alloc := sched.running[request.id]; alloc != nil {
-		if grant, ok := sched.grantOf(alloc); ok {
+		if grant, ok := sched.grantOf(now, alloc); ok {
 			return NewGranted(grant)
 		}
 		sched.release(now, alloc)
@@ -305,15 +305,19 @@
 	return 0
 }
 
-// grantOf returns the grant of a request that is submitted again, and false if
-// its server is gone.
-func (sched *Scheduler) grantOf(alloc *allocation) (Grant, bool) {
+// grantOf returns the grant of a request that is submitted again, and false if one of
+// its servers is gone or takes no more requests now.
+func (sched *Scheduler) grantOf(now time.Time, alloc *allocation) (Grant, bool) {
 	s := sched.serverOf(alloc)
-	if s == nil {
+	if s == nil || !s.accepts(now) {
 		return Grant{}, false
 	}
 	var workers []PrefillWorker
 	for _, part := range alloc.prefillParts {
+		current := sched.pools[alloc.service].servers[part.server.info.ID()]
+		if part.server != current || !current.accepts(now) {
+			return Grant{}, false
+		}
 		if part.server != s {
 			workers = append(workers, NewPrefillWorker(part.server.info.ID(), part.server.info.Address(), alloc.reservedOn(part.server)))
 		}
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -69,6 +69,24 @@
 	// Suspicions if the digests differ.
 	SuspicionsDigest uint64
 	Suspicions       []suspicionMessage
+	// NoticesDigest is the digest of the notices that the sender knows. Notices lists
+	// the latest ones, and in a response all of them if the digests differ.
+	NoticesDigest uint64
+	Notices       []noticeMessage
+}
+
+// noticeMessage is what a backend server stated about itself.
+type noticeMessage struct {
+	Server string
+	// Start identifies the server's incarnation, in Unix milliseconds.
+	Start   int64
+	Leaving bool
+	// Age is the time since the server stated it, or was last known to exist.
+	Age time.Duration
+	// RefusesFor is the time for which the server wants no more requests, and Hops the
+	// number of entries that passed it on.
+	RefusesFor time.Duration
+	Hops       int
 }
 
 // suspicionMessage is a suspicion against parts of the prompts of a service.
@@ -150,6 +168,7 @@
 	Exclude       []string
 	Parts         []quarantine.Part
 	Resumed       bool
+	Notices       []noticeMessage
 }
 
 // placementReply is the response to a placementMessage. The request is queued if
@@ -180,6 +199,7 @@
 	Ended       []endMessage
 	Faults      []faultMessage
 	Withdrawn   []string
+	Notices     []noticeMessage
 }
 
 type endMessage struct {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -28,6 +28,7 @@
 	sent      bool // guarded by the request's mutex
 
 	grant    dispatch.Grant
+	server   routing.Incarnation // to which the request is sent
 	reserved *reservations
 	response *upstream.Response
 	// opened is whether the response can be forwarded. A stream then has events and its
@@ -67,7 +68,8 @@
 		q.server.log.Info("placed", "id", q.id, "send", a.number, "service", q.service.Name(), "server", grant.Server(),
 			"helpers", workerIDs(grant), "prompt", a.placement.Prompt(), "expected", grant.TimeToFirstToken(), "waited", grant.Waited(), "why", grant.Explanation(),
 			"revision", q.server.views.View().Revision())
-		if q.usable(grant) {
+		unusable := q.unusable(grant)
+		if len(unusable) == 0 {
 			a.grant = grant
 			return nil
 		}
@@ -76,7 +78,7 @@
 			return NewRefusal(dispatch.ReasonNoServer, defaultRetryAfter)
 		}
 		q.mu.Lock()
-		q.exclude = append(q.exclude, grant.Server())
+		q.exclude = append(q.exclude, unusable...)
 		a.placement = q.placementRequest()
 		q.mu.Unlock()
 	}
@@ -95,12 +97,18 @@
 	if a.reserved, err = q.reserve(a.ctx, a.grant); err != nil {
 		return dispatch.OutcomeRejected, err
 	}
+	if len(q.unusable(a.grant)) > 0 {
+		// A server began to leave while memory was reserved.
+		return dispatch.OutcomeWithdrawn, errNotSent
+	}
+	a.server = q.incarnation(a.grant.Server())
 	a.silence.start(a, now)
 	metadata := upstream.NewRequestMetadata(a.grant.Server(), q.account.Name(), q.deadline.Sub(now)).WithLastEventID(a.lastEventID)
 	a.response, err = q.server.client.Send(a.ctx, a.grant.Address(), q.outgoing, metadata.WithPrefillWorkers(a.reserved.prefillWorkers(a.grant)...))
 	if err != nil {
 		return sendOutcome(a.ctx, err), err
 	}
+	q.server.noteResponse(q.id, q.service.Name(), a.server, a.response.Metadata())
 	if a.response.Metadata().NotRun() {
 		return a.notRun()
 	}
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -53,7 +53,8 @@
 	if header.Get("Refused") != "" {
 		m = m.WithNotRun(false, "")
 	}
-	return m
+	wait, _ := time.ParseDuration(header.Get("Wait")) // 0 if missing
+	return m.WithLeaving(header.Get("Leaving") != "").WithRetryAfter(wait, "")
 }
 
 // backend is a server that answers its i-th connection with its i-th step, the
@@ -64,12 +65,18 @@
 	// crashingPart is a part of a prompt at which the server ends: it closes the
 	// connection without a response.
 	crashingPart string
+	// keeps has the server keep its connections, and answer each request with the step of
+	// its connection.
+	keeps bool
 
 	mu       sync.Mutex
 	requests []string
 	parts    []string // of the requests' prompts
 }
 
+// reset is the end of a step after which the server resets the connection.
+const reset = "RESET"
+
 // hang is a step that leaves the request unanswered until the connection is closed.
 const hang = "hang"
 
@@ -96,18 +103,24 @@
 			if i < len(steps) {
 				step = steps[i]
 			}
-			go b.serve(conn, step)
+			go b.serveConnection(conn, step)
 		}
 	}()
 	return b
 }
 
-func (b *backend) serve(conn net.Conn, step string) {
+func (b *backend) serveConnection(conn net.Conn, step string) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
+	for b.serve(conn, reader, step) && b.keeps {
+	}
+}
+
+// serve answers one request, and reports whether there was one.
+func (b *backend) serve(conn net.Conn, reader *bufio.Reader, step string) bool {
 	r, err := http.ReadRequest(reader)
 	if err != nil {
-		return
+		return false
 	}
 	body, _ := io.ReadAll(r.Body)
 	b.mu.Lock()
@@ -115,18 +128,23 @@
 	b.parts = append(b.parts, r.Header.Get("Parts"))
 	b.mu.Unlock()
 	if b.crashingPart != "" && slices.Contains(strings.Split(r.Header.Get("Parts"), ","), b.crashingPart) {
-		return
+		return false
 	}
 	if step == hang {
 		_, _ = reader.ReadByte() // returns when the connection is closed
-		return
+		return false
 	}
+	step, resets := strings.CutSuffix(step, reset)
 	for i, part := range strings.Split(strings.ReplaceAll(step, "ID", r.Header.Get("Id")), silence) {
 		if i > 0 {
 			time.Sleep(b.silenceTime)
 		}
 		fmt.Fprint(conn, part)
 	}
+	if resets {
+		_ = conn.(*net.TCPConn).SetLinger(0) // fails only if the connection is closed
+	}
+	return !resets
 }
 
 func (b *backend) seen() []string {
@@ -159,13 +177,20 @@
 	next     int
 	refusal  *Refusal
 	workers  []dispatch.PrefillWorker
-	outcomes []dispatch.Outcome
-	faults   []string // the addresses of servers reported as stalled
+	// workersOnce limits the prefill workers to the first grant.
+	workersOnce bool
+	outcomes    []dispatch.Outcome
+	faults      []string // the addresses of servers reported as stalled
+	notices     routing.Notices
+	excluded    []string // by the last request
+	// ids are the server ids of the grants, in turn; s1, s2 and so on without them.
+	ids []string
 }
 
 func (s *fakeScheduler) Acquire(ctx context.Context, request dispatch.Request) (dispatch.Grant, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.excluded = request.Exclude()
 	if s.next >= len(s.backends) {
 		if s.refusal != nil {
 			return dispatch.Grant{}, s.refusal
@@ -174,9 +199,19 @@
 	}
 	b := s.backends[s.next]
 	s.next++
-	return dispatch.NewGrant(request.ID(), fmt.Sprint("s", s.next), b.address, s.workers, 0), nil
+	id := fmt.Sprint("s", s.next)
+	if s.ids != nil {
+		id = s.ids[s.next-1]
+	}
+	workers := s.workers
+	if s.workersOnce && s.next > 1 {
+		workers = nil
+	}
+	return dispatch.NewGrant(request.ID(), id, b.address, workers, 0), nil
 }
 
+func (s *fakeScheduler) Notice(_ string, notice routing.Notice) { s.notices.Add(time.Now(), notice) }
+
 func (s *fakeScheduler) Started(string, string) {}
 
 func (s *fakeScheduler) Ended(_, _ string, outcome dispatch.Outcome) {
@@ -202,11 +237,12 @@
 type localScheduler struct {
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
+	notices   *routing.Notices // of the view
 }
 
 // newLocalScheduler returns a scheduler of the servers in a view.
 func newLocalScheduler(view *routing.View) *localScheduler {
-	s := &localScheduler{scheduler: dispatch.NewScheduler("e1")}
+	s := &localScheduler{scheduler: dispatch.NewScheduler("e1"), notices: &routing.Notices{}}
 	s.scheduler.SetView(time.Now(), view)
 	return s
 }
@@ -244,11 +280,20 @@
 	s.scheduler.ReportFault(time.Now(), service, address, outcome)
 }
 
+func (s *localScheduler) Notice(_ string, notice routing.Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notices.Add(time.Now(), notice)
+	s.scheduler.Refuse(notice.Server(), notice.RefusesUntil())
+}
+
 // fakeReserver records what is reserved, by address and reservation id.
 type fakeReserver struct {
 	mu          sync.Mutex
 	held        map[string]int
 	failAddress string
+	// response is the metadata of each response.
+	response upstream.ResponseMetadata
 	// reserveCalls counts Reserve calls, and longestHold is the longest hold time of any.
 	reserveCalls int
 	// failCalls is the number of Reserve calls that fail after the first one.
@@ -256,30 +301,30 @@
 	longestHold time.Duration
 }
 
-func (m *fakeReserver) Reserve(_ context.Context, address, id string, tokens int, hold time.Duration) error {
+func (m *fakeReserver) Reserve(_ context.Context, address, id string, tokens int, hold time.Duration) (upstream.ResponseMetadata, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reserveCalls++
 	if m.reserveCalls > 1 && m.failCalls > 0 {
 		m.failCalls--
-		return errNotRun
+		return upstream.ResponseMetadata{}, errNotRun
 	}
 	m.longestHold = max(m.longestHold, hold)
 	if address == m.failAddress {
-		return errNotRun
+		return m.response, errNotRun
 	}
 	if m.held == nil {
 		m.held = make(map[string]int)
 	}
 	m.held[address+" "+id] = tokens
-	return nil
+	return m.response, nil
 }
 
-func (m *fakeReserver) Release(_ context.Context, address, id string) error {
+func (m *fakeReserver) Release(_ context.Context, address, id string) (upstream.ResponseMetadata, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.held, address+" "+id)
-	return nil
+	return m.response, nil
 }
 
 func (m *fakeReserver) count() int {
@@ -358,7 +403,7 @@
 // newServer returns a server that routes by the table.
 func (b *testbed) newServer(table *routing.Table, servers map[string]routing.Server) *Server {
 	timers := &timer.Service{}
-	b.view.Store(routing.NewView(1, table, servers, nil))
+	b.view.Store(routing.NewView(1, table, servers, nil).WithNotices(&b.scheduler.notices))
 	client := upstream.NewClient(fakeHeaders{}, timers, upstream.Dialer{})
 	return NewServer(fakeViews{view: &b.view, storeAway: &b.storeAway}, b.scheduler, &b.reserver, client, fakeHeaders{},
 		NewLimits(NewRetryBudget(0.2, 100, 10*time.Second), 1<<20, 0, 92*time.Millisecond), discardRecorder{}, hclog.NewNullLogger(), timers)
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -254,13 +254,17 @@
 	if a.body != nil && a.body.status >= http.StatusInternalServerError {
 		q.buffered = a.body
 	}
+	if outcome == dispatch.OutcomeWithdrawn {
+		q.exclude = append(q.exclude, q.unusable(a.grant)...)
+		return
+	}
 	q.exclude = append(q.exclude, a.grant.Server())
 }
 
 // mayHaveRun reports whether a server may have run a request that ended with the outcome.
 func mayHaveRun(outcome dispatch.Outcome) bool {
 	switch outcome {
-	case dispatch.OutcomeUnreachable, dispatch.OutcomeRejected, dispatch.OutcomeReplaced:
+	case dispatch.OutcomeUnreachable, dispatch.OutcomeWithdrawn, dispatch.OutcomeRejected, dispatch.OutcomeReplaced:
 		return false
 	default:
 		return true
@@ -273,7 +277,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	switch outcome {
-	case dispatch.OutcomeUnreachable:
+	case dispatch.OutcomeUnreachable, dispatch.OutcomeWithdrawn:
 		return q.sends < maxSends && q.ran < q.route.MaxAttempts()
 	case dispatch.OutcomeRejected, dispatch.OutcomeReplaced:
 		if q.sends >= maxSends || q.ran >= q.route.MaxAttempts() {
@@ -301,12 +305,16 @@
 	return strings.Join(ids, ",")
 }
 
-// usable reports whether all servers of a grant may still take new requests.
-func (q *request) usable(grant dispatch.Grant) bool {
+// unusable returns the servers of a grant that take no new requests now.
+func (q *request) unusable(grant dispatch.Grant) []string {
 	view := q.server.views.View()
-	return view.Usable(grant.Server()) && !slices.ContainsFunc(grant.PrefillWorkers(), func(h dispatch.PrefillWorker) bool {
-		return !view.Usable(h.Server())
-	})
+	now := q.server.timers.Now()
+	return slices.DeleteFunc(grant.Servers(), func(id string) bool { return view.Accepts(id, now) })
+}
+
+// incarnation returns the published incarnation of a server.
+func (q *request) incarnation(server string) routing.Incarnation {
+	return q.server.views.View().Servers()[server].Incarnation()
 }
 
 // placementRequest returns the request for a placement; q.mu must be held.
@@ -381,6 +389,8 @@
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
 		retryAfter, reason = refusal.retryAfter, string(refusal.reason)
+	} else if until, ok := q.server.views.View().AllRefuseUntil(q.service.Name(), q.server.timers.Now()); ok {
+		retryAfter, reason = dispatch.ReturnAfter(q.id, q.server.timers.Now(), until), string(dispatch.ReasonServersRefuse)
 	}
 	q.refuse(reason, retryAfter)
 }
