gateway: encode further fields so that older entries understand messages

Messages are encoded as arrays, and a version refuses an array with another number of fields. Parts and suspicions and notices had added fields at the end, so that entries of both versions would not have heard each other while a fleet is updated; it showed as the change of the store's eras met them.

The running requests of a heartbeat no longer carry their parts: as names they would cost a scheduler of hundreds of entries, and only crashes just after a change of schedulers go unexplained.

--- /dev/null
+++ b/gateway/encoding_test.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"greengagedock.example/quarantine"
+)
+
+// encode encodes a message as package mesh does, with structs as arrays.
+func encode(c *qt.C, message any) []byte {
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	c.Assert(encoder.Encode(message), qt.IsNil)
+	return buffer.Bytes()
+}
+
+// originalPlacement is a placement call of a version without further fields.
+type originalPlacement struct {
+	Entry         string
+	Incarnation   uint64
+	ID            string
+	Service       string
+	Domain        string
+	PromptTokens  int
+	AnswerTokens  int
+	Priority      int
+	Age           time.Duration
+	ToObjective   time.Duration
+	ToDeadline    time.Duration
+	ToFirstToken  time.Duration
+	TokenInterval time.Duration
+	Exclude       []string
+}
+
+// While the entries of a fleet are updated, versions with and without further fields
+// understand each other.
+func TestVersionsUnderstandEachOther(t *testing.T) {
+	c := qt.New(t)
+	old := originalPlacement{Entry: "e1", Incarnation: 7, ID: "r", Service: "llm", PromptTokens: 900, Age: time.Millisecond, Exclude: []string{"s1"}}
+	plain := placementMessage{Entry: "e1", Incarnation: 7, ID: "r", Service: "llm", PromptTokens: 900, Age: time.Millisecond, Exclude: []string{"s1"}}
+	c.Assert(encode(c, plain), qt.DeepEquals, encode(c, old))
+	extended := plain
+	extended.Parts, extended.Resumed = []quarantine.Part{5}, true
+
+	var decoded originalPlacement
+	c.Assert(msgpack.Unmarshal(encode(c, extended), &decoded), qt.IsNil)
+	c.Assert(decoded, qt.DeepEquals, old)
+	for _, message := range []placementMessage{plain, extended} {
+		var decoded placementMessage
+		c.Assert(msgpack.Unmarshal(encode(c, message), &decoded), qt.IsNil)
+		c.Assert(decoded, qt.DeepEquals, message)
+	}
+}
+
+// The number of fields of what is encoded as an array must not change.
+func TestMessagesKeepTheirFields(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		message any
+		fields  int
+	}{
+		{heartbeatMessage{}, 9}, {placementMessage{}, 14}, {eventsMessage{}, 6}, {runningMessage{}, 8},
+		{itemsMessage{}, 1}, {itemsReply{}, 4}, {itemMessage{}, 5}, {memberMessage{}, 8}, {placementReply{}, 8},
+		{prefillWorkerMessage{}, 3}, {endMessage{}, 2}, {faultMessage{}, 3},
+	} {
+		n, err := msgpack.NewDecoder(bytes.NewReader(encode(c, test.message))).DecodeArrayLen()
+		c.Assert(err, qt.IsNil)
+		c.Check(n, qt.Equals, test.fields, qt.Commentf("%T", test.message))
+	}
+}
+
+// Fields that a version does not know are skipped in either form.
+func TestUnknownFieldsAreSkipped(t *testing.T) {
+	c := qt.New(t)
+	later := struct {
+		Entry       string
+		Incarnation uint64
+		Started     []string
+		Ended       []endMessage
+		Faults      []faultMessage
+		Withdrawn   []string
+		Notices     []noticeMessage
+		More        map[string]int
+	}{Entry: "e1", Started: []string{"r"}, More: map[string]int{"x": 1}}
+	var decoded eventsMessage
+	c.Assert(msgpack.Unmarshal(encode(c, later), &decoded), qt.IsNil)
+	c.Assert(decoded.Started, qt.DeepEquals, later.Started)
+	byName, err := msgpack.Marshal(later)
+	c.Assert(err, qt.IsNil)
+	decoded = eventsMessage{}
+	c.Assert(msgpack.Unmarshal(byName, &decoded), qt.IsNil)
+	c.Assert(decoded.Started, qt.DeepEquals, later.Started)
+}
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -43,7 +43,6 @@
 	AnswerTokens   int
 	TokenInterval  time.Duration
 	Started        bool
-	Parts          []quarantine.Part
 }
 
 // heartbeatMessage is a heartbeat or the response to one.
@@ -275,9 +274,9 @@
 }
 
 func encodeRunning(r dispatch.RunningRequest) runningMessage {
-	return runningMessage{ID: r.ID(), Service: r.Service(), Server: r.Server(), PrefillWorkers: r.PrefillWorkers(), PromptTokens: r.Prompt(), AnswerTokens: r.Answer(), TokenInterval: r.MaxTokenInterval(), Started: r.Started(), Parts: r.Parts()}
+	return runningMessage{ID: r.ID(), Service: r.Service(), Server: r.Server(), PrefillWorkers: r.PrefillWorkers(), PromptTokens: r.Prompt(), AnswerTokens: r.Answer(), TokenInterval: r.MaxTokenInterval(), Started: r.Started()}
 }
 
 func (m runningMessage) decode() dispatch.RunningRequest {
-	return dispatch.RestoreRunningRequest(m.ID, m.Service, m.Server, m.PrefillWorkers, m.PromptTokens, m.AnswerTokens, m.TokenInterval, m.Started).WithParts(m.Parts...)
+	return dispatch.RestoreRunningRequest(m.ID, m.Service, m.Server, m.PrefillWorkers, m.PromptTokens, m.AnswerTokens, m.TokenInterval, m.Started)
 }
