--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"greengagedock.example/platform/platformtest"
 )
 
 // proxyMode is what a proxy does with the bytes and connections that it forwards.
@@ -60,7 +62,7 @@
 		if toTarget {
 			p.markCut(conn)
 		}
-		abort(conn)
+		platformtest.Reset(conn)
 	}
 }
 
@@ -79,14 +81,6 @@
 	return p.cut[address]
 }
 
-// abort closes a connection with a reset.
-func abort(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // if this fails, an ordinary close is enough
-	}
-	conn.Close()
-}
-
 func (p *proxy) currentMode() proxyMode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -105,12 +99,12 @@
 
 func (p *proxy) serve(from net.Conn) {
 	if p.currentMode() == proxyReset {
-		abort(from)
+		platformtest.Reset(from)
 		return
 	}
 	to, err := net.Dial("tcp", p.target)
 	if err != nil {
-		abort(from)
+		platformtest.Reset(from)
 		return
 	}
 	p.mu.Lock()
