soak: parts of prompts that end servers

Ruled out: drawing the fault with the others. Ended servers count no longer as targets. Also ruled out: the part in all requests of three of eight callers.

Change: prompts share one or two of 40 popular parts. With the fault, half of the requests of every third caller also have a part that ends servers, beside a popular part that varies or is always the same one. New incarnations follow at other addresses. Checked are the requests with the part that reach servers once five have ended, from the last disturbance of an entry on, the time after which refused ones may come back, and the sound requests with its other parts.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -90,6 +90,10 @@
 		c.fleet.checker.report("creating request: %v", err)
 		return
 	}
+	if tokens > 0 {
+		r.parts, r.harmful = c.parts()
+		platformtest.SetParts(q, tokens, r.parts...)
+	}
 	response, err := c.client.Do(q)
 	r.incomplete = err
 	if err == nil {
@@ -119,6 +123,9 @@
 		r.served = r.incomplete == nil && r.problem == ""
 	default:
 		r.notRun = platformtest.GuaranteesNotRun(response)
+		if r.harmful && response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") == "" {
+			r.problem = "refused without a time after which to try again"
+		}
 		_, r.incomplete = io.Copy(io.Discard, response.Body)
 	}
 }
--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,8 +28,11 @@
 
 // result is what a caller observed of one request.
 type result struct {
-	id       string
-	kind     requestKind
+	id   string
+	kind requestKind
+	// parts are the parts of the prompt, of which one ends servers if harmful is set.
+	parts    []string
+	harmful  bool
 	entry    string
 	start    time.Time
 	duration time.Duration
@@ -67,6 +71,13 @@
 	c.results = append(c.results, r)
 }
 
+// all returns the results so far.
+func (c *checker) all() []result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.results)
+}
+
 func (c *checker) report(format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -97,7 +108,7 @@
 	total, served := 0, 0
 	for _, r := range c.results {
 		out = append(out, c.checkResult(r)...)
-		if r.start.After(recoveredBy) {
+		if r.start.After(recoveredBy) && !r.harmful {
 			total++
 			if r.served {
 				served++
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -181,13 +181,17 @@
 	}()
 }
 
-// selectFaults returns the faults with the given names, or all if there are no names.
+// selectFaults returns the faults with the given names, or all if there are no names;
+// crashingPartFault, which is not drawn with the others, is none of them.
 func selectFaults(names []string) ([]fault, error) {
 	if len(names) == 0 {
 		return faults, nil
 	}
 	var out []fault
 	for _, name := range names {
+		if name == crashingPartFault {
+			continue
+		}
 		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
 		if i < 0 {
 			return nil, fmt.Errorf("unknown fault %q", name)
@@ -208,6 +212,9 @@
 		case <-ctx.Done():
 			return injected
 		}
+		if len(faults) == 0 {
+			continue
+		}
 		drawn := faults[f.random.IntN(len(faults))]
 		injected = append(injected, fmt.Sprintf("%.2fs %s %s", time.Since(start).Seconds(), drawn.name, drawn.inject(ctx, f)))
 	}
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -23,6 +23,8 @@
 	startMs       int64 // Unix time
 	// drainedAt is when it was published as draining, zero if it was not.
 	drainedAt time.Time
+	// endedAt is when it ended at a part of a prompt, zero if it did not.
+	endedAt time.Time
 }
 
 // releaseTime is how long KV reservations may outlast the last request: a
@@ -40,6 +42,7 @@
 	runs       platformtest.RunCounter
 	holds      platformtest.Holds
 	engines    platformtest.SimulatedEngines
+	crashing   platformtest.CrashingParts
 	checker    checker
 
 	mu             sync.Mutex
@@ -47,6 +50,8 @@
 	created        int
 	version        int
 	storeDisturbed intervals
+	crash          *crashingFault
+	stopped        bool
 }
 
 // startFleet starts the store, the backend servers and the entries. After an error
@@ -91,12 +96,16 @@
 func (f *fleet) addServer(servesPrompts bool) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.stopped {
+		return nil
+	}
 	f.created++
 	s := &backendServer{
 		Server:        platformtest.NewServer(fmt.Sprintf("i-%d", f.created), &f.runs),
 		servesPrompts: servesPrompts, startMs: time.Now().UnixMilli(),
 	}
 	s.SetHolds(&f.holds)
+	s.SetCrashingParts(&f.crashing, func() { f.serverEnded(s) })
 	s.http = httptest.NewUnstartedServer(http.HandlerFunc(s.ServeHTTP))
 	s.http.Listener = s.Listener(s.http.Listener)
 	s.http.Start()
@@ -127,13 +136,13 @@
 	return f.version
 }
 
-// active returns the servers that are not draining.
+// active returns the servers that are not draining and have not ended.
 func (f *fleet) active() []*backendServer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []*backendServer
 	for _, s := range f.servers {
-		if s.drainedAt.IsZero() {
+		if s.drainedAt.IsZero() && s.endedAt.IsZero() {
 			out = append(out, s)
 		}
 	}
@@ -255,6 +264,9 @@
 		}
 	}
 	time.Sleep(releaseTime)
+	f.checkCrashingPart()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, s := range f.servers {
 		if n := s.Reservations(); n > 0 {
 			f.checker.report("KV reservations not released: %s still holds %d", s.ID(), n)
@@ -270,6 +282,9 @@
 	for _, e := range f.entries {
 		e.stop()
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopped = true
 	for _, s := range f.servers {
 		s.proxy.close()
 		s.http.CloseClientConnections()
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,8 +18,8 @@
 const (
 	// startTimeout is how long all entries of a fleet together may take to become ready.
 	startTimeout = 20 * time.Second
-	// recoveryTime is how long a run goes on after its last fault. Requests that
-	// start in the second half must be served.
+	// recoveryTime is how long a run goes on after its last fault, soundTime longer with a
+	// crashing part. Requests that start in the last half of it must be served.
 	recoveryTime = 6 * time.Second
 	// Each concurrent run has a range of portsPerRun ports, the first one starting
 	// at firstPort. All ranges are below the ephemeral ports of the system.
@@ -158,15 +159,28 @@
 	}
 	running.Go(func() { f.watchVersions(ctx) })
 	faultCtx, cancelFaults := context.WithTimeout(context.Background(), o.faultDuration)
+	var crashing string
+	var injecting sync.WaitGroup
+	if len(o.faultNames) == 0 || slices.Contains(o.faultNames, crashingPartFault) {
+		injecting.Go(func() { crashing = f.injectCrashingPart(faultCtx, len(o.faultNames) > 0) })
+	}
 	injected := f.injectFaults(faultCtx, selected)
+	injecting.Wait()
+	if crashing != "" {
+		injected = append(injected, crashing)
+	}
 	cancelFaults()
-	recoveredBy := time.Now().Add(recoveryTime / 2)
-	time.Sleep(recoveryTime)
+	recovery := recoveryTime
+	if crashing != "" {
+		recovery += soundTime // entries that were disturbed last must learn anew
+	}
+	recoveredBy := time.Now().Add(recovery - recoveryTime/2)
+	time.Sleep(recovery)
 	cancel()
 	running.Wait()
 	f.checkRecovered(context.Background())
 	violations := f.checker.violations(recoveredBy)
-	summary := fmt.Sprintf("seed %d: %d faults, %s, %d violations", seed, len(injected), f.checker.summary(), len(violations))
+	summary := fmt.Sprintf("seed %d: %d faults, %s, %d servers ended, %d violations", seed, len(injected), f.checker.summary(), len(f.serverEnds()), len(violations))
 	if len(violations) > 0 {
 		violations = append(violations, "faults:")
 		violations = append(violations, injected...)
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -173,3 +173,58 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Requests with a crashing part that reach servers late, and sound requests that are not
+// served, are reported; a disturbed entry excuses what it forgot, but not what follows
+// after as many servers ended anew.
+func TestCheckerReportsCrashingParts(t *testing.T) {
+	c := qt.New(t)
+	start := time.Now()
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	five := []float64{1, 1.1, 1.2, 1.3, 1.4}
+	for _, test := range []struct {
+		name           string
+		ends, sends    []float64
+		disturbedUntil float64
+		unserved       int
+		want           string
+	}{
+		{"early", five, []float64{1, 2, 3, 4, 4.3}, 0, 0, ""},
+		{"few late", five, []float64{5, 6, 7}, 0, 0, ""},
+		{"late", five, []float64{5, 6, 7, 8}, 0, 0, "crashing part not refused: 4 requests .*"},
+		{"four ends", five[:4], []float64{5, 6, 7, 8}, 0, 0, ""},
+		{"disturbed since", five, []float64{5, 6, 7, 8}, 4, 0, ""},
+		{"disturbed, then anew", append([]float64{4.1, 4.2, 4.3, 4.4, 4.5}, five...), []float64{8, 9, 10, 11}, 4, 0, "crashing part not refused: 4 requests .*"},
+		{"sound requests served", five, nil, 0, 4, ""},
+		{"sound requests not served", five, nil, 0, 5, "sound requests not served: 3 of 8 .*"},
+	} {
+		f := &fleet{entries: []*entry{{}}, crash: &crashingFault{start: start, part: "bad", companion: "shared"}}
+		for _, end := range test.ends {
+			f.servers = append(f.servers, &backendServer{Server: platformtest.NewServer("", &f.runs), endedAt: at(end)})
+		}
+		if test.disturbedUntil > 0 {
+			f.entries[0].disturbances = intervals{{at(2), at(test.disturbedUntil)}}
+		}
+		var sends []time.Time
+		for _, send := range test.sends {
+			sends = append(sends, at(send))
+		}
+		f.checkSends(f.crash, f.serverEnds(), sends)
+		results := []result{{kind: kindStream, start: start.Add(-time.Second), undisturbed: true, served: true}}
+		for i := range 8 {
+			sound := result{kind: kindStream, start: at(8), undisturbed: true, served: i >= test.unserved, parts: []string{"shared", "own"}}
+			other, harmful, early := sound, sound, sound
+			other.served, other.parts = false, []string{"other", "own"}
+			harmful.served, harmful.harmful = false, true
+			early.served, early.start = false, at(7)
+			results = append(results, sound, other, harmful, early)
+		}
+		f.checkSoundRequests(f.crash, f.serverEnds(), results)
+		if test.want == "" {
+			c.Check(f.checker.reported, qt.HasLen, 0, qt.Commentf(test.name))
+			continue
+		}
+		c.Check(f.checker.reported, qt.HasLen, 1, qt.Commentf(test.name))
+		c.Check(f.checker.reported[0], qt.Matches, test.want, qt.Commentf(test.name))
+	}
+}
