soak: mutation of crashing parts that are not refused

Cause: nothing showed that the soak notices if the quarantine has no effect.

Ruled out: no learning at all, as the mutation. It would not show that what is learned must also be obeyed.

Change: a mutation with which requests with suspect parts are let through.

--- a/cmd/soak/mutation_test.go
+++ b/cmd/soak/mutation_test.go
@@ -61,6 +61,11 @@
 		"\tallowed := q.sends < maxSends && q.ran+1 < q.route.MaxAttempts()\n", "\ta.cancel(errServerTimeout)\n\tallowed := false\n",
 		[]string{"server_silence"}, "^response lost: stream ",
 	},
+	{
+		"crashing parts are not refused", "dispatch/quarantine.go",
+		"p.primary); refused {", "p.primary); refused && retryAfter < 0 {",
+		[]string{crashingPartFault}, "^crashing part not refused: ",
+	},
 }
 
 // maxMutationRuns is how many runs may be needed until a violation shows: runs
