routing: order the store's content by era and revision

Cause: the store may be restored from a copy some seconds old. Revisions then go back and are assigned again for other content, which the header Store-Era shows. A list whose revision was not above that of the cache was ignored, and entries took from each other whatever had the higher number, so that an entry kept what it had and two entries could hold different content under one revision.

Ruled out: only resetting the revision when the store answers 410. A store that has passed the revision again answers the watch, with changes that leave out those between the copy and that revision; and a peer that is behind would bring the earlier content back. Also ruled out: the era as a further field of the messages. msgpack refuses an array-encoded struct with another number of fields, so that entries of the two versions would not understand each other.

Change: routing.Revision holds era and number and is what the cache, the heartbeats, the fetch of items, the watch, the log and the view compare. A store without eras counts as era 0. Changes of another era than the content that they continue are dropped and all items read; a list whose pages are of two eras begins again; a response of an earlier era than the known one is a failed read. Messages carry both packed into the number that was there.

What a copy lacks is not kept yet.

--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -50,7 +50,7 @@
 	for _, s := range servers {
 		byID[s.ID()] = s
 	}
-	f.scheduler.SetView(f.now, routing.NewView(1, table, byID, nil))
+	f.scheduler.SetView(f.now, routing.NewView(routing.NewRevision(0, 1), table, byID, nil))
 }
 
 // prompt returns a request with the given objectives.
@@ -240,7 +240,7 @@
 func TestColdServerCapacityIsBounded(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(0, 0)
-	f.publish(routing.NewServer("cold", "llm", "10.0.0.1:1", "a", 16).WithCold(10*time.Second).WithIncarnation(5, 9))
+	f.publish(routing.NewServer("cold", "llm", "10.0.0.1:1", "a", 16).WithCold(10*time.Second).WithIncarnation(5, routing.NewRevision(0, 9)))
 	var times []time.Time
 	for i := range 400 {
 		id := fmt.Sprint(i)
@@ -296,9 +296,9 @@
 func TestNewIncarnationHasNoRequests(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(0, 0)
-	f.publish(routing.NewServer("s", "desk", "10.0.0.1:1", "a", 6).WithIncarnation(1, 1))
+	f.publish(routing.NewServer("s", "desk", "10.0.0.1:1", "a", 6).WithIncarnation(1, routing.NewRevision(0, 1)))
 	f.granted(c, f.plainRequest("1"))
-	f.publish(routing.NewServer("s", "desk", "10.0.0.1:1", "a", 6).WithIncarnation(2, 2))
+	f.publish(routing.NewServer("s", "desk", "10.0.0.1:1", "a", 6).WithIncarnation(2, routing.NewRevision(0, 2)))
 	c.Assert(f.scheduler.pools["desk"].servers["s"].running, qt.HasLen, 0)
 	f.scheduler.Ended(f.now, "1", OutcomeBroken)
 	f.granted(c, f.plainRequest("2"))
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -85,7 +85,7 @@
 		servers[id] = routing.NewServer(id, service, id, "domain", w.engine.Slots())
 	}
 	s := dispatch.NewScheduler(entry)
-	s.SetView(epoch, routing.NewView(1, table, servers, nil))
+	s.SetView(epoch, routing.NewView(routing.NewRevision(0, 1), table, servers, nil))
 	return s
 }
 
--- a/gateway/item.go
+++ b/gateway/item.go
@@ -15,12 +15,13 @@
 
 // Source is a client of the store.
 type Source interface {
-	// List returns all items and the revision from which to Watch so as to miss
-	// no change.
-	List(ctx context.Context) ([]Item, int64, error)
+	// List returns all items of one era and the revision from which to Watch so as
+	// to miss no change.
+	List(ctx context.Context) ([]Item, routing.Revision, error)
 	// Watch waits up to the given time for changes after a revision and returns
-	// them with the revision to continue from, or ErrCompacted.
-	Watch(ctx context.Context, after int64, wait time.Duration) ([]Item, int64, error)
+	// them with the revision to continue from, or ErrCompacted. If that is of another
+	// era, the changes do not continue the content at the given one.
+	Watch(ctx context.Context, after routing.Revision, wait time.Duration) ([]Item, routing.Revision, error)
 }
 
 // Decoder decodes an item that is not removed.
@@ -29,18 +30,18 @@
 // Item is a key of the store at a revision.
 type Item struct {
 	key      string
-	revision int64
+	revision routing.Revision
 	value    []byte
 	removed  bool
 }
 
 // NewItem returns an item with the value written at a revision.
-func NewItem(key string, revision int64, value []byte) Item {
+func NewItem(key string, revision routing.Revision, value []byte) Item {
 	return Item{key: key, revision: revision, value: value}
 }
 
 // NewRemovedItem returns the item of a key that was removed at a revision.
-func NewRemovedItem(key string, revision int64) Item {
+func NewRemovedItem(key string, revision routing.Revision) Item {
 	return Item{key: key, revision: revision, removed: true}
 }
 
@@ -48,7 +49,7 @@
 func (i Item) Key() string { return i.key }
 
 // Revision returns the store revision of the item's last change.
-func (i Item) Revision() int64 { return i.revision }
+func (i Item) Revision() routing.Revision { return i.revision }
 
 // Value returns the item's value, nil if it was removed.
 func (i Item) Value() []byte { return i.value }
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -6,11 +6,15 @@
 	"greengagedock.example/dispatch"
 	"greengagedock.example/mesh"
 	"greengagedock.example/quarantine"
+	"greengagedock.example/routing"
 )
 
 // maxValueBytes bounds one published value; the store limits it to a megabyte.
 const maxValueBytes = 2 << 20
 
+// Messages carry revisions packed into one number: an entry of a version that knows no
+// eras accepts no array with another number of fields, and orders content right.
+
 // Kinds of calls between entries.
 const (
 	callHeartbeat = "beat"
@@ -99,7 +103,7 @@
 // encodeItem returns the message of an item, with the compressed value in place of
 // the plain one unless it is nil.
 func encodeItem(i Item, compressed []byte) itemMessage {
-	m := itemMessage{Key: i.key, Revision: i.revision, Value: i.value, Compressed: compressed, Removed: i.removed}
+	m := itemMessage{Key: i.key, Revision: i.revision.Packed(), Value: i.value, Compressed: compressed, Removed: i.removed}
 	if compressed != nil {
 		m.Value = nil
 	}
@@ -107,7 +111,7 @@
 }
 
 func (m itemMessage) decode() (Item, error) {
-	item := Item{key: m.Key, revision: m.Revision, value: m.Value, removed: m.Removed}
+	item := Item{key: m.Key, revision: routing.UnpackRevision(m.Revision), value: m.Value, removed: m.Removed}
 	if m.Compressed == nil {
 		return item, nil
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -10,6 +10,7 @@
 
 	"greengagedock.example/dispatch"
 	"greengagedock.example/mesh"
+	"greengagedock.example/routing"
 )
 
 // errCall is wrapped by the errors for calls that are unknown, malformed or arrive
@@ -79,7 +80,7 @@
 // applyHeartbeat applies a heartbeat or the response to one.
 func (c *control) applyHeartbeat(now time.Time, heartbeat heartbeatMessage) {
 	if c.members.observe(now, heartbeat.From) {
-		c.log.Info("entry state changed", "entry", heartbeat.From.ID, "incarnation", heartbeat.From.Incarnation, "state", string(heartbeat.From.State), "revision", heartbeat.Revision)
+		c.log.Info("entry state changed", "entry", heartbeat.From.ID, "incarnation", heartbeat.From.Incarnation, "state", string(heartbeat.From.State), "revision", routing.UnpackRevision(heartbeat.Revision))
 		c.scheduler.ReleaseEntry(now, heartbeat.From.ID, heartbeat.From.Incarnation)
 		if c.markReachable != nil {
 			c.markReachable(heartbeat.From.PeerAddress)
@@ -99,7 +100,7 @@
 			c.scheduler.ReleaseEntry(now, other.ID, other.Incarnation)
 		}
 	}
-	if heartbeat.Revision > c.cache.revision {
+	if routing.UnpackRevision(heartbeat.Revision).After(c.cache.revision) {
 		select {
 		case c.newerPeers <- heartbeat.From.PeerAddress:
 		default: // a fetch from another newer peer is already queued
@@ -110,7 +111,7 @@
 // newHeartbeat returns this entry's heartbeat for a target, or its response to one if
 // the target has no address.
 func (c *control) newHeartbeat(now time.Time, to heartbeatTarget) heartbeatMessage {
-	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision, StoreAge: c.storeAge(now), Digest: c.members.digest(), SuspicionsDigest: c.suspicionsDigest()}
+	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision.Packed(), StoreAge: c.storeAge(now), Digest: c.members.digest(), SuspicionsDigest: c.suspicionsDigest()}
 	if to.address == "" {
 		return heartbeat
 	}
@@ -161,27 +162,29 @@
 
 func (c *control) handleItems(call itemsMessage) (itemsReply, error) {
 	var reply itemsReply
-	ok := c.do(func(now time.Time) {
-		if c.cache.revision <= call.Revision {
-			return
-		}
-		reply.SinceRecovery = -1
-		if !c.cache.recoveredAt.IsZero() {
-			reply.SinceRecovery = now.Sub(c.cache.recoveredAt)
-		}
-		reply.Revision = c.cache.revision
-		var items []Item
-		items, reply.Full = c.cache.changesSince(call.Revision)
-		for _, item := range items {
-			reply.Items = append(reply.Items, encodeItem(item, c.cache.compress(item)))
-		}
-	})
-	if !ok {
+	if !c.do(func(now time.Time) { reply = c.itemsSince(now, routing.UnpackRevision(call.Revision)) }) {
 		return reply, eris.Wrap(errCall, "stopping")
 	}
 	return reply, nil
 }
 
+// itemsSince returns the response to a request for the changes after a revision.
+func (c *control) itemsSince(now time.Time, revision routing.Revision) itemsReply {
+	if !c.cache.revision.After(revision) {
+		return itemsReply{}
+	}
+	reply := itemsReply{Revision: c.cache.revision.Packed(), SinceRecovery: -1}
+	if !c.cache.recoveredAt.IsZero() {
+		reply.SinceRecovery = now.Sub(c.cache.recoveredAt)
+	}
+	var items []Item
+	items, reply.Full = c.cache.changesSince(revision)
+	for _, item := range items {
+		reply.Items = append(reply.Items, encodeItem(item, c.cache.compress(item)))
+	}
+	return reply
+}
+
 func (c *control) handlePlacement(call placementMessage) (placementReply, error) {
 	owner, request := call.decode(c.timers.Now())
 	decision, err := c.schedule(context.Background(), owner, request)
@@ -292,7 +295,8 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var reply itemsReply
-	if err := client.Call(ctx, address, callItems, itemsMessage{Revision: c.View().Revision()}, &reply); err != nil {
+	since := c.View().Revision()
+	if err := client.Call(ctx, address, callItems, itemsMessage{Revision: since.Packed()}, &reply); err != nil {
 		c.log.Warn("fetching items failed", "entry", address, "error", err)
 		return
 	}
@@ -305,21 +309,30 @@
 		}
 		items = append(items, decoded)
 	}
-	c.do(func(now time.Time) {
-		if reply.Revision <= c.cache.revision {
-			return
-		}
-		if recoveredAt := now.Add(-reply.SinceRecovery); reply.SinceRecovery >= 0 && recoveredAt.After(c.cache.recoveredAt) {
-			c.cache.recoveredAt = recoveredAt
-		}
-		if reply.Full {
-			c.cache.replace(now, items, reply.Revision)
-		} else {
-			c.cache.applyChanges(now, items, reply.Revision)
-		}
-		c.log.Info("items fetched", "entry", address, "revision", reply.Revision, "items", len(items), "whole", reply.Full)
-		c.cacheChanged(now)
-	})
+	c.do(func(now time.Time) { c.applyItems(now, address, since, reply, items) })
+}
+
+// applyItems applies the decoded items of a reply to a request for the changes since a
+// revision.
+func (c *control) applyItems(now time.Time, address string, since routing.Revision, reply itemsReply, items []Item) {
+	revision := routing.UnpackRevision(reply.Revision)
+	if !revision.After(c.cache.revision) {
+		return
+	}
+	if !reply.Full && (since.Era() != revision.Era() || since.After(c.cache.revision)) {
+		c.log.Warn("fetched changes do not continue the content", "entry", address, "since", since, "revision", revision)
+		return
+	}
+	if recoveredAt := now.Add(-reply.SinceRecovery); reply.SinceRecovery >= 0 && recoveredAt.After(c.cache.recoveredAt) {
+		c.cache.recoveredAt = recoveredAt
+	}
+	if reply.Full {
+		c.cache.replace(now, items, revision)
+	} else {
+		c.cache.applyChanges(now, items, revision)
+	}
+	c.log.Info("items fetched", "entry", address, "revision", revision, "items", len(items), "whole", reply.Full)
+	c.cacheChanged(now)
 }
 
 // catchUpDelay is how long an entry that watches the store waits before it fetches
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -165,7 +165,9 @@
 		values["waiting"] = p.control.scheduler.Waiting()
 		values["processor"] = p.control.members.self.CPUCores
 		values["entries"] = len(p.control.members.live(now, p.settings.timeouts.listed())) + 1
-		values["revision"] = p.control.cache.revision
+		values["revision"] = p.control.cache.revision.Number()
+		values["store_era"] = p.control.cache.revision.Era()
+		values["store_restores"] = p.control.cache.restores
 		values["quarantined"] = p.control.quarantined()
 		if table := p.control.cache.table; table != nil {
 			values["version"] = table.Version()
--- a/gateway/process_test.go
+++ b/gateway/process_test.go
@@ -10,19 +10,21 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
+
+	"greengagedock.example/routing"
 )
 
 // silentSource is a store that never answers.
 type silentSource struct{}
 
-func (silentSource) List(ctx context.Context) ([]Item, int64, error) {
+func (silentSource) List(ctx context.Context) ([]Item, routing.Revision, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, routing.Revision{}, ctx.Err()
 }
 
-func (silentSource) Watch(ctx context.Context, _ int64, _ time.Duration) ([]Item, int64, error) {
+func (silentSource) Watch(ctx context.Context, _ routing.Revision, _ time.Duration) ([]Item, routing.Revision, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, routing.Revision{}, ctx.Err()
 }
 
 // If one listener can't be opened, those opened before it are closed.
--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -22,7 +22,7 @@
 	log      hclog.Logger
 	items    map[string]Item
 	decoded  map[string]Published
-	revision int64
+	revision routing.Revision
 	table    *routing.Table
 	// compressed holds the compressed values of long items, by key.
 	compressed map[string]compressedItem
@@ -31,14 +31,16 @@
 	// removals holds the last removals in the order of their receipt. They are
 	// complete after revision removalsSince.
 	removals      []Item
-	removalsSince int64
+	removalsSince routing.Revision
 	// recoveredAt is when the store last recovered from an outage.
 	recoveredAt time.Time
+	// restores counts the changes of the store's era since the start.
+	restores int64
 }
 
 // compressedItem is the compressed value of an item at a revision.
 type compressedItem struct {
-	revision int64
+	revision routing.Revision
 	value    []byte
 }
 
@@ -64,13 +66,16 @@
 }
 
 // replace replaces the content with all items of a revision. It reports false, and
-// does nothing, if the revision is not above that of the cache.
-func (c *storeCache) replace(now time.Time, items []Item, revision int64) bool {
-	if revision <= c.revision {
+// does nothing, if the revision is not after that of the cache.
+func (c *storeCache) replace(now time.Time, items []Item, revision routing.Revision) bool {
+	switch {
+	case !revision.After(c.revision):
 		return false
-	}
-	if c.revision == 0 {
+	case c.revision.IsZero():
 		c.removalsSince = revision
+	case revision.Era() != c.revision.Era():
+		c.restore(now, items, revision)
+		return true
 	}
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -80,7 +85,7 @@
 	for key, item := range c.items {
 		// The pages of a list are no snapshot: an item newer than the revision of
 		// the list may be missing from it without having been removed.
-		if !listed[key] && item.revision <= revision {
+		if !listed[key] && !item.revision.After(revision) {
 			c.apply(now, NewRemovedItem(key, revision))
 		}
 	}
@@ -88,17 +93,40 @@
 	return true
 }
 
-// applyChanges applies the changes up to a revision.
-func (c *storeCache) applyChanges(now time.Time, items []Item, revision int64) {
+// restore replaces the content with all items of a later era. Items written in the
+// earlier one and missing from the copy are gone.
+func (c *storeCache) restore(now time.Time, items []Item, revision routing.Revision) {
+	c.log.Warn("store restored from a copy", "era", revision.Era(), "earlier_era", c.revision.Era(), "revision", revision, "earlier_revision", c.revision, "items", len(items))
+	c.restores++
+	earlier := c.decoded
+	c.items, c.decoded = make(map[string]Item), make(map[string]Published)
+	c.pendingRemovals = make(map[string]pendingRemoval)
+	c.compressed = make(map[string]compressedItem)
+	c.removals, c.removalsSince = nil, revision
+	c.revision = revision
 	for _, item := range items {
 		c.apply(now, item)
 	}
-	c.revision = max(c.revision, revision)
+	for key := range earlier {
+		if _, ok := c.items[key]; !ok {
+			c.log.Info("item removed", "key", key, "revision", revision)
+		}
+	}
+}
+
+// applyChanges applies the changes up to a revision of the current era.
+func (c *storeCache) applyChanges(now time.Time, items []Item, revision routing.Revision) {
+	for _, item := range items {
+		c.apply(now, item)
+	}
+	if revision.After(c.revision) {
+		c.revision = revision
+	}
 }
 
 func (c *storeCache) apply(now time.Time, item Item) {
 	known, ok := c.items[item.key]
-	if ok && known.revision >= item.revision {
+	if ok && !item.revision.After(known.revision) {
 		return
 	}
 	if item.removed {
@@ -123,7 +151,7 @@
 }
 
 // applyTable activates a configuration if its version is newer.
-func (c *storeCache) applyTable(table *routing.Table, revision int64) {
+func (c *storeCache) applyTable(table *routing.Table, revision routing.Revision) {
 	if c.table != nil && table.Version() <= c.table.Version() {
 		c.log.Warn("configuration ignored: version is not newer", "version", table.Version(), "in_force", c.table.Version(), "revision", revision)
 		return
@@ -153,7 +181,9 @@
 func (c *storeCache) recordRemoval(removal Item) {
 	c.removals = append(c.removals, removal)
 	if len(c.removals) > maxRemovals {
-		c.removalsSince = max(c.removalsSince, c.removals[0].revision)
+		if c.removals[0].revision.After(c.removalsSince) {
+			c.removalsSince = c.removals[0].revision
+		}
 		c.removals = c.removals[1:]
 	}
 }
@@ -219,13 +249,13 @@
 // changesSince returns the changes after a revision, or all items and full true if
 // the removals since then are no longer known. Pending removals are included: each
 // entry decides for itself how long to keep these servers.
-func (c *storeCache) changesSince(revision int64) (items []Item, full bool) {
-	full = revision < c.removalsSince
+func (c *storeCache) changesSince(revision routing.Revision) (items []Item, full bool) {
+	full = c.removalsSince.After(revision)
 	for _, pending := range c.pendingRemovals {
 		items = append(items, pending.removal)
 	}
 	for _, item := range c.items {
-		if full || item.revision > revision {
+		if full || item.revision.After(revision) {
 			items = append(items, item)
 		}
 	}
@@ -233,7 +263,7 @@
 		return items, true
 	}
 	for _, removal := range c.removals {
-		if removal.revision > revision {
+		if removal.revision.After(revision) {
 			items = append(items, removal)
 		}
 	}
--- a/gateway/storecache_test.go
+++ b/gateway/storecache_test.go
@@ -38,32 +38,35 @@
 
 func newTestCache() *storeCache { return newStoreCache(testDecode, hclog.NewNullLogger()) }
 
-func item(key string, revision int64, value string) Item {
-	return NewItem(key, revision, []byte(value))
+func item(key string, number int64, value string) Item {
+	return NewItem(key, at(number), []byte(value))
 }
 
+// at returns a revision of a store without eras.
+func at(number int64) routing.Revision { return routing.NewRevision(0, number) }
+
 func TestCacheNeverRegresses(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(100, 0)
 	cache := newTestCache()
-	c.Assert(cache.replace(now, []Item{item("config", 5, "9"), item("s1", 4, "10.0.0.1:1")}, 6), qt.IsTrue)
+	c.Assert(cache.replace(now, []Item{item("config", 5, "9"), item("s1", 4, "10.0.0.1:1")}, at(6)), qt.IsTrue)
 	// A stale peer, a late change and a version that is not newer change nothing.
-	c.Assert(cache.replace(now, []Item{item("config", 3, "8")}, 5), qt.IsFalse)
-	cache.applyChanges(now, []Item{item("s1", 2, "10.0.0.9:1"), item("config", 7, "9"), item("config", 8, "4")}, 8)
+	c.Assert(cache.replace(now, []Item{item("config", 3, "8")}, at(5)), qt.IsFalse)
+	cache.applyChanges(now, []Item{item("s1", 2, "10.0.0.9:1"), item("config", 7, "9"), item("config", 8, "4")}, at(8))
 	view := cache.view()
 	c.Assert(view.Table().Version(), qt.Equals, int64(9))
 	c.Assert(view.Servers()["s1"].Address(), qt.Equals, "10.0.0.1:1")
-	c.Assert(view.Revision(), qt.Equals, int64(8))
+	c.Assert(view.Revision(), qt.Equals, at(8))
 }
 
 func TestCacheKeepsLastValidConfiguration(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(100, 0)
 	cache := newTestCache()
-	cache.applyChanges(now, []Item{item("config", 1, "1")}, 1)
-	cache.applyChanges(now, []Item{item("config", 2, "malformed")}, 2)
+	cache.applyChanges(now, []Item{item("config", 1, "1")}, at(1))
+	cache.applyChanges(now, []Item{item("config", 2, "malformed")}, at(2))
 	c.Assert(cache.view().Table().Version(), qt.Equals, int64(1))
-	cache.applyChanges(now, []Item{item("config", 3, "3")}, 3)
+	cache.applyChanges(now, []Item{item("config", 3, "3")}, at(3))
 	c.Assert(cache.view().Table().Version(), qt.Equals, int64(3))
 }
 
@@ -71,8 +74,8 @@
 	c := qt.New(t)
 	now := time.Unix(100, 0)
 	cache := newTestCache()
-	cache.applyChanges(now, []Item{item("s1", 1, "10.0.0.1:1")}, 1)
-	cache.applyChanges(now, []Item{item("s1", 2, "malformed")}, 2)
+	cache.applyChanges(now, []Item{item("s1", 1, "10.0.0.1:1")}, at(1))
+	cache.applyChanges(now, []Item{item("s1", 2, "malformed")}, at(2))
 	c.Assert(cache.view().Usable("s1"), qt.IsFalse)
 }
 
@@ -80,11 +83,11 @@
 	c := qt.New(t)
 	now := time.Unix(100, 0)
 	cache := newTestCache()
-	cache.applyChanges(now, []Item{item("s1", 1, "10.0.0.1:1"), item("domain/a", 2, "")}, 2)
+	cache.applyChanges(now, []Item{item("s1", 1, "10.0.0.1:1"), item("domain/a", 2, "")}, at(2))
 	c.Assert(cache.view().Usable("s1"), qt.IsFalse)
-	cache.applyChanges(now, []Item{NewRemovedItem("domain/a", 3)}, 3)
+	cache.applyChanges(now, []Item{NewRemovedItem("domain/a", at(3))}, at(3))
 	c.Assert(cache.view().Usable("s1"), qt.IsTrue)
-	cache.applyChanges(now, []Item{NewRemovedItem("s1", 4)}, 4)
+	cache.applyChanges(now, []Item{NewRemovedItem("s1", at(4))}, at(4))
 	c.Assert(cache.view().Usable("s1"), qt.IsFalse)
 }
 
@@ -94,11 +97,11 @@
 	c := qt.New(t)
 	now := time.Unix(100, 0)
 	cache := newTestCache()
-	cache.applyChanges(now, []Item{item("s1", 1, "10.0.0.1:1"), item("s2", 2, "10.0.0.2:1")}, 2)
+	cache.applyChanges(now, []Item{item("s1", 1, "10.0.0.1:1"), item("s2", 2, "10.0.0.2:1")}, at(2))
 	cache.recoveredAt = now
-	cache.applyChanges(now, []Item{NewRemovedItem("s1", 5), NewRemovedItem("s2", 6)}, 6)
+	cache.applyChanges(now, []Item{NewRemovedItem("s1", at(5)), NewRemovedItem("s2", at(6))}, at(6))
 	c.Assert(cache.view().Usable("s1"), qt.IsTrue)
-	cache.applyChanges(now.Add(time.Second), []Item{item("s1", 7, "10.0.0.1:1")}, 7)
+	cache.applyChanges(now.Add(time.Second), []Item{item("s1", 7, "10.0.0.1:1")}, at(7))
 	c.Assert(cache.expire(now.Add(removalGrace-time.Millisecond)), qt.IsFalse)
 	c.Assert(cache.expire(now.Add(removalGrace)), qt.IsTrue)
 	c.Assert(cache.view().Usable("s1"), qt.IsTrue)
@@ -113,7 +116,7 @@
 	cache := newTestCache()
 	cache.items["s9"] = item("s9", 12, "10.0.0.9:1")
 	cache.decoded["s9"] = NewPublishedServer(routing.NewServer("s9", "desk", "10.0.0.9:1", "a", 6))
-	cache.replace(now, []Item{item("s1", 3, "10.0.0.1:1")}, 10)
+	cache.replace(now, []Item{item("s1", 3, "10.0.0.1:1")}, at(10))
 	c.Assert(cache.view().Usable("s9"), qt.IsTrue)
 }
 
@@ -123,7 +126,7 @@
 	c := qt.New(t)
 	now := time.Unix(100, 0)
 	ahead, behind := newTestCache(), newTestCache()
-	ahead.replace(now, []Item{item("config", 1, "1"), item("s1", 2, "10.0.0.1:1"), item("s2", 3, "10.0.0.2:1")}, 3)
+	ahead.replace(now, []Item{item("config", 1, "1"), item("s1", 2, "10.0.0.1:1"), item("s2", 3, "10.0.0.2:1")}, at(3))
 	sync := func() bool {
 		items, full := ahead.changesSince(behind.revision)
 		if full {
@@ -136,12 +139,12 @@
 		return full
 	}
 	c.Assert(sync(), qt.IsTrue)
-	ahead.applyChanges(now, []Item{NewRemovedItem("s1", 4), item("s3", 5, "10.0.0.3:1")}, 5)
+	ahead.applyChanges(now, []Item{NewRemovedItem("s1", at(4)), item("s3", 5, "10.0.0.3:1")}, at(5))
 	c.Assert(sync(), qt.IsFalse)
 	c.Assert(behind.view().Servers(), qt.HasLen, 2)
 	for i := range maxRemovals + 2 {
 		key := "x" + strconv.Itoa(i)
-		ahead.applyChanges(now, []Item{item(key, int64(10+2*i), "10.0.0.9:1"), NewRemovedItem(key, int64(11+2*i))}, int64(11+2*i))
+		ahead.applyChanges(now, []Item{item(key, int64(10+2*i), "10.0.0.9:1"), NewRemovedItem(key, at(int64(11+2*i)))}, at(int64(11+2*i)))
 	}
 	c.Assert(sync(), qt.IsTrue)
 }
@@ -153,14 +156,14 @@
 	now := time.Unix(100, 0)
 	ahead, behind := newTestCache(), newTestCache()
 	for _, cache := range []*storeCache{ahead, behind} {
-		cache.replace(now, []Item{item("s1", 2, "10.0.0.1:1")}, 3)
+		cache.replace(now, []Item{item("s1", 2, "10.0.0.1:1")}, at(3))
 	}
 	ahead.recoveredAt = now
-	ahead.applyChanges(now, []Item{NewRemovedItem("s1", 4)}, 4)
-	items, full := ahead.changesSince(3)
+	ahead.applyChanges(now, []Item{NewRemovedItem("s1", at(4))}, at(4))
+	items, full := ahead.changesSince(at(3))
 	c.Assert(full, qt.IsFalse)
 	behind.recoveredAt = ahead.recoveredAt
-	behind.applyChanges(now, items, 4)
+	behind.applyChanges(now, items, at(4))
 	c.Assert(behind.view().Usable("s1"), qt.IsTrue)
 	c.Assert(behind.expire(now.Add(removalGrace)), qt.IsTrue)
 	c.Assert(behind.view().Usable("s1"), qt.IsFalse)
@@ -205,9 +208,9 @@
 func TestRemovedItemKeepsNoCompressedValue(t *testing.T) {
 	c := qt.New(t)
 	cache := newStoreCache(func(Item) (Published, error) { return PublishedIgnored{}, nil }, hclog.NewNullLogger())
-	item := NewItem("other/long", 2, make([]byte, minCompressBytes))
-	cache.applyChanges(time.Unix(1, 0), []Item{item}, 2)
+	item := NewItem("other/long", at(2), make([]byte, minCompressBytes))
+	cache.applyChanges(time.Unix(1, 0), []Item{item}, at(2))
 	c.Assert(cache.compress(item), qt.IsNotNil)
-	cache.applyChanges(time.Unix(2, 0), []Item{NewRemovedItem("other/long", 3)}, 3)
+	cache.applyChanges(time.Unix(2, 0), []Item{NewRemovedItem("other/long", at(3))}, at(3))
 	c.Assert(cache.compressed, qt.HasLen, 0)
 }
--- a/gateway/suspicions_test.go
+++ b/gateway/suspicions_test.go
@@ -29,7 +29,7 @@
 		id := fmt.Sprint("s", i)
 		servers[id] = routing.NewServer(id, "llm", id+":1", "a", 16)
 	}
-	c.scheduler.SetView(now, routing.NewView(1, c.cache.table, servers, nil))
+	c.scheduler.SetView(now, routing.NewView(routing.NewRevision(0, 1), c.cache.table, servers, nil))
 	return c
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -5,6 +5,19 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/rotisserie/eris"
+
+	"greengagedock.example/routing"
+)
+
+var (
+	// errEraChanged is returned for changes of another era than the content that they
+	// were to continue.
+	errEraChanged = eris.New("gateway: store changed its era")
+	// errEarlierEra is wrapped by the error for a response of an earlier era than the
+	// known one.
+	errEarlierEra = eris.New("gateway: response of an earlier era")
 )
 
 const (
@@ -25,7 +38,7 @@
 
 // watch keeps the cache up to date from the store until ctx ends.
 func (c *control) watch(ctx context.Context, source Source) {
-	revision := int64(0)
+	var revision routing.Revision
 	delay := minRetryDelay
 	respondedAt := c.timers.Now()
 	failing := false
@@ -39,7 +52,15 @@
 		now := c.timers.Now()
 		if errors.Is(err, ErrCompacted) {
 			c.log.Info("store history compacted; reading all items", "revision", revision)
-			revision = 0
+			revision = routing.Revision{}
+			continue
+		}
+		if errors.Is(err, errEraChanged) {
+			c.log.Info("store changed its era", "revision", revision, "era", next.Era())
+			revision = routing.Revision{}
+			if known := c.View().Revision(); known.Era() == next.Era() {
+				revision = known // a peer sent all items
+			}
 			continue
 		}
 		if err != nil {
@@ -67,13 +88,13 @@
 }
 
 // shouldWatch reports whether this entry should watch the store. When it starts to
-// watch, revision is set to that of the cache, since changes received from peers
-// need not be read again.
-func (c *control) shouldWatch(revision *int64) bool {
+// watch, or a peer sent content of a later era, revision is set to that of the cache,
+// since changes received from peers need not be read again.
+func (c *control) shouldWatch(revision *routing.Revision) bool {
 	watches := true
 	c.do(func(now time.Time) {
-		watches = c.cache.revision == 0 || c.members.watchesStore(now)
-		if !c.watching.Load() {
+		watches = c.cache.revision.IsZero() || c.members.watchesStore(now)
+		if !c.watching.Load() || !revision.IsZero() && c.cache.revision.Era() > revision.Era() {
 			*revision = c.cache.revision
 		}
 	})
@@ -83,14 +104,14 @@
 	return watches
 }
 
-// readStore lists all items if revision is 0, else waits for changes after it, and
+// readStore lists all items if revision is zero, else waits for changes after it, and
 // returns the revision to continue from. After an outage it does not wait, and the
 // store counts as recovered once it responds.
-func (c *control) readStore(ctx context.Context, source Source, revision int64, outage bool) (int64, error) {
+func (c *control) readStore(ctx context.Context, source Source, revision routing.Revision, outage bool) (routing.Revision, error) {
 	var items []Item
-	var next int64
+	var next routing.Revision
 	var err error
-	if revision == 0 {
+	if revision.IsZero() {
 		items, next, err = source.List(ctx)
 	} else {
 		wait := watchWait/2 + rand.N(watchWait)
@@ -100,21 +121,34 @@
 		items, next, err = source.Watch(ctx, revision, wait)
 	}
 	if err != nil {
-		return 0, err
+		return routing.Revision{}, err
 	}
-	c.do(func(now time.Time) {
-		c.storeAnsweredAt = now
-		if outage {
-			c.cache.recoveredAt = now
-		}
-		if revision == 0 {
-			c.cache.replace(now, items, next)
-		} else {
-			c.cache.applyChanges(now, items, next)
-		}
-		c.cacheChanged(now)
-	})
-	return next, nil
+	c.do(func(now time.Time) { err = c.applyRead(now, revision, items, next, outage) })
+	return next, err
+}
+
+// applyRead applies what a read of the store returned: all items at the revision next
+// if revision is zero, else the changes after it. These do not continue the content
+// if the era changed meanwhile: the copy may be older than the revision.
+func (c *control) applyRead(now time.Time, revision routing.Revision, items []Item, next routing.Revision, outage bool) error {
+	if next.Era() < c.cache.revision.Era() {
+		return eris.Wrapf(errEarlierEra, "%d, known is %d", next.Era(), c.cache.revision.Era())
+	}
+	whole := revision.IsZero()
+	if !whole && next.Era() != revision.Era() {
+		return errEraChanged
+	}
+	c.storeAnsweredAt = now
+	if outage {
+		c.cache.recoveredAt = now
+	}
+	if whole {
+		c.cache.replace(now, items, next)
+	} else {
+		c.cache.applyChanges(now, items, next)
+	}
+	c.cacheChanged(now)
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -351,7 +351,7 @@
 // newServer returns a server that routes by the table.
 func (b *testbed) newServer(table *routing.Table, servers map[string]routing.Server) *Server {
 	timers := &timer.Service{}
-	b.view.Store(routing.NewView(1, table, servers, nil))
+	b.view.Store(routing.NewView(routing.NewRevision(0, 1), table, servers, nil))
 	client := upstream.NewClient(fakeHeaders{}, timers, upstream.Dialer{})
 	return NewServer(fakeViews{view: &b.view, storeAway: &b.storeAway}, b.scheduler, &b.reserver, client, fakeHeaders{},
 		NewLimits(NewRetryBudget(0.2, 100, 10*time.Second), 1<<20, 0, 92*time.Millisecond), discardRecorder{}, hclog.NewNullLogger(), timers)
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -101,7 +101,7 @@
 	b := newTestbedWithTable(c, nil, newBackend(c, fullResponse(200, "late")))
 	time.AfterFunc(60*time.Millisecond, func() {
 		servers := map[string]routing.Server{"s1": routing.NewServer("s1", "desk", "", "a", 6)}
-		b.view.Store(routing.NewView(2, testTable(), servers, nil))
+		b.view.Store(routing.NewView(routing.NewRevision(0, 2), testTable(), servers, nil))
 	})
 	r := b.request("POST", "/once/", "")
 	r.Header.Set("Left", "2s")
--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -47,7 +47,7 @@
 		id := fmt.Sprint("s", i)
 		servers[id] = routing.NewServer(id, "desk", backend.address, "a", 6)
 	}
-	b.view.Store(routing.NewView(2, testTable(), servers, nil))
+	b.view.Store(routing.NewView(routing.NewRevision(0, 2), testTable(), servers, nil))
 	b.server.scheduler = newLocalScheduler(b.view.Load())
 	refused := 0
 	for i := range crashingRequests {
--- a/routing/server.go
+++ b/routing/server.go
@@ -12,7 +12,7 @@
 	draining       bool
 	coldFor        time.Duration
 	startUnixMilli int64
-	revision       int64
+	revision       Revision
 }
 
 // NewServer returns a server that accepts requests at the address, an IP and port.
@@ -33,7 +33,7 @@
 }
 
 // WithIncarnation returns the server with its start time in Unix milliseconds and the store revision at which it was published.
-func (s Server) WithIncarnation(startUnixMilli, revision int64) Server {
+func (s Server) WithIncarnation(startUnixMilli int64, revision Revision) Server {
 	s.startUnixMilli, s.revision = startUnixMilli, revision
 	return s
 }
@@ -63,4 +63,4 @@
 func (s Server) StartUnixMilli() int64 { return s.startUnixMilli }
 
 // Revision returns the store revision at which the server was published.
-func (s Server) Revision() int64 { return s.revision }
+func (s Server) Revision() Revision { return s.revision }
--- a/routing/view.go
+++ b/routing/view.go
@@ -2,19 +2,19 @@
 
 // View is a snapshot of everything that was published at one store revision.
 type View struct {
-	revision  int64
+	revision  Revision
 	table     *Table
 	servers   map[string]Server
 	evacuated map[string]bool
 }
 
 // NewView returns a view; evacuated holds the failure domains whose servers get no new requests.
-func NewView(revision int64, table *Table, servers map[string]Server, evacuated map[string]bool) *View {
+func NewView(revision Revision, table *Table, servers map[string]Server, evacuated map[string]bool) *View {
 	return &View{revision: revision, table: table, servers: servers, evacuated: evacuated}
 }
 
 // Revision returns the store revision of the view.
-func (v *View) Revision() int64 { return v.revision }
+func (v *View) Revision() Revision { return v.revision }
 
 // Table returns the active configuration, nil before the first is known.
 func (v *View) Table() *Table { return v.table }
