gateway: lose no removal between lists and late responses

A key that is written and removed between two lists of one entry is in neither; a peer that has seen it written asks for the changes since, gets no removal and keeps the item. The same happens if the write arrives at the peer while it fetches, and if a response of the store arrives after later changes from a peer.

Ruled out: completing removals only after the last list. Every list would have all peers fetch everything.

Change: who asks for the changes since a revision between two lists gets all items; fetched changes are applied only to the revision that was asked for; changes that are not after the cache's revision add no unknown key.

Before and after: TestCacheDropsLateChangeOfRemovedItem, TestChangesSinceWithinGapOfListAreWhole and the last check of TestEraSpreadsBetweenEntries fail before and pass after.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -319,8 +319,12 @@
 	if !revision.After(c.cache.revision) {
 		return
 	}
-	if !reply.Full && (since.Era() != revision.Era() || since.After(c.cache.revision)) {
-		c.log.Warn("fetched changes do not continue the content", "entry", address, "since", since, "revision", revision)
+	if !reply.Full && (since != c.cache.revision || since.Era() != revision.Era()) {
+		// The changes leave out the removal of what arrived meanwhile.
+		select {
+		case c.newerPeers <- address:
+		default:
+		}
 		return
 	}
 	if recoveredAt := now.Add(-reply.SinceRecovery); reply.SinceRecovery >= 0 && recoveredAt.After(c.cache.recoveredAt) {
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -104,4 +104,5 @@
 	reply := itemsReply{Revision: inEra(2, 30).Packed()}
 	behind.applyItems(now, "e1", inEra(1, 20), reply, []Item{eraItem(2, 30, "s9", "10.0.0.9:1")})
 	c.Assert(behind.View().Revision(), qt.Equals, inEra(2, 9))
+	c.Assert(behind.newerPeers, qt.HasLen, 1) // fetched again
 }
--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -32,6 +32,9 @@
 	// complete after revision removalsSince.
 	removals      []Item
 	removalsSince routing.Revision
+	// A list does not show what was written and removed again since the revision
+	// before it: removals between listedFrom and listedAt are not complete either.
+	listedFrom, listedAt routing.Revision
 	// recoveredAt is when the store last recovered from an outage.
 	recoveredAt time.Time
 	// restores counts the changes of the store's era since the start.
@@ -89,6 +92,10 @@
 			c.apply(now, NewRemovedItem(key, revision))
 		}
 	}
+	if c.listedAt.After(c.removalsSince) {
+		c.removalsSince = c.listedAt // only the last such gap is kept
+	}
+	c.listedFrom, c.listedAt = c.revision, revision
 	c.revision = revision
 	return true
 }
@@ -103,6 +110,7 @@
 	c.pendingRemovals = make(map[string]pendingRemoval)
 	c.compressed = make(map[string]compressedItem)
 	c.removals, c.removalsSince = nil, revision
+	c.listedFrom, c.listedAt = routing.Revision{}, routing.Revision{}
 	c.revision = revision
 	for _, item := range items {
 		c.apply(now, item)
@@ -116,7 +124,11 @@
 
 // applyChanges applies the changes up to a revision of the current era.
 func (c *storeCache) applyChanges(now time.Time, items []Item, revision routing.Revision) {
+	known := c.revision
 	for _, item := range items {
+		if _, ok := c.items[item.key]; !ok && !item.revision.After(known) {
+			continue // a late response: the item was removed since
+		}
 		c.apply(now, item)
 	}
 	if revision.After(c.revision) {
@@ -250,7 +262,7 @@
 // the removals since then are no longer known. Pending removals are included: each
 // entry decides for itself how long to keep these servers.
 func (c *storeCache) changesSince(revision routing.Revision) (items []Item, full bool) {
-	full = c.removalsSince.After(revision)
+	full = c.removalsSince.After(revision) || revision.After(c.listedFrom) && c.listedAt.After(revision)
 	for _, pending := range c.pendingRemovals {
 		items = append(items, pending.removal)
 	}
--- a/gateway/storecache_test.go
+++ b/gateway/storecache_test.go
@@ -108,6 +108,45 @@
 	c.Assert(cache.view().Usable("s2"), qt.IsFalse)
 }
 
+// Changes of the store that arrive after later ones from a peer do not restore an item.
+func TestCacheDropsLateChangeOfRemovedItem(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	cache := newTestCache()
+	cache.applyChanges(now, []Item{item("s1", 2, "10.0.0.1:1"), item("s2", 3, "10.0.0.2:1")}, at(3))
+	cache.applyChanges(now, []Item{NewRemovedItem("s1", at(5))}, at(5))
+	cache.applyChanges(now, []Item{item("s1", 4, "10.0.0.1:1")}, at(4))
+	c.Assert(cache.view().Usable("s1"), qt.IsFalse)
+	cache.applyChanges(now, []Item{item("s1", 6, "10.0.0.1:1")}, at(6))
+	c.Assert(cache.view().Usable("s1"), qt.IsTrue)
+}
+
+// A list does not show what was written and removed again since the one before it, so a
+// peer that has seen the first of the two gets all items.
+func TestChangesSinceWithinGapOfListAreWhole(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	ahead, behind := newTestCache(), newTestCache()
+	for _, cache := range []*storeCache{ahead, behind} {
+		cache.replace(now, []Item{item("s1", 2, "10.0.0.1:1")}, at(3))
+	}
+	behind.applyChanges(now, []Item{item("s2", 4, "10.0.0.2:1")}, at(5))
+	ahead.replace(now, []Item{item("s1", 2, "10.0.0.1:1")}, at(8))
+	for since, want := range map[int64]bool{2: true, 3: false, 4: true, 7: true, 8: false} {
+		_, full := ahead.changesSince(at(since))
+		c.Assert(full, qt.Equals, want, qt.Commentf("since %d", since))
+	}
+	items, _ := ahead.changesSince(behind.revision)
+	behind.replace(now, items, ahead.revision)
+	c.Assert(behind.view().Usable("s2"), qt.IsFalse)
+	// A second gap moves on the first.
+	ahead.replace(now, []Item{item("s1", 2, "10.0.0.1:1")}, at(12))
+	for since, want := range map[int64]bool{3: true, 7: true, 8: false, 9: true, 12: false} {
+		_, full := ahead.changesSince(at(since))
+		c.Assert(full, qt.Equals, want, qt.Commentf("since %d", since))
+	}
+}
+
 // The pages of a list are no snapshot: a key written after the first page is newer
 // than the list's revision and may be missing from the list.
 func TestCacheKeepsItemsNewerThanList(t *testing.T) {
