gateway: keep what a restored store has lost

Cause: a store that is restored from a copy lacks the last writes until their writers repeat them. Its content as it is has entries use servers that had left, send to an evacuated domain, and stop using servers that still run; a fresh entry applies an older configuration than its peers have in force.

Ruled out: refusing the copy until everything is written again (nobody knows what that is); keeping the earlier content for a fixed time (a new departure or evacuation would not count).

Change: beside the content of the new era the cache keeps the items of the past that it contradicts: the configuration in force, servers that had left, evacuations, and for removalGrace servers that it lacks. One ends when the store has a change that is certainly later, or when its time is over. All but the servers that it lacks spread with heartbeats, which name their fields only then, so that a version without them understands both forms. A removed server that is kept after an outage is kept the same way; peers that read all items no longer take it for a published one. Metric: store_kept.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -139,7 +139,7 @@
 // tick applies the changes that depend on time alone: it expires cached servers
 // and silent members and has the scheduler place queued requests.
 func (c *control) tick(now time.Time) {
-	if c.cache.expire(now) {
+	if c.cache.expireKept(now) {
 		c.cacheChanged(now)
 	}
 	for _, expired := range c.members.expire(now) {
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -230,11 +230,11 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	go own.run(stop)
-	reply, err := own.handleHeartbeat(heartbeatMessage{From: f.entries[4].self, Digest: 1, Light: true})
+	reply, err := own.handleHeartbeat(keptHeartbeat{heartbeatMessage: heartbeatMessage{From: f.entries[4].self, Digest: 1, Light: true}})
 	c.Assert(err, qt.IsNil)
 	c.Assert(reply.Members, qt.HasLen, 0)
 	c.Assert(reply.Counters, qt.HasLen, 0)
-	reply, err = own.handleHeartbeat(heartbeatMessage{From: f.entries[4].self, Digest: 1})
+	reply, err = own.handleHeartbeat(keptHeartbeat{heartbeatMessage: heartbeatMessage{From: f.entries[4].self, Digest: 1}})
 	c.Assert(err, qt.IsNil)
 	c.Assert(len(reply.Members) > 0, qt.IsTrue)
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -42,9 +42,12 @@
 	return handle(call)
 }
 
-func (c *control) handleHeartbeat(heartbeat heartbeatMessage) (heartbeatMessage, error) {
-	var reply heartbeatMessage
-	if !c.do(func(now time.Time) { reply = c.answerHeartbeat(now, heartbeat) }) {
+func (c *control) handleHeartbeat(heartbeat keptHeartbeat) (keptHeartbeat, error) {
+	var reply keptHeartbeat
+	if !c.do(func(now time.Time) {
+		c.applyKept(now, heartbeat)
+		reply = c.answerKept(now, heartbeat, c.answerHeartbeat(now, heartbeat.heartbeatMessage))
+	}) {
 		return reply, eris.Wrap(errCall, "stopping")
 	}
 	return reply, nil
@@ -260,8 +263,8 @@
 
 // sendHeartbeat sends one heartbeat.
 func (c *control) sendHeartbeat(ctx context.Context, client *mesh.Client, target heartbeatTarget) {
-	var heartbeat, reply heartbeatMessage
-	if !c.do(func(now time.Time) { heartbeat = c.newHeartbeat(now, target) }) {
+	var heartbeat, reply keptHeartbeat
+	if !c.do(func(now time.Time) { heartbeat = c.withKeptDigest(c.newHeartbeat(now, target)) }) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
@@ -272,7 +275,10 @@
 		}
 		return
 	}
-	c.do(func(now time.Time) { c.applyHeartbeat(now, reply) })
+	c.do(func(now time.Time) {
+		c.applyHeartbeat(now, reply.heartbeatMessage)
+		c.applyKept(now, reply)
+	})
 }
 
 // catchUp fetches items from peers with a newer revision until ctx ends.
@@ -327,7 +333,7 @@
 		}
 		return
 	}
-	if recoveredAt := now.Add(-reply.SinceRecovery); reply.SinceRecovery >= 0 && recoveredAt.After(c.cache.recoveredAt) {
+	if recoveredAt := now.Add(-max(0, reply.SinceRecovery)); (reply.SinceRecovery >= 0 || revision.Era() != c.cache.revision.Era()) && recoveredAt.After(c.cache.recoveredAt) {
 		c.cache.recoveredAt = recoveredAt
 	}
 	if reply.Full {
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -168,6 +168,7 @@
 		values["revision"] = p.control.cache.revision.Number()
 		values["store_era"] = p.control.cache.revision.Era()
 		values["store_restores"] = p.control.cache.restores
+		values["store_kept"] = p.control.cache.keptCounts()
 		values["quarantined"] = p.control.quarantined()
 		if table := p.control.cache.table; table != nil {
 			values["version"] = table.Version()
--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -24,10 +24,19 @@
 	decoded  map[string]Published
 	revision routing.Revision
 	table    *routing.Table
+	// tableItem is the item of the active configuration.
+	tableItem Item
 	// compressed holds the compressed values of long items, by key.
 	compressed map[string]compressedItem
-	// pendingRemovals holds the servers that are kept despite their removal, by key.
-	pendingRemovals map[string]pendingRemoval
+	// kept holds what is kept of the past beside the content, by key.
+	kept map[string]keptItem
+	// departures holds the servers that have left, by key, departureKeys these keys in
+	// the order of their first departure.
+	departures    map[string]keptItem
+	departureKeys []string
+	// baseline is the lowest known revision at which the content of this era was
+	// listed. Items after it were written in this era, not taken over from the copy.
+	baseline routing.Revision
 	// removals holds the last removals in the order of their receipt. They are
 	// complete after revision removalsSince.
 	removals      []Item
@@ -51,19 +60,13 @@
 // configuration is long enough; for the items of servers it is not worth the time.
 const minCompressBytes = 8 << 10
 
-// pendingRemoval is the removal of a server that is kept until a time.
-type pendingRemoval struct {
-	removal Item
-	until   time.Time
-}
-
 // maxRemovals is the maximum number of removals that are kept for peers.
 const maxRemovals = 512
 
 func newStoreCache(decode Decoder, log hclog.Logger) *storeCache {
 	return &storeCache{
 		decode: decode, log: log,
-		items: make(map[string]Item), decoded: make(map[string]Published), pendingRemovals: make(map[string]pendingRemoval),
+		items: make(map[string]Item), decoded: make(map[string]Published), kept: make(map[string]keptItem), departures: make(map[string]keptItem),
 		compressed: make(map[string]compressedItem),
 	}
 }
@@ -75,7 +78,7 @@
 	case !revision.After(c.revision):
 		return false
 	case c.revision.IsZero():
-		c.removalsSince = revision
+		c.removalsSince, c.baseline = revision, revision
 	case revision.Era() != c.revision.Era():
 		c.restore(now, items, revision)
 		return true
@@ -100,28 +103,6 @@
 	return true
 }
 
-// restore replaces the content with all items of a later era. Items written in the
-// earlier one and missing from the copy are gone.
-func (c *storeCache) restore(now time.Time, items []Item, revision routing.Revision) {
-	c.log.Warn("store restored from a copy", "era", revision.Era(), "earlier_era", c.revision.Era(), "revision", revision, "earlier_revision", c.revision, "items", len(items))
-	c.restores++
-	earlier := c.decoded
-	c.items, c.decoded = make(map[string]Item), make(map[string]Published)
-	c.pendingRemovals = make(map[string]pendingRemoval)
-	c.compressed = make(map[string]compressedItem)
-	c.removals, c.removalsSince = nil, revision
-	c.listedFrom, c.listedAt = routing.Revision{}, routing.Revision{}
-	c.revision = revision
-	for _, item := range items {
-		c.apply(now, item)
-	}
-	for key := range earlier {
-		if _, ok := c.items[key]; !ok {
-			c.log.Info("item removed", "key", key, "revision", revision)
-		}
-	}
-}
-
 // applyChanges applies the changes up to a revision of the current era.
 func (c *storeCache) applyChanges(now time.Time, items []Item, revision routing.Revision) {
 	known := c.revision
@@ -144,11 +125,13 @@
 	if item.removed {
 		if ok {
 			c.remove(now, item)
+		} else if c.kept[item.key].reason == keptEvacuation && item.revision.After(c.baseline) {
+			delete(c.kept, item.key)
 		}
 		return
 	}
-	delete(c.pendingRemovals, item.key)
 	c.items[item.key] = item
+	defer c.review(item.key)
 	decoded, err := c.decode(item)
 	if err != nil {
 		c.log.Warn("malformed item is not used", "key", item.key, "revision", item.revision, "error", err)
@@ -158,35 +141,39 @@
 	}
 	c.decoded[item.key] = decoded
 	if published, ok := decoded.(PublishedTable); ok {
-		c.applyTable(published.table, item.revision)
+		c.applyTable(published.table, item)
 	}
 }
 
 // applyTable activates a configuration if its version is newer.
-func (c *storeCache) applyTable(table *routing.Table, revision routing.Revision) {
+func (c *storeCache) applyTable(table *routing.Table, item Item) {
 	if c.table != nil && table.Version() <= c.table.Version() {
-		c.log.Warn("configuration ignored: version is not newer", "version", table.Version(), "in_force", c.table.Version(), "revision", revision)
+		c.log.Warn("configuration ignored: version is not newer", "version", table.Version(), "in_force", c.table.Version(), "revision", item.revision)
 		return
 	}
-	c.table = table
-	c.log.Info("configuration activated", "version", table.Version(), "revision", revision)
+	c.table, c.tableItem = table, item
+	c.log.Info("configuration activated", "version", table.Version(), "revision", item.revision)
 }
 
 // remove removes a known item. A server that is removed within removalGrace after
 // the store recovered is kept until then.
-func (c *storeCache) remove(now time.Time, item Item) {
-	_, isServer := c.decoded[item.key].(PublishedServer)
-	until := c.recoveredAt.Add(removalGrace)
-	if isServer && now.Before(until) {
-		if _, ok := c.pendingRemovals[item.key]; !ok {
-			c.log.Info("removed server kept after store outage", "key", item.key, "revision", item.revision, "kept_for", until.Sub(now))
-			c.pendingRemovals[item.key] = pendingRemoval{removal: item, until: until}
+func (c *storeCache) remove(now time.Time, removal Item) {
+	known, published := c.items[removal.key], c.decoded[removal.key]
+	c.drop(removal.key)
+	c.recordRemoval(removal)
+	server, isServer := published.(PublishedServer)
+	if _, left := c.kept[removal.key]; isServer && !left {
+		kept := keptItem{item: known, published: published, reason: keptServer, until: c.recoveredAt.Add(removalGrace)}
+		if !server.server.Draining() && now.Before(kept.until) {
+			c.log.Info("removed server kept after store outage", "key", removal.key, "revision", removal.revision, "kept_for", kept.until.Sub(now))
+			c.kept[removal.key] = kept
+			return
 		}
-		return
+		kept.item.revision = removal.revision
+		c.endServer(kept)
 	}
-	c.log.Info("item removed", "key", item.key, "revision", item.revision)
-	c.drop(item.key)
-	c.recordRemoval(item)
+	c.review(removal.key)
+	c.log.Info("item removed", "key", removal.key, "revision", removal.revision)
 }
 
 // recordRemoval keeps a removal for peers with an older revision.
@@ -204,22 +191,6 @@
 	delete(c.items, key)
 	delete(c.decoded, key)
 	delete(c.compressed, key)
-	delete(c.pendingRemovals, key)
-}
-
-// expire drops the servers that were not published again within the grace period,
-// and reports whether there were any.
-func (c *storeCache) expire(now time.Time) bool {
-	expired := false
-	for key, pending := range c.pendingRemovals {
-		if !now.Before(pending.until) {
-			c.log.Info("server not published again; removed", "key", key)
-			c.drop(key)
-			c.recordRemoval(pending.removal)
-			expired = true
-		}
-	}
-	return expired
 }
 
 // services returns the services of the active configuration, none without one.
@@ -242,6 +213,18 @@
 			evacuated[published.domain] = true
 		}
 	}
+	for _, kept := range c.kept {
+		switch published := kept.published.(type) {
+		case PublishedServer:
+			server := published.server
+			if kept.reason == keptDeparture {
+				server = servers[server.ID()].WithDraining(true)
+			}
+			servers[server.ID()] = server
+		case PublishedEvacuation:
+			evacuated[published.domain] = true
+		}
+	}
 	return routing.NewView(c.revision, c.table, servers, evacuated)
 }
 
@@ -259,13 +242,10 @@
 }
 
 // changesSince returns the changes after a revision, or all items and full true if
-// the removals since then are no longer known. Pending removals are included: each
-// entry decides for itself how long to keep these servers.
+// the removals since then are no longer known. What is kept is not included: each
+// entry decides for itself how long to keep a removed server.
 func (c *storeCache) changesSince(revision routing.Revision) (items []Item, full bool) {
 	full = c.removalsSince.After(revision) || revision.After(c.listedFrom) && c.listedAt.After(revision)
-	for _, pending := range c.pendingRemovals {
-		items = append(items, pending.removal)
-	}
 	for _, item := range c.items {
 		if full || item.revision.After(revision) {
 			items = append(items, item)
--- a/gateway/storecache_test.go
+++ b/gateway/storecache_test.go
@@ -102,8 +102,8 @@
 	cache.applyChanges(now, []Item{NewRemovedItem("s1", at(5)), NewRemovedItem("s2", at(6))}, at(6))
 	c.Assert(cache.view().Usable("s1"), qt.IsTrue)
 	cache.applyChanges(now.Add(time.Second), []Item{item("s1", 7, "10.0.0.1:1")}, at(7))
-	c.Assert(cache.expire(now.Add(removalGrace-time.Millisecond)), qt.IsFalse)
-	c.Assert(cache.expire(now.Add(removalGrace)), qt.IsTrue)
+	c.Assert(cache.expireKept(now.Add(removalGrace-time.Millisecond)), qt.IsFalse)
+	c.Assert(cache.expireKept(now.Add(removalGrace)), qt.IsTrue)
 	c.Assert(cache.view().Usable("s1"), qt.IsTrue)
 	c.Assert(cache.view().Usable("s2"), qt.IsFalse)
 }
@@ -204,7 +204,7 @@
 	behind.recoveredAt = ahead.recoveredAt
 	behind.applyChanges(now, items, at(4))
 	c.Assert(behind.view().Usable("s1"), qt.IsTrue)
-	c.Assert(behind.expire(now.Add(removalGrace)), qt.IsTrue)
+	c.Assert(behind.expireKept(now.Add(removalGrace)), qt.IsTrue)
 	c.Assert(behind.view().Usable("s1"), qt.IsFalse)
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -50,20 +50,16 @@
 		}
 		next, err := c.readStore(ctx, source, revision, failing && c.timers.Now().Sub(respondedAt) > minOutage)
 		now := c.timers.Now()
-		if errors.Is(err, ErrCompacted) {
+		switch {
+		case errors.Is(err, ErrCompacted):
 			c.log.Info("store history compacted; reading all items", "revision", revision)
 			revision = routing.Revision{}
 			continue
-		}
-		if errors.Is(err, errEraChanged) {
+		case errors.Is(err, errEraChanged):
 			c.log.Info("store changed its era", "revision", revision, "era", next.Era())
-			revision = routing.Revision{}
-			if known := c.View().Revision(); known.Era() == next.Era() {
-				revision = known // a peer sent all items
-			}
+			revision = c.resume(next)
 			continue
-		}
-		if err != nil {
+		case err != nil:
 			if ctx.Err() != nil {
 				return
 			}
@@ -104,6 +100,15 @@
 	return watches
 }
 
+// resume returns the revision to continue from after a response of another era: that of
+// the cache if a peer sent the content of that era, else zero, to read all items.
+func (c *control) resume(next routing.Revision) routing.Revision {
+	if known := c.View().Revision(); known.Era() == next.Era() {
+		return known
+	}
+	return routing.Revision{}
+}
+
 // readStore lists all items if revision is zero, else waits for changes after it, and
 // returns the revision to continue from. After an outage it does not wait, and the
 // store counts as recovered once it responds.
@@ -139,7 +144,7 @@
 		return errEraChanged
 	}
 	c.storeAnsweredAt = now
-	if outage {
+	if outage || !c.cache.revision.IsZero() && next.Era() != c.cache.revision.Era() {
 		c.cache.recoveredAt = now
 	}
 	if whole {
