--- a/dispatch/notice_fuzz_test.go
+++ b/dispatch/notice_fuzz_test.go
@@ -26,7 +26,7 @@
 		publish := func() {
 			servers := f.servers(4, 3)
 			for i, s := range servers {
-				servers[i] = s.WithIncarnation(starts[s.ID()], 1)
+				servers[i] = s.WithIncarnation(starts[s.ID()], routing.NewRevision(0, 1))
 			}
 			f.publish(servers...)
 		}
--- a/dispatch/notice_test.go
+++ b/dispatch/notice_test.go
@@ -81,7 +81,7 @@
 	servers := f.servers(4, 0)
 	for i, s := range servers {
 		if s.ID() == restarted {
-			servers[i] = s.WithIncarnation(7, 2)
+			servers[i] = s.WithIncarnation(7, routing.NewRevision(0, 2))
 		}
 	}
 	f.publish(servers...)
@@ -134,7 +134,7 @@
 	f.publish(f.servers(0, 1)...)
 	_, refused = f.scheduler.Submit(f.now, f.owner, f.plainRequest("r2")).(Refused)
 	c.Assert(refused, qt.IsTrue)
-	f.publish(f.servers(0, 1)[0].WithIncarnation(7, 3))
+	f.publish(f.servers(0, 1)[0].WithIncarnation(7, routing.NewRevision(0, 3)))
 	f.refuse("p00", 3*time.Second) // heard late, of the earlier one
 	c.Assert(f.granted(c, f.plainRequest("r3")).Server(), qt.Equals, "p00")
 }
@@ -177,7 +177,7 @@
 	f := newFleet(0, 0)
 	var servers []routing.Server
 	for _, s := range f.servers(3, 0) {
-		servers = append(servers, s.WithCold(20*time.Second).WithIncarnation(0, 2))
+		servers = append(servers, s.WithCold(20*time.Second).WithIncarnation(0, routing.NewRevision(0, 2)))
 	}
 	f.publish(servers...)
 	for _, s := range servers {
--- a/gateway/encoding_test.go
+++ b/gateway/encoding_test.go
@@ -76,6 +76,31 @@
 	}
 }
 
+// A heartbeat is encoded as by versions without eras while nothing is kept, and otherwise
+// in a form in which they skip what is.
+func TestKeptHeartbeatEncoding(t *testing.T) {
+	c := qt.New(t)
+	plain := heartbeatMessage{From: memberMessage{ID: "e1", Heartbeats: 7}, Revision: inEra(2, 5).Packed(), Schedules: []string{"llm"}}
+	full := plain
+	full.KeptDigest, full.Baseline = 9, 8
+	full.Kept = []keptMessage{{Item: itemMessage{Key: "k", Revision: 3}, Remaining: time.Second}}
+	for _, message := range []heartbeatMessage{plain, full} {
+		var decoded heartbeatMessage
+		c.Assert(msgpack.Unmarshal(encode(c, message), &decoded), qt.IsNil)
+		c.Assert(decoded, qt.DeepEquals, message)
+	}
+	var without struct {
+		From      memberMessage
+		Revision  int64
+		StoreAge  time.Duration
+		Schedules []string
+	}
+	c.Assert(msgpack.Unmarshal(encode(c, full), &without), qt.IsNil)
+	c.Assert(without.From, qt.DeepEquals, plain.From)
+	c.Assert(without.Revision, qt.Equals, plain.Revision)
+	c.Assert(without.Schedules, qt.DeepEquals, plain.Schedules)
+}
+
 // Fields that a version does not know are skipped in either form.
 func TestUnknownFieldsAreSkipped(t *testing.T) {
 	c := qt.New(t)
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -6,11 +6,15 @@
 	"greengagedock.example/dispatch"
 	"greengagedock.example/mesh"
 	"greengagedock.example/quarantine"
+	"greengagedock.example/routing"
 )
 
 // maxValueBytes bounds one published value; the store limits it to a megabyte.
 const maxValueBytes = 2 << 20
 
+// Messages carry revisions packed into one number: an entry of a version that knows no
+// eras accepts no array with another number of fields, and orders content right.
+
 // Kinds of calls between entries.
 const (
 	callHeartbeat = "beat"
@@ -72,6 +76,12 @@
 	// the latest ones, and in a response all of them if the digests differ.
 	NoticesDigest uint64
 	Notices       []noticeMessage
+	// KeptDigest is storeCache.keptDigest of the sender. A response lists Kept, what the
+	// sender keeps of the past of a restored store, if the digests differ.
+	KeptDigest uint64
+	// Baseline is the packed storeCache.baseline of the sender.
+	Baseline int64
+	Kept     []keptMessage
 }
 
 // noticeMessage is what a backend server stated about itself.
@@ -120,7 +130,7 @@
 // encodeItem returns the message of an item, with the compressed value in place of
 // the plain one unless it is nil.
 func encodeItem(i Item, compressed []byte) itemMessage {
-	m := itemMessage{Key: i.key, Revision: i.revision, Value: i.value, Compressed: compressed, Removed: i.removed}
+	m := itemMessage{Key: i.key, Revision: i.revision.Packed(), Value: i.value, Compressed: compressed, Removed: i.removed}
 	if compressed != nil {
 		m.Value = nil
 	}
@@ -128,7 +138,7 @@
 }
 
 func (m itemMessage) decode() (Item, error) {
-	item := Item{key: m.Key, revision: m.Revision, value: m.Value, removed: m.Removed}
+	item := Item{key: m.Key, revision: routing.UnpackRevision(m.Revision), value: m.Value, removed: m.Removed}
 	if m.Compressed == nil {
 		return item, nil
 	}
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -23,7 +23,7 @@
 		id := fmt.Sprint("s", i)
 		servers[id] = routing.NewServer(id, "llm", id+":1", "a", 16)
 	}
-	c.view.Store(routing.NewView(1, c.cache.table, servers, nil).WithNotices(&c.notices))
+	c.view.Store(routing.NewView(routing.NewRevision(0, 1), c.cache.table, servers, nil).WithNotices(&c.notices))
 	return c
 }
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -165,7 +165,10 @@
 		values["waiting"] = p.control.scheduler.Waiting()
 		values["processor"] = p.control.members.self.CPUCores
 		values["entries"] = len(p.control.members.live(now, p.settings.timeouts.listed())) + 1
-		values["revision"] = p.control.cache.revision
+		values["revision"] = p.control.cache.revision.Number()
+		values["store_era"] = p.control.cache.revision.Era()
+		values["store_restores"] = p.control.cache.restores
+		values["store_kept"] = p.control.cache.keptCounts()
 		values["quarantined"] = p.control.quarantined()
 		values["servers_leaving"], values["servers_refusing"] = p.control.notices.Count(now)
 		if table := p.control.cache.table; table != nil {
--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -22,23 +22,37 @@
 	log      hclog.Logger
 	items    map[string]Item
 	decoded  map[string]Published
-	revision int64
+	revision routing.Revision
 	table    *routing.Table
+	// tableItem is the item of the active configuration.
+	tableItem Item
 	// compressed holds the compressed values of long items, by key.
 	compressed map[string]compressedItem
-	// pendingRemovals holds the servers that are kept despite their removal, by key.
-	pendingRemovals map[string]pendingRemoval
+	// kept holds what is kept of the past beside the content, by key.
+	kept map[string]keptItem
+	// departures holds the servers that have left, by key, departureKeys these keys in
+	// the order of their first departure.
+	departures    map[string]keptItem
+	departureKeys []string
+	// baseline is the lowest known revision at which the content of this era was
+	// listed. Items after it were written in this era, not taken over from the copy.
+	baseline routing.Revision
 	// removals holds the last removals in the order of their receipt. They are
 	// complete after revision removalsSince.
 	removals      []Item
-	removalsSince int64
+	removalsSince routing.Revision
+	// A list does not show what was written and removed again since the revision
+	// before it: removals between listedFrom and listedAt are not complete either.
+	listedFrom, listedAt routing.Revision
 	// recoveredAt is when the store last recovered from an outage.
 	recoveredAt time.Time
+	// restores counts the changes of the store's era since the start.
+	restores int64
 }
 
 // compressedItem is the compressed value of an item at a revision.
 type compressedItem struct {
-	revision int64
+	revision routing.Revision
 	value    []byte
 }
 
@@ -46,31 +60,28 @@
 // configuration is long enough; for the items of servers it is not worth the time.
 const minCompressBytes = 8 << 10
 
-// pendingRemoval is the removal of a server that is kept until a time.
-type pendingRemoval struct {
-	removal Item
-	until   time.Time
-}
-
 // maxRemovals is the maximum number of removals that are kept for peers.
 const maxRemovals = 512
 
 func newStoreCache(decode Decoder, log hclog.Logger) *storeCache {
 	return &storeCache{
 		decode: decode, log: log,
-		items: make(map[string]Item), decoded: make(map[string]Published), pendingRemovals: make(map[string]pendingRemoval),
+		items: make(map[string]Item), decoded: make(map[string]Published), kept: make(map[string]keptItem), departures: make(map[string]keptItem),
 		compressed: make(map[string]compressedItem),
 	}
 }
 
 // replace replaces the content with all items of a revision. It reports false, and
-// does nothing, if the revision is not above that of the cache.
-func (c *storeCache) replace(now time.Time, items []Item, revision int64) bool {
-	if revision <= c.revision {
+// does nothing, if the revision is not after that of the cache.
+func (c *storeCache) replace(now time.Time, items []Item, revision routing.Revision) bool {
+	switch {
+	case !revision.After(c.revision):
 		return false
-	}
-	if c.revision == 0 {
-		c.removalsSince = revision
+	case c.revision.IsZero():
+		c.removalsSince, c.baseline = revision, revision
+	case revision.Era() != c.revision.Era():
+		c.restore(now, items, revision)
+		return true
 	}
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -80,35 +91,47 @@
 	for key, item := range c.items {
 		// The pages of a list are no snapshot: an item newer than the revision of
 		// the list may be missing from it without having been removed.
-		if !listed[key] && item.revision <= revision {
+		if !listed[key] && !item.revision.After(revision) {
 			c.apply(now, NewRemovedItem(key, revision))
 		}
 	}
+	if c.listedAt.After(c.removalsSince) {
+		c.removalsSince = c.listedAt // only the last such gap is kept
+	}
+	c.listedFrom, c.listedAt = c.revision, revision
 	c.revision = revision
 	return true
 }
 
-// applyChanges applies the changes up to a revision.
-func (c *storeCache) applyChanges(now time.Time, items []Item, revision int64) {
+// applyChanges applies the changes up to a revision of the current era.
+func (c *storeCache) applyChanges(now time.Time, items []Item, revision routing.Revision) {
+	known := c.revision
 	for _, item := range items {
+		if _, ok := c.items[item.key]; !ok && !item.revision.After(known) {
+			continue // a late response: the item was removed since
+		}
 		c.apply(now, item)
 	}
-	c.revision = max(c.revision, revision)
+	if revision.After(c.revision) {
+		c.revision = revision
+	}
 }
 
 func (c *storeCache) apply(now time.Time, item Item) {
 	known, ok := c.items[item.key]
-	if ok && known.revision >= item.revision {
+	if ok && !item.revision.After(known.revision) {
 		return
 	}
 	if item.removed {
 		if ok {
 			c.remove(now, item)
+		} else if c.kept[item.key].reason == keptEvacuation && item.revision.After(c.baseline) {
+			delete(c.kept, item.key)
 		}
 		return
 	}
-	delete(c.pendingRemovals, item.key)
 	c.items[item.key] = item
+	defer c.review(item.key)
 	decoded, err := c.decode(item)
 	if err != nil {
 		c.log.Warn("malformed item is not used", "key", item.key, "revision", item.revision, "error", err)
@@ -118,42 +141,48 @@
 	}
 	c.decoded[item.key] = decoded
 	if published, ok := decoded.(PublishedTable); ok {
-		c.applyTable(published.table, item.revision)
+		c.applyTable(published.table, item)
 	}
 }
 
 // applyTable activates a configuration if its version is newer.
-func (c *storeCache) applyTable(table *routing.Table, revision int64) {
+func (c *storeCache) applyTable(table *routing.Table, item Item) {
 	if c.table != nil && table.Version() <= c.table.Version() {
-		c.log.Warn("configuration ignored: version is not newer", "version", table.Version(), "in_force", c.table.Version(), "revision", revision)
+		c.log.Warn("configuration ignored: version is not newer", "version", table.Version(), "in_force", c.table.Version(), "revision", item.revision)
 		return
 	}
-	c.table = table
-	c.log.Info("configuration activated", "version", table.Version(), "revision", revision, "header_timeout", table.Limits().HeaderTimeout(), "idle_timeout", table.Limits().IdleTimeout())
+	c.table, c.tableItem = table, item
+	c.log.Info("configuration activated", "version", table.Version(), "revision", item.revision, "header_timeout", table.Limits().HeaderTimeout(), "idle_timeout", table.Limits().IdleTimeout())
 }
 
 // remove removes a known item. A server that is removed within removalGrace after
 // the store recovered is kept until then.
-func (c *storeCache) remove(now time.Time, item Item) {
-	_, isServer := c.decoded[item.key].(PublishedServer)
-	until := c.recoveredAt.Add(removalGrace)
-	if isServer && now.Before(until) {
-		if _, ok := c.pendingRemovals[item.key]; !ok {
-			c.log.Info("removed server kept after store outage", "key", item.key, "revision", item.revision, "kept_for", until.Sub(now))
-			c.pendingRemovals[item.key] = pendingRemoval{removal: item, until: until}
+func (c *storeCache) remove(now time.Time, removal Item) {
+	known, published := c.items[removal.key], c.decoded[removal.key]
+	c.drop(removal.key)
+	c.recordRemoval(removal)
+	server, isServer := published.(PublishedServer)
+	if _, left := c.kept[removal.key]; isServer && !left {
+		kept := keptItem{item: known, published: published, reason: keptServer, until: c.recoveredAt.Add(removalGrace)}
+		if !server.server.Draining() && now.Before(kept.until) {
+			c.log.Info("removed server kept after store outage", "key", removal.key, "revision", removal.revision, "kept_for", kept.until.Sub(now))
+			c.kept[removal.key] = kept
+			return
 		}
-		return
+		kept.item.revision = removal.revision
+		c.endServer(kept)
 	}
-	c.log.Info("item removed", "key", item.key, "revision", item.revision)
-	c.drop(item.key)
-	c.recordRemoval(item)
+	c.review(removal.key)
+	c.log.Info("item removed", "key", removal.key, "revision", removal.revision)
 }
 
 // recordRemoval keeps a removal for peers with an older revision.
 func (c *storeCache) recordRemoval(removal Item) {
 	c.removals = append(c.removals, removal)
 	if len(c.removals) > maxRemovals {
-		c.removalsSince = max(c.removalsSince, c.removals[0].revision)
+		if c.removals[0].revision.After(c.removalsSince) {
+			c.removalsSince = c.removals[0].revision
+		}
 		c.removals = c.removals[1:]
 	}
 }
@@ -162,22 +191,6 @@
 	delete(c.items, key)
 	delete(c.decoded, key)
 	delete(c.compressed, key)
-	delete(c.pendingRemovals, key)
-}
-
-// expire drops the servers that were not published again within the grace period,
-// and reports whether there were any.
-func (c *storeCache) expire(now time.Time) bool {
-	expired := false
-	for key, pending := range c.pendingRemovals {
-		if !now.Before(pending.until) {
-			c.log.Info("server not published again; removed", "key", key)
-			c.drop(key)
-			c.recordRemoval(pending.removal)
-			expired = true
-		}
-	}
-	return expired
 }
 
 // services returns the services of the active configuration, none without one.
@@ -200,6 +213,18 @@
 			evacuated[published.domain] = true
 		}
 	}
+	for _, kept := range c.kept {
+		switch published := kept.published.(type) {
+		case PublishedServer:
+			server := published.server
+			if kept.reason == keptDeparture {
+				server = servers[server.ID()].WithDraining(true)
+			}
+			servers[server.ID()] = server
+		case PublishedEvacuation:
+			evacuated[published.domain] = true
+		}
+	}
 	return routing.NewView(c.revision, c.table, servers, evacuated)
 }
 
@@ -217,15 +242,12 @@
 }
 
 // changesSince returns the changes after a revision, or all items and full true if
-// the removals since then are no longer known. Pending removals are included: each
-// entry decides for itself how long to keep these servers.
-func (c *storeCache) changesSince(revision int64) (items []Item, full bool) {
-	full = revision < c.removalsSince
-	for _, pending := range c.pendingRemovals {
-		items = append(items, pending.removal)
-	}
+// the removals since then are no longer known. What is kept is not included: each
+// entry decides for itself how long to keep a removed server.
+func (c *storeCache) changesSince(revision routing.Revision) (items []Item, full bool) {
+	full = c.removalsSince.After(revision) || revision.After(c.listedFrom) && c.listedAt.After(revision)
 	for _, item := range c.items {
-		if full || item.revision > revision {
+		if full || item.revision.After(revision) {
 			items = append(items, item)
 		}
 	}
@@ -233,7 +255,7 @@
 		return items, true
 	}
 	for _, removal := range c.removals {
-		if removal.revision > revision {
+		if removal.revision.After(revision) {
 			items = append(items, removal)
 		}
 	}
--- a/ingress/connection_test.go
+++ b/ingress/connection_test.go
@@ -63,7 +63,7 @@
 	conn := b.listen(routing.NewLimits(0, 0, 0, 100*time.Millisecond))
 	time.Sleep(20 * time.Millisecond)
 	table := routing.NewTable(2, []routing.Route{connectionRoute}, nil, nil, routing.NewLimits(0, 0, 0, 3*time.Second))
-	b.view.Store(routing.NewView(2, table, b.view.Load().Servers(), nil))
+	b.view.Store(routing.NewView(routing.NewRevision(0, 2), table, b.view.Load().Servers(), nil))
 	time.Sleep(200 * time.Millisecond)
 	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h.example\r\nId: a1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 	response, err := io.ReadAll(conn)
--- a/ingress/notice_test.go
+++ b/ingress/notice_test.go
@@ -143,7 +143,7 @@
 	c := qt.New(t)
 	server := newBackend(c, withHeader(refused, "Wait: 5s"))
 	b := newTestbedOn(c, server)
-	view := routing.NewView(1, testTable(), map[string]routing.Server{"s1": routing.NewServer("s1", "desk", server.address, "a", 6)}, nil)
+	view := routing.NewView(routing.NewRevision(0, 1), testTable(), map[string]routing.Server{"s1": routing.NewServer("s1", "desk", server.address, "a", 6)}, nil)
 	b.view.Store(view.WithNotices(&b.scheduler.notices))
 	scheduler := newLocalScheduler(view)
 	scheduler.notices = &b.scheduler.notices
--- a/routing/notice_test.go
+++ b/routing/notice_test.go
@@ -16,8 +16,8 @@
 	c := qt.New(t)
 	var notices Notices
 	view := func(start int64) *View {
-		server := NewServer("s1", "desk", "10.0.0.1:1", "a", 6).WithIncarnation(start, 1)
-		return NewView(1, nil, map[string]Server{"s1": server}, nil).WithNotices(&notices)
+		server := NewServer("s1", "desk", "10.0.0.1:1", "a", 6).WithIncarnation(start, NewRevision(0, 1))
+		return NewView(NewRevision(0, 1), nil, map[string]Server{"s1": server}, nil).WithNotices(&notices)
 	}
 	before := view(5)
 	c.Assert(before.Usable("s1"), qt.IsTrue)
@@ -57,7 +57,7 @@
 	for i := range entries {
 		entries[i].Add(noticeStart, NewLeaving(NewIncarnation("s1", 1), noticeStart))
 	}
-	empty := NewView(1, nil, nil, nil)
+	empty := NewView(NewRevision(0, 1), nil, nil, nil)
 	for step := range 400 {
 		now := noticeStart.Add(time.Duration(step) * 400 * time.Millisecond)
 		from, to := entries[step%2], entries[(step+1)%2]
@@ -94,7 +94,7 @@
 	for _, entry := range entries {
 		notice, _ := entry.Of(server)
 		c.Assert(notice.RefusesUntil().Sub(noticeStart) <= 2*time.Second+2*transit, qt.IsTrue)
-		entry.Expire(now, NewView(1, nil, nil, nil))
+		entry.Expire(now, NewView(NewRevision(0, 1), nil, nil, nil))
 		_, refusing := entry.Count(now)
 		c.Assert(refusing, qt.Equals, 0)
 		c.Assert(entry.byServer, qt.HasLen, 0)
