quarantine: blame the most specific parts, also while nothing settles

Of several parts that account for as many crashes the one that always came with the most others is blamed, together with them. While no request without a part settles, ten moments are required, and half of their requests without the part.

Before: TestPopularCompanionIsNotBlamedAlone and TestPartIsSuspectWhileNothingSettles fail.

--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -118,8 +118,10 @@
 
 // required returns the number of moments since a time from which a part is suspect: with
 // the share of the requests without it that were unsettled as their servers ended, it
-// could be there that often by chance. It returns 0 if no request without the part has
-// settled: then nothing tells the part from any other cause.
+// could be there that often by chance. While no request without the part settles, as when
+// servers end faster than any can, it takes twice as many moments, and half of the
+// requests of those moments without the part. It returns 0 if nothing tells the part from
+// any other cause.
 func (r *Registry) required(part Part, since time.Time) int {
 	settled, ended := 0, 0
 	for _, s := range r.recent {
@@ -127,19 +129,25 @@
 			settled++
 		}
 	}
-	if settled == 0 {
-		return 0
-	}
+	with := 0
 	for _, m := range r.moments {
 		if m.explained || !m.at.After(since) {
 			continue
 		}
 		for _, prompt := range m.prompts {
-			if !slices.Contains(prompt, part) {
+			if slices.Contains(prompt, part) {
+				with++
+			} else {
 				ended++
 			}
 		}
 	}
+	switch {
+	case settled == 0 && ended >= with:
+		return 2 * maxCrashes
+	case settled == 0:
+		return 0
+	}
 	share := float64(ended) / float64(ended+settled)
 	chance, n := share, 1
 	for ; n < maxCrashes && chance > 1.0/chanceOf; n++ {
@@ -317,7 +325,7 @@
 }
 
 // strongest returns the part that accounts for most of the moments that are not yet
-// explained, the least of several, and whether another part that does not always come
+// explained, the most specific one of several, and whether another part that does not always come
 // with it accounts for as many, most of them the same. It returns no crashes if these
 // moments don't tell the part from other causes.
 func (r *Registry) strongest() (best Part, crashes int, tied bool) {
@@ -332,18 +340,27 @@
 			}
 		}
 	}
-	for part, moments := range accounts {
-		if len(moments) > crashes || len(moments) == crashes && part < best {
-			best, crashes = part, len(moments)
-		}
+	for _, moments := range accounts {
+		crashes = max(crashes, len(moments))
 	}
 	if crashes < minCrashes {
 		return best, crashes, false
 	}
+	// Of several such parts, the one that always came with the most others: fewer sound
+	// requests have all of them.
+	var companions []Part
+	for part, moments := range accounts {
+		if len(moments) < crashes {
+			continue
+		}
+		with, _ := r.companions(part)
+		if len(with) > len(companions) || len(with) == len(companions) && part < best {
+			best, companions = part, with
+		}
+	}
 	if required := r.required(best, accounts[best][0].at.Add(-trustTime)); required == 0 || crashes < required {
 		return best, 0, false
 	}
-	companions, _ := r.companions(best)
 	for part, moments := range accounts {
 		if len(moments) == crashes && !slices.Contains(companions, part) && 2*shared(moments, accounts[best]) > crashes {
 			tied = true
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -84,6 +84,35 @@
 	c.Assert(refused(&unsettled, 2*time.Second, partBad) || refused(&unsettled, 2*time.Second, partCommon), qt.IsTrue)
 }
 
+// Requests that crash servers always have a popular part as well, and a sound one with it
+// was unsettled beside the first: what is refused is both parts together.
+func TestPopularCompanionIsNotBlamedAlone(t *testing.T) {
+	c := qt.New(t)
+	const popular, bad = Part(5), Part(1 << 30) // whichever is the lesser
+	for _, parts := range [][]Part{{popular, bad}, {bad, popular}} {
+		var r Registry
+		crash(&r, 0, 1, parts, []Part{parts[0], partOther})
+		crash(&r, time.Second, 6, parts)
+		c.Assert(refused(&r, 3*time.Second, parts...), qt.IsTrue)
+		c.Assert(refused(&r, 3*time.Second, parts[0], partRare), qt.IsFalse)
+	}
+}
+
+// Servers end faster than any answer can go on for long enough: what crashes them is found
+// all the same, and a part of all requests is not.
+func TestPartIsSuspectWhileNothingSettles(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	for i := range 2 * maxCrashes {
+		now := time.Duration(i) * 2 * momentTime
+		for j, prompt := range [][]Part{{partCommon, partBad}, {partCommon, partOther + Part(10+i)}, {partCommon, partRare + Part(1000+i)}} {
+			r.Crashed(at(now), fmt.Sprint("s", i, "-", j), prompt)
+		}
+	}
+	c.Assert(refused(&r, 2*time.Second, partCommon, partBad), qt.IsTrue)
+	c.Assert(refused(&r, 2*time.Second, partCommon, partOther), qt.IsFalse)
+}
+
 // Whoever shares the caller and the other parts of the requests that crash servers is
 // served, also if the parts always came together before.
 func TestPartsThatAlwaysCameTogetherAreRefusedTogether(t *testing.T) {
