ingress: log the rate limits that servers state

Servers in need name in Server-Limit how many requests a second they take from all entries together.

--- a/ingress/notice.go
+++ b/ingress/notice.go
@@ -15,6 +15,12 @@
 		s.log.Info("server leaving", "id", id, "service", service, "server", server.ID(), "started", server.StartUnixMilli())
 		s.scheduler.Notice(service, routing.NewLeaving(server, s.timers.Now()))
 	}
+	if problem := metadata.RateLimitProblem(); problem != "" {
+		s.log.Warn("server states an odd rate limit", "id", id, "service", service, "server", server.ID(), "problem", problem)
+	}
+	if perSecond, ok := metadata.RateLimit(); ok {
+		s.log.Info("server limits requests", "id", id, "service", service, "server", server.ID(), "started", server.StartUnixMilli(), "per_second", perSecond)
+	}
 	if problem := metadata.RetryAfterProblem(); problem != "" {
 		s.log.Warn("server states an odd time of refusal", "id", id, "service", service, "server", server.ID(), "problem", problem, "used", metadata.RetryAfter())
 	}
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -95,6 +95,11 @@
 	retryAfter   time.Duration
 	// retryProblem is why the stated time is not used as it is.
 	retryProblem string
+	// rateLimit is the stated limit in requests a second if hasRateLimit is set.
+	rateLimit    float64
+	hasRateLimit bool
+	// rateLimitProblem is why the stated limit can't be used.
+	rateLimitProblem string
 }
 
 // NewResponseMetadata returns the metadata of a response to the attempt.
@@ -130,6 +135,19 @@
 	return m
 }
 
+// WithRateLimit returns the metadata with the number of requests a second that the server
+// takes from all entries together.
+func (m ResponseMetadata) WithRateLimit(perSecond float64) ResponseMetadata {
+	m.rateLimit, m.hasRateLimit = perSecond, true
+	return m
+}
+
+// WithRateLimitProblem returns the metadata with why a stated rate limit can't be used.
+func (m ResponseMetadata) WithRateLimitProblem(problem string) ResponseMetadata {
+	m.rateLimitProblem = problem
+	return m
+}
+
 // NotRun reports whether the server states that the request did not run.
 func (m ResponseMetadata) NotRun() bool { return m.notRun }
 
@@ -146,6 +164,15 @@
 // empty if it is.
 func (m ResponseMetadata) RetryAfterProblem() string { return m.retryProblem }
 
+// RateLimit returns the number of requests a second that the server takes from all entries
+// together, and false if it states none.
+func (m ResponseMetadata) RateLimit() (perSecond float64, ok bool) {
+	return m.rateLimit, m.hasRateLimit
+}
+
+// RateLimitProblem returns why a stated rate limit can't be used, "" if it can or there is none.
+func (m ResponseMetadata) RateLimitProblem() string { return m.rateLimitProblem }
+
 // FaultAddress returns the address of the server that caused the failure, empty
 // if it is the one that responded.
 func (m ResponseMetadata) FaultAddress() string { return m.faultAddress }
