dispatch: keep the rate limits that servers state

Callers of a server in need saw it go down further: a server that takes N requests a second from all entries together, as it states in its answers, got as many as before.

Cause: the statement was decoded nowhere, and the scheduler knows no limit that holds for all entries but the cold one. Class of fault: back pressure that is received and dropped. Evidence: placements per second on both servers are the same before and after the first statement, all of them first sends with why="gathered". Repeats, backups and prefill parts are ruled out: sends and arrivals agree one by one.

The limit is now a notice about the server's incarnation, ordered by the time of the statement, and so is its end. It reaches the scheduler with the next event or placement call and all entries with heartbeats. The scheduler counts every send against one leaky bucket per server, the type that the cold limit uses. Requests go to servers without a limit first come; if all have one, callers are refused at once with the time at which there is room for them, and new requests do not overtake queued ones.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -59,6 +59,8 @@
 	ReasonNoServer Reason = "no_server"
 	// ReasonServersRefuse means that all servers have stated that they want no requests for a time.
 	ReasonServersRefuse Reason = "servers_refuse"
+	// ReasonServersLimited means that the rate limits that all servers have stated leave no room in time.
+	ReasonServersLimited Reason = "servers_limited"
 	// ReasonBusy means that no slot becomes free in time.
 	ReasonBusy Reason = "busy"
 	// ReasonPastDeadline means that the deadline has passed, or that the request can't be served in time.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -87,7 +87,7 @@
 func (p *pool) suspendedCandidates(now time.Time, request Request) []*server {
 	var out []*server
 	for _, s := range p.order {
-		if s.availableInNeed(now) && !s.available(now) && s.admitsCold(now, p.coldShare) && !slices.Contains(request.exclude, s.info.ID()) {
+		if s.availableInNeed(now) && !s.available(now) && p.admits(now, s) && !slices.Contains(request.exclude, s.info.ID()) {
 			out = append(out, s)
 		}
 	}
@@ -114,7 +114,7 @@
 	out := make([]*server, 0, len(p.order))
 	var excluded, failed []*server
 	for _, s := range p.order {
-		if !s.usable || !s.admitsCold(now, p.coldShare) {
+		if !s.usable || !p.admits(now, s) {
 			continue
 		}
 		if !s.available(now) {
@@ -198,7 +198,7 @@
 	preferred := newServerHeap(candidates, func(a, b *server) int {
 		return cmp.Or(intervalAffinity(a, request)-intervalAffinity(b, request), len(b.running)-len(a.running), cmp.Compare(a.backlog(now), b.backlog(now)))
 	})
-	workers := p.prefillCandidates(now, available)
+	workers := p.prefillCandidates(now, available, false)
 	var best placement
 	for s := preferred.next(); s != nil; s = preferred.next() {
 		for _, count := range workerCounts {
@@ -257,10 +257,10 @@
 // prefillCandidates returns the servers that may be prefill workers for one prompt,
 // those without running requests first and then by backlog. An engine prefills parts
 // for others before its own prompts, so a server that still prefills a prompt of its
-// own is left out.
-func (p *pool) prefillCandidates(now time.Time, available []*server) []*server {
+// own is left out, and unless limited is set one with a rate limit.
+func (p *pool) prefillCandidates(now time.Time, available []*server, limited bool) []*server {
 	workers := slices.DeleteFunc(slices.Clone(available), func(s *server) bool {
-		return s.workerFor >= s.slots() || now.Before(s.coldUntil) || s.decoding < len(s.running) || s.backlog(now) > maxSplitBacklog
+		return s.limit.perSecond > 0 && !limited || s.workerFor >= s.slots() || now.Before(s.coldUntil) || s.decoding < len(s.running) || s.backlog(now) > maxSplitBacklog
 	})
 	quickest := newServerHeap(workers, func(a, b *server) int {
 		if (len(a.running) > 0) != (len(b.running) > 0) {
@@ -337,7 +337,10 @@
 		}
 	}
 	if now.Before(s.coldUntil) {
-		s.coldLevel++
+		s.cold.add()
+	}
+	for _, participant := range append([]*server{s}, choice.workers...) {
+		participant.limit.countSend()
 	}
 	sched.running[request.id] = alloc
 	s.add(alloc)
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -9,12 +9,13 @@
 // SetPrimary sets whether this scheduler places a service's requests of all entries. Only
 // then does it see all evidence about prompts that crash servers, may learn from it, and
 // may let a request through after a quarantine.
-func (sched *Scheduler) SetPrimary(service string, primary bool) {
+func (sched *Scheduler) SetPrimary(now time.Time, service string, primary bool) {
 	p := sched.pools[service]
 	if p == nil || p.primary == primary {
 		return
 	}
 	p.primary = primary
+	p.fillLimits(now)
 	if !primary {
 		p.quarantine.Forget()
 		p.settling = nil
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -35,10 +35,12 @@
 // pool holds the servers of one service and the requests queued for them.
 type pool struct {
 	service routing.Service
-	// coldShare is the fraction of the cold servers' capacity that this scheduler may use.
-	coldShare float64
-	servers   map[string]*server
-	order     []*server
+	// coldShare is the fraction of the cold servers' capacity that this scheduler may use,
+	// and rateLimitShare the fraction of the servers' rate limits.
+	coldShare      float64
+	rateLimitShare float64
+	servers        map[string]*server
+	order          []*server
 	// usableServers is the number of usable servers.
 	usableServers int
 	queue         []*queuedRequest
@@ -58,6 +60,9 @@
 	// primary is set while this scheduler places the requests of all entries.
 	primary    bool
 	quarantine quarantine.Registry
+	// limitedReturn is when the last caller may return that was refused because all
+	// servers have a rate limit.
+	limitedReturn time.Time
 	// settling holds the started requests that have not settled, in the order of their start.
 	settling []*allocation
 }
@@ -116,7 +121,12 @@
 		p.statsOf(request).countRequest(now, request.prompt)
 		p.countDemand(now, request)
 	}
-	if decision := sched.decide(now, p, owner, request, len(p.queue) > 0); decision != nil {
+	if p.mayOvertake(now, request) {
+		if decision := sched.decide(now, p, owner, request, len(p.queue) > 0); decision != nil {
+			return decision
+		}
+	}
+	if decision := p.refuseLimited(now, request, p.queuedAhead(request)); decision != nil {
 		return decision
 	}
 	if len(p.queue) >= maxQueue {
@@ -156,6 +166,9 @@
 				misses++
 				decision = p.shedLate(now, q, ahead)
 			}
+			if decision == nil {
+				decision = p.refuseLimited(now, q.request, len(p.queue))
+			}
 			if decision == nil {
 				p.queue = append(p.queue, q)
 				ahead += p.prefillTime(q.request)
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -59,10 +59,10 @@
 	pending       map[*allocation]bool
 	firstExpected time.Time
 
-	coldUntil   time.Time
-	coldRate    float64
-	coldLevel   float64
-	coldUpdated time.Time
+	coldUntil time.Time
+	coldRate  float64
+	cold      leakyBucket
+	limit     rateLimit
 
 	suspendedUntil      time.Time
 	consecutiveFailures int
@@ -223,10 +223,7 @@
 	if !now.Before(s.coldUntil) || s.coldRate <= 0 {
 		return true
 	}
-	rate := s.coldRate * coldCapacityFraction * share
-	s.coldLevel = max(0, s.coldLevel-rate*now.Sub(s.coldUpdated).Seconds())
-	s.coldUpdated = now
-	return s.coldLevel < 1
+	return s.cold.admits(now, s.coldRate*coldCapacityFraction*share)
 }
 
 // recordOutcome updates the server's failure state with the outcome of a request.
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -41,7 +41,17 @@
 	if p.load(now, 0) > idleLoad && p.load(now, p.prefillTime(request)) > maxSpreadLoad && !p.underserved(request) {
 		return placement{}
 	}
-	workers := p.prefillCandidates(now, available)
+	for _, limited := range []bool{false, true} {
+		if choice := p.spreadOver(now, p.prefillCandidates(now, available, limited), request); choice.server != nil {
+			return choice
+		}
+	}
+	return placement{}
+}
+
+// spreadOver returns a placement of such a prompt on some of the servers, those with a rate
+// limit only if the others can't hold it.
+func (p *pool) spreadOver(now time.Time, workers []*server, request Request) placement {
 	workers = slices.DeleteFunc(workers, func(s *server) bool { return len(s.running) > 0 })
 	if len(workers) < 2 {
 		return placement{}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -20,7 +20,7 @@
 		service, _ := table.Service(name)
 		p := sched.pools[name]
 		if p == nil {
-			p = &pool{servers: make(map[string]*server), coldShare: 1, primary: true}
+			p = &pool{servers: make(map[string]*server), coldShare: 1, rateLimitShare: 1, primary: true}
 			sched.pools[name] = p
 		}
 		p.service = service
@@ -32,6 +32,7 @@
 		if p := sched.pools[info.Service()]; p != nil {
 			p.setServer(now, info, view.Usable(id))
 			p.servers[id].refuse(view.RefusesUntil(id))
+			p.servers[id].limit.set(now, view.RateLimit(info.Incarnation()).PerSecond())
 		}
 	}
 	for _, p := range sched.pools {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -164,18 +164,20 @@
 	}
 }
 
-// updateShares sets, for each service, whether this entry is the scheduler, and the share
-// of the capacity of cold servers that it may grant: all of it as the scheduler, else an
-// equal part per entry.
+// updateShares sets, for each service, whether this entry is the scheduler, and the shares
+// of the capacity of cold servers and of rate limits that it may grant: all of them as the
+// scheduler, else an equal part of the former per entry.
 func (c *control) updateShares(now time.Time) {
 	for _, service := range c.cache.services() {
 		primary := c.members.scheduler(now, service) == nil
-		share := 1.0
+		share, rateLimitShare := 1.0, 1.0
 		if !primary {
 			share = 1 / float64(c.entries.Load())
+			rateLimitShare = c.members.rateLimitShare(now, service)
 		}
 		c.scheduler.SetColdShare(service, share)
-		c.scheduler.SetPrimary(service, primary)
+		c.scheduler.SetRateLimitShare(service, rateLimitShare)
+		c.scheduler.SetPrimary(now, service, primary)
 	}
 }
 
--- a/gateway/encoding.go
+++ b/gateway/encoding.go
@@ -91,6 +91,7 @@
 	originalHeartbeatFields = 9
 	originalPlacementFields = 14
 	originalEventsFields    = 6
+	originalNoticeFields    = 6
 )
 
 // EncodeMsgpack encodes the heartbeat; see encodeFields.
@@ -122,3 +123,13 @@
 func (m *eventsMessage) DecodeMsgpack(decoder *msgpack.Decoder) error {
 	return decodeFields(decoder, m)
 }
+
+// EncodeMsgpack encodes the notice; see encodeFields.
+func (m noticeMessage) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	return encodeFields(encoder, m, originalNoticeFields)
+}
+
+// DecodeMsgpack decodes the notice; see decodeFields.
+func (m *noticeMessage) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeFields(decoder, m)
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -210,6 +210,24 @@
 	return best
 }
 
+// rateLimitShare returns the fraction of the rate limits of a service's servers that this
+// entry may use while another one is the scheduler: half if it is the next in line, to
+// which entries turn that can't reach the scheduler, and else none. A limit of a few
+// requests a second divided among all entries would let none through.
+func (m *members) rateLimitShare(now time.Time, service string) float64 {
+	before := 0
+	weight := mesh.RendezvousWeight(service, m.self.ID)
+	for _, known := range m.byID {
+		if m.maySchedule(now, known) && mesh.RendezvousWeight(service, known.ID) > weight {
+			before++
+		}
+	}
+	if before <= 1 {
+		return 0.5
+	}
+	return 0
+}
+
 // maySchedule reports whether the entry is ready, was heard recently and is not
 // suspected of having failed.
 func (m *members) maySchedule(now time.Time, known *member) bool {
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -96,8 +96,16 @@
 	// number of entries that passed it on.
 	RefusesFor time.Duration
 	Hops       int
+	// RateLimit is how many requests a second the server takes from all entries together,
+	// noRateLimit if it has stated that there is no limit, and 0 if it has stated nothing.
+	// RateLimitAge is the time since then.
+	RateLimit    float64
+	RateLimitAge time.Duration
 }
 
+// noRateLimit stands for a limit that has ended.
+const noRateLimit = -1
+
 // suspicionMessage is a suspicion against parts of the prompts of a service.
 type suspicionMessage struct {
 	Service string
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -29,6 +29,7 @@
 		c.scheduler.SetView(now, c.View())
 	}
 	c.scheduler.Refuse(notice.Server(), notice.RefusesUntil())
+	c.scheduler.SetRateLimit(now, notice.Server(), c.View().RateLimit(notice.Server()))
 	return true
 }
 
@@ -46,6 +47,9 @@
 		if now.Before(notice.RefusesUntil()) && !now.Before(known.RefusesUntil()) {
 			c.log.Info("server refuses requests", "server", m.Server, "started", m.Start, "for", m.RefusesFor, "from", entry)
 		}
+		if limit := c.View().RateLimit(notice.Server()); limit.PerSecond() != known.RateLimit().PerSecond() {
+			c.log.Info("server limits requests", "server", m.Server, "started", m.Start, "per_second", limit.PerSecond(), "from", entry)
+		}
 	}
 }
 
@@ -59,10 +63,17 @@
 }
 
 func encodeNotice(now time.Time, n routing.Notice) noticeMessage {
-	return noticeMessage{
+	m := noticeMessage{
 		Server: n.Server().ID(), Start: n.Server().StartUnixMilli(), Leaving: n.Leaving(), Age: now.Sub(n.StatedAt()),
 		RefusesFor: max(0, n.RefusesUntil().Sub(now)), Hops: n.Hops(),
 	}
+	if limit := n.RateLimit(); !limit.StatedAt().IsZero() {
+		m.RateLimit, m.RateLimitAge = limit.PerSecond(), now.Sub(limit.StatedAt())
+		if !limit.Limited() {
+			m.RateLimit = noRateLimit
+		}
+	}
+	return m
 }
 
 func encodeNotices(now time.Time, notices []routing.Notice) []noticeMessage {
@@ -78,5 +89,12 @@
 	if m.RefusesFor > 0 {
 		notice = notice.WithRefusal(now.Add(min(m.RefusesFor, maxRefusal)), m.Hops+1)
 	}
+	statedAt := now.Add(-max(0, m.RateLimitAge))
+	switch {
+	case m.RateLimit > 0:
+		notice = notice.WithRateLimit(routing.NewRateLimit(m.RateLimit, statedAt))
+	case m.RateLimit < 0:
+		notice = notice.WithRateLimit(routing.NoRateLimit(statedAt))
+	}
 	return notice
 }
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -198,3 +198,125 @@
 	long := noticeMessage{Server: "s5", RefusesFor: 1000 * time.Hour}
 	c.Assert(long.decode(now).RefusesUntil().Sub(now), qt.Equals, maxRefusal)
 }
+
+// limited is the incarnation of a server that states a rate limit.
+var limited = routing.NewIncarnation("s3", 0)
+
+// Guards against LIMIT: other entries and schedulers know a rate limit, its change and its
+// end after one heartbeat to or from an entry that does, also long after the news, and in
+// whatever order they hear of them.
+func TestRateLimitIsKnownAfterOneHeartbeat(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	first, second, third := newNoticeEntry(1, now), newNoticeEntry(2, now), newNoticeEntry(3, now)
+	perSecond := func(entry *control) float64 { return entry.View().RateLimit(limited).PerSecond() }
+	first.addNotice(now, routing.NewLimiting(limited, routing.NewRateLimit(2, now)))
+	c.Assert(used(first, now, "s3"), qt.IsFalse) // until a request has drained
+	exchange(now, first, second)
+	c.Assert(perSecond(second), qt.Equals, 2.0)
+	c.Assert(used(second, now, "s3"), qt.IsFalse)
+	now = now.Add(20 * time.Second)
+	for _, entry := range []*control{first, second} {
+		entry.expireNotices(now)
+	}
+	exchange(now, third, second)
+	c.Assert(perSecond(third), qt.Equals, 2.0)
+	c.Assert(used(third, now, "s3"), qt.IsFalse)
+
+	// Nothing more is sent between entries that know the same.
+	now = now.Add(4 * time.Second)
+	heartbeat := third.newHeartbeat(now, heartbeatTarget{address: second.members.self.PeerAddress})
+	c.Assert(heartbeat.Notices, qt.HasLen, 0)
+	c.Assert(second.answerHeartbeat(now, heartbeat).Notices, qt.HasLen, 0)
+
+	// The end of the limit reaches those that missed the news, and is not undone by those
+	// that have not heard of it.
+	third.addNotice(now, routing.NewLimiting(limited, routing.NoRateLimit(now)))
+	now = now.Add(5 * time.Second)
+	exchange(now, first, third)
+	c.Assert(perSecond(first), qt.Equals, 0.0)
+	c.Assert(perSecond(third), qt.Equals, 0.0)
+	exchange(now, second, first)
+	c.Assert(perSecond(second), qt.Equals, 0.0)
+	c.Assert(used(second, now, "s3"), qt.IsTrue)
+
+	// A limit that is stated again counts again.
+	now = now.Add(time.Second)
+	second.addNotice(now, routing.NewLimiting(limited, routing.NewRateLimit(3, now)))
+	exchange(now, first, second)
+	c.Assert(perSecond(first), qt.Equals, 3.0)
+}
+
+// Guards against a limit without end: an entry that was cut off while it ended holds it
+// until an answer without one is told it.
+func TestStaleRateLimitEndsWithAnAnswer(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	cutOff, other := newNoticeEntry(1, now), newNoticeEntry(2, now)
+	cutOff.addNotice(now, routing.NewLimiting(limited, routing.NewRateLimit(2, now)))
+	for range 200 {
+		now = now.Add(time.Second)
+		cutOff.expireNotices(now)
+		other.expireNotices(now)
+	}
+	exchange(now, other, cutOff)
+	c.Assert(other.View().RateLimit(limited).Limited(), qt.IsTrue)
+	c.Assert(other.View().RateLimit(limited).StatedAt(), qt.Equals, time.Unix(1000, 0))
+	other.addNotice(now, routing.NewLimiting(limited, routing.NoRateLimit(now)))
+	exchange(now, other, cutOff)
+	c.Assert(cutOff.View().RateLimit(limited).Limited(), qt.IsFalse)
+}
+
+// Entries of the version without rate limits understand notices with them, and the other
+// way round.
+func TestRateLimitsAreCompatibleWithOlderEntries(t *testing.T) {
+	c := qt.New(t)
+	type olderNotice struct {
+		Server     string
+		Start      int64
+		Leaving    bool
+		Age        time.Duration
+		RefusesFor time.Duration
+		Hops       int
+	}
+	for _, m := range []noticeMessage{{Server: "s3", Start: 4, Leaving: true}, {Server: "s3", Start: 4, Leaving: true, RateLimit: 2, RateLimitAge: time.Second}} {
+		var older olderNotice
+		c.Assert(msgpack.Unmarshal(encode(c, m), &older), qt.IsNil)
+		c.Assert(older, qt.DeepEquals, olderNotice{Server: "s3", Start: 4, Leaving: true})
+		var same noticeMessage
+		c.Assert(msgpack.Unmarshal(encode(c, m), &same), qt.IsNil)
+		c.Assert(same, qt.DeepEquals, m)
+	}
+	var newer noticeMessage
+	c.Assert(msgpack.Unmarshal(encode(c, olderNotice{Server: "s3", RefusesFor: time.Second, Hops: 1}), &newer), qt.IsNil)
+	c.Assert(newer, qt.DeepEquals, noticeMessage{Server: "s3", RefusesFor: time.Second, Hops: 1})
+}
+
+// Guards against LIMIT in large fleets: beside the scheduler only the entry next in line
+// uses the rate limits, however many others schedule on their own.
+func TestFewEntriesShareRateLimits(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	for _, n := range []int{1, 2, 8, 60} {
+		var entries []*control
+		for i := range n {
+			entry := newNoticeEntry(i+1, now)
+			entry.setState(memberReady)
+			entry.members.self.CPUCores = 1
+			entries = append(entries, entry)
+		}
+		total, primaries := 0.0, 0
+		for _, entry := range entries {
+			for _, other := range entries {
+				entry.members.observe(now, other.members.self)
+			}
+			if entry.members.scheduler(now, "llm") == nil {
+				primaries++
+				continue
+			}
+			total += entry.members.rateLimitShare(now, "llm")
+		}
+		c.Assert(primaries, qt.Equals, 1)
+		c.Assert(total, qt.Equals, map[bool]float64{true: 0, false: 0.5}[n == 1])
+	}
+}
--- a/gateway/suspicions_test.go
+++ b/gateway/suspicions_test.go
@@ -117,7 +117,7 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	entry := newSuspicionEntry(1, now)
-	entry.scheduler.SetPrimary("llm", false)
+	entry.scheduler.SetPrimary(now, "llm", false)
 	crashServers(entry, now, 8)
 	c.Assert(refusesPart(entry, now.Add(2*time.Second)), qt.IsFalse)
 }
@@ -129,12 +129,12 @@
 	now := time.Unix(1000, 0)
 	entry := newSuspicionEntry(1, now)
 	for range 4 {
-		entry.scheduler.SetPrimary("llm", true)
+		entry.scheduler.SetPrimary(now, "llm", true)
 		crashServers(entry, now, 1)
-		entry.scheduler.SetPrimary("llm", false)
+		entry.scheduler.SetPrimary(now, "llm", false)
 		now = now.Add(2 * time.Minute)
 	}
-	entry.scheduler.SetPrimary("llm", true)
+	entry.scheduler.SetPrimary(now, "llm", true)
 	entry.scheduler.Tick(now)
 	c.Assert(entry.quarantined(), qt.Equals, 0)
 }
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -53,6 +54,9 @@
 	if header.Get("Refused") != "" {
 		m = m.WithNotRun(false, "")
 	}
+	if limit, err := strconv.ParseFloat(header.Get("Limit"), 64); err == nil {
+		m = m.WithRateLimit(limit)
+	}
 	wait, _ := time.ParseDuration(header.Get("Wait")) // 0 if missing
 	return m.WithLeaving(header.Get("Leaving") != "").WithRetryAfter(wait, "")
 }
--- a/routing/notice.go
+++ b/routing/notice.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -50,7 +51,8 @@
 	// refusesUntil is when the server wants the next request, zero if it has not stated it.
 	refusesUntil time.Time
 	// hops is the number of entries that passed on refusesUntil.
-	hops int
+	hops  int
+	limit RateLimit
 	// statedAt is when the server stated it, or was last known to exist.
 	statedAt time.Time
 }
@@ -65,6 +67,17 @@
 	return Notice{server: server, refusesUntil: until, statedAt: statedAt}
 }
 
+// NewLimiting returns the notice of a server that states its rate limit.
+func NewLimiting(server Incarnation, limit RateLimit) Notice {
+	return Notice{server: server, limit: limit, statedAt: limit.statedAt}
+}
+
+// WithRateLimit returns the notice with what the server has stated of its rate limit.
+func (n Notice) WithRateLimit(limit RateLimit) Notice {
+	n.limit = limit
+	return n
+}
+
 // WithRefusal returns the notice with the time until which the server wants no requests
 // and the number of entries that passed it on.
 func (n Notice) WithRefusal(until time.Time, hops int) Notice {
@@ -87,6 +100,9 @@
 // RefusesUntil returns when the server wants the next request, zero if it has not stated it.
 func (n Notice) RefusesUntil() time.Time { return n.refusesUntil }
 
+// RateLimit returns what the server has stated of its rate limit.
+func (n Notice) RateLimit() RateLimit { return n.limit }
+
 // Hops returns the number of entries that passed on the time of RefusesUntil.
 func (n Notice) Hops() int { return n.hops }
 
@@ -131,6 +147,10 @@
 	if n.refusesUntil.After(known.refusesUntil) {
 		known.refusesUntil, known.hops, changed = n.refusesUntil, n.hops, true
 	}
+	if n.limit.statedAt.After(known.limit.statedAt) {
+		changed = changed || n.limit.perSecond != known.limit.perSecond
+		known.limit = n.limit
+	}
 	if changed {
 		known.learnedAt = now
 	}
@@ -168,8 +188,9 @@
 	return known.Notice, true
 }
 
-// Expire drops the notices that no longer matter: refusals whose time is over, and
-// leaving servers that are not published and have not repeated it for a while.
+// Expire drops the notices that no longer matter: refusals whose time is over, leaving and
+// limited servers that are not published and have not repeated it for a while, and ends of
+// limits of which other entries have heard.
 func (ns *Notices) Expire(now time.Time, view *View) {
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
@@ -177,8 +198,7 @@
 		if published, ok := view.servers[server.id]; ok && published.Incarnation() == server {
 			known.statedAt = now
 		}
-		leaving := known.leaving && now.Sub(known.statedAt) <= noticeRetention
-		if !leaving && !now.Before(known.refusesUntil) {
+		if !known.matters(now, noticeRetention) && !now.Before(known.refusesUntil) {
 			delete(ns.byServer, server)
 		}
 	}
@@ -190,8 +210,8 @@
 	return ns.latest(now, func(n *keptNotice) bool { return now.Sub(n.learnedAt) <= noticeNewsTime })
 }
 
-// Current returns the notices of leaving servers that may still exist, the newest first,
-// as far as one message has room. Refusals are only news: they change all the time under
+// Current returns the notices of leaving and limited servers that may still exist, and of
+// those whose limit ended, the newest first, as far as one message has room. Refusals are only news: they change all the time under
 // overload, and an entry that misses one is told by the server itself.
 func (ns *Notices) Current(now time.Time) []Notice {
 	return ns.latest(now, func(n *keptNotice) bool { return n.current(now) })
@@ -199,8 +219,15 @@
 
 // current reports whether others should know of the notice. It ends before noticeRetention
 // does, so that entries don't remind each other of what they are about to forget.
-func (n *keptNotice) current(now time.Time) bool {
-	return n.leaving && now.Sub(n.statedAt) <= noticeRetention/2
+func (n *keptNotice) current(now time.Time) bool { return n.matters(now, noticeRetention/2) }
+
+// matters reports whether the server leaves or has a limit and was known to exist within
+// retention, or its limit ended within retention.
+func (n *keptNotice) matters(now time.Time, retention time.Duration) bool {
+	if n.leaving || n.limit.Limited() {
+		return now.Sub(n.statedAt) <= retention
+	}
+	return n.limit.stated() && now.Sub(n.limit.statedAt) <= retention
 }
 
 // toSend returns what other entries are told, and false if that is nothing.
@@ -209,7 +236,7 @@
 	if !now.Before(out.refusesUntil) || out.hops > maxNoticeHops {
 		out.refusesUntil = time.Time{}
 	}
-	return out, out.leaving || !out.refusesUntil.IsZero()
+	return out, out.leaving || !out.refusesUntil.IsZero() || out.limit.stated()
 }
 
 func (ns *Notices) latest(now time.Time, include func(*keptNotice) bool) []Notice {
@@ -242,8 +269,15 @@
 	defer ns.mu.RUnlock()
 	var out uint64
 	for server, known := range ns.byServer {
-		if known.current(now) {
-			out ^= xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(server.id), uint64(server.startUnixMilli)))
+		if !known.current(now) {
+			continue
+		}
+		key := binary.BigEndian.AppendUint64([]byte(server.id), uint64(server.startUnixMilli))
+		if known.leaving {
+			out ^= xxhash.Sum64(key)
+		}
+		if known.limit.stated() {
+			out ^= xxhash.Sum64(binary.BigEndian.AppendUint64(key, math.Float64bits(known.limit.perSecond)))
 		}
 	}
 	return out
@@ -264,3 +298,16 @@
 	}
 	return leaving, refusing
 }
+
+// CountLimited returns the number of servers that state a rate limit.
+func (ns *Notices) CountLimited() int {
+	ns.mu.RLock()
+	defer ns.mu.RUnlock()
+	limited := 0
+	for _, known := range ns.byServer {
+		if known.limit.Limited() {
+			limited++
+		}
+	}
+	return limited
+}
--- a/routing/view.go
+++ b/routing/view.go
@@ -80,3 +80,9 @@
 
 // Leaving reports whether a server has stated that it takes no new requests until its end.
 func (v *View) Leaving(server Incarnation) bool { return v.notices.Leaving(server) }
+
+// RateLimit returns what a server has stated of its rate limit.
+func (v *View) RateLimit(server Incarnation) RateLimit {
+	notice, _ := v.notices.Of(server)
+	return notice.limit
+}
