ingress: promise nothing on behalf of a server that may have run a request

Cause: a server's own 408, 429 or 503 that does not say "not run" was forwarded as it was. Class of fault: a status that means less from one party than from the next.

Such an answer to a call that may run once is now 502, without the server's seal, since the server gave another status. Calls that may be repeated get the server's answer unchanged.

The new tests failed before: each of the four statuses was passed on.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -113,6 +113,9 @@
 	if a.response.Metadata().NotRun() {
 		return a.notRun()
 	}
+	if status := a.response.Status(); promisesNotRun(status) && !q.route.Repeatable() {
+		return dispatch.OutcomeServerError, eris.Wrapf(errFalsePromise, "status %d", status)
+	}
 	if q.route.Kind() == routing.KindStream && a.response.Status() == http.StatusOK {
 		a.events = newEventReader(a.response)
 		a.firstEvent, a.firstErr = a.events.next()
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -23,6 +23,7 @@
 	errNotRun        = eris.New("ingress: server did not run the request")
 	errNotSent       = eris.New("ingress: a server of the placement takes no more requests")
 	errServerError   = eris.New("ingress: server returned an error")
+	errFalsePromise  = eris.New("ingress: server may have run the request, and its status promises the opposite")
 )
 
 const (
@@ -62,6 +63,18 @@
 	}
 }
 
+// promisesNotRun reports whether callers take a status as the promise that their request
+// has not run and never will. A server that gives that promise says so beside the status;
+// from one that does not, the status can't be passed on for a request that may run once.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // sendOutcome returns the outcome of a send without a response.
 func sendOutcome(ctx context.Context, err error) dispatch.Outcome {
 	if errors.Is(err, upstream.ErrNotSent) {
