upstream: don't send an attempt again on a connection that carried it

A server may send its response a second time, where the next one is expected; the attempt id tells it from the right one. A request that a server refused and that is placed there again has the same id, and went out on the connection of the refusal: the stray refusal was taken as the answer to the second send, so that a call that ran was refused as not run, or sent to yet another server.

Found while looking for causes of REFUSED and TWICE; not known to have happened to users. Connections now remember their last eight attempts and are not reused for these. The own interface gives each send an id of its own.

TestStrayRefusalOfSameAttemptIsNoResponse failed before.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -64,7 +65,7 @@
 // Send sends the request to a server's address and returns its response. The
 // connection is closed if ctx is done before the response is closed.
 func (c *Client) Send(ctx context.Context, address string, r Request, m RequestMetadata) (*Response, error) {
-	conn := c.takeIdle(address, m.server)
+	conn := c.takeIdle(address, m.server, r.attemptID)
 	if conn == nil {
 		var err error
 		if conn, err = dial(ctx, c.dialer, address, m.server); err != nil {
@@ -139,19 +140,15 @@
 	r.client.putIdle(r.conn)
 }
 
-// takeIdle returns the most recently used idle connection, or nil if none is reusable.
-func (c *Client) takeIdle(address, server string) *connection {
+// takeIdle returns the most recently used idle connection, or nil if none is reusable
+// for an attempt.
+func (c *Client) takeIdle(address, server, attemptID string) *connection {
 	now := c.timers.Now()
 	for {
-		c.mu.Lock()
-		list := c.idle[server]
-		if len(list) == 0 {
-			c.mu.Unlock()
+		conn := c.popIdle(server, attemptID)
+		if conn == nil {
 			return nil
 		}
-		conn := list[len(list)-1]
-		c.idle[server] = list[:len(list)-1]
-		c.mu.Unlock()
 		if conn.tcp.RemoteAddr().String() == address && conn.reusable(now) {
 			return conn
 		}
@@ -159,6 +156,21 @@
 	}
 }
 
+// popIdle removes and returns the idle connection of a server that was used last, of those
+// that have not carried the attempt, or nil.
+func (c *Client) popIdle(server, attemptID string) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[server]
+	for i := len(list) - 1; i >= 0; i-- {
+		if conn := list[i]; !conn.carried(attemptID) {
+			c.idle[server] = slices.Delete(list, i, i+1)
+			return conn
+		}
+	}
+	return nil
+}
+
 func (c *Client) putIdle(conn *connection) {
 	conn.idleAt = c.timers.Now()
 	c.mu.Lock()
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -17,6 +18,8 @@
 	maxStrayResponses = 4
 	// defaultIdleTimeout applies if the server states no keep-alive timeout.
 	defaultIdleTimeout = 8 * time.Second
+	// maxAttemptsKept is the number of attempts that a connection remembers.
+	maxAttemptsKept = 2 * maxStrayResponses
 	// idleMargin is subtracted from the server's keep-alive timeout, so that the
 	// server does not close the connection while a request is sent.
 	idleMargin = 600 * time.Millisecond
@@ -31,6 +34,9 @@
 	idleAt      time.Time
 	idleTimeout time.Duration
 	writeErr    chan error
+	// attempts holds the ids of the last attempts, in a ring of maxAttemptsKept.
+	attempts []string
+	next     int
 	// reserved is set while the connection's request holds memory at other servers.
 	reserved bool
 }
@@ -53,6 +59,7 @@
 // the whole request.
 func (c *connection) exchange(r Request, header http.Header, headers HeaderCodec) (*http.Response, ResponseMetadata, error) {
 	c.writeErr = make(chan error, 1)
+	c.carry(r.attemptID)
 	if len(r.body) <= bufferBytes {
 		c.writeErr <- r.write(c.writer, header)
 	} else {
@@ -74,6 +81,20 @@
 	return nil, ResponseMetadata{}, errStrayResponses
 }
 
+// carry records that the connection carries an attempt.
+func (c *connection) carry(attemptID string) {
+	if len(c.attempts) < maxAttemptsKept {
+		c.attempts = append(c.attempts, attemptID)
+		return
+	}
+	c.attempts[c.next] = attemptID
+	c.next = (c.next + 1) % maxAttemptsKept
+}
+
+// carried reports whether the connection has carried an attempt lately. A second response
+// to it may still arrive, so that it can't be sent there again.
+func (c *connection) carried(attemptID string) bool { return slices.Contains(c.attempts, attemptID) }
+
 // readResponse reads the header of the next response, skipping interim (1xx) ones.
 func (c *connection) readResponse(method string) (*http.Response, error) {
 	for {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -60,6 +61,7 @@
 					if err != nil {
 						return
 					}
+					r.RemoteAddr = conn.RemoteAddr().String()
 					body, _ := io.ReadAll(r.Body)
 					text := respond(int(number.Add(1)), r, string(body))
 					if text == "" {
@@ -137,6 +139,50 @@
 	c.Assert(body, qt.Equals, "two")
 }
 
+// Guards against REFUSED and TWICE: a server that sends its refusal a second time, as the
+// answer to the next request on the connection. A request that is sent to it again has the
+// same attempt id, and must not be taken as refused once more while it runs.
+func TestStrayRefusalOfSameAttemptIsNoResponse(t *testing.T) {
+	c := qt.New(t)
+	refusal := "HTTP/1.1 503 X\r\nAttempt: a1\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
+	var mu sync.Mutex
+	refused := make(map[string]bool) // by connection
+	server := newRawServer(c, func(number int, r *http.Request, _ string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if number == 1 {
+			refused[r.RemoteAddr] = true
+			return refusal
+		}
+		stray := ""
+		if refused[r.RemoteAddr] {
+			stray = refusal
+		}
+		return stray + responseText(r.Header.Get("Attempt"), "ran")
+	})
+	client := NewClient(testHeaders{}, &timer.Service{}, Dialer{})
+	send := func(attempt string) (*Response, error) {
+		r := NewRequest(attempt, http.MethodPost, "/", "h", http.Header{"Attempt": {attempt}}, []byte("in"))
+		return client.Send(context.Background(), server.address, r, NewRequestMetadata("i-1", "", time.Second))
+	}
+	response, err := send("a1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Metadata().NotRun(), qt.IsTrue)
+	_, err = io.ReadAll(response)
+	c.Assert(err, qt.IsNil)
+	response.Close()
+	response, err = send("a1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Metadata().NotRun(), qt.IsFalse)
+	response.Close()
+
+	// The connection serves other attempts, which tell the stray response by its id.
+	response, err = send("a2")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Metadata().NotRun(), qt.IsFalse)
+	response.Close()
+}
+
 func TestResponseToAnotherRequestIsNoResponse(t *testing.T) {
 	c := qt.New(t)
 	server := newRawServer(c, func(int, *http.Request, string) string {
@@ -196,13 +242,13 @@
 	local, remote := tcpPair(c)
 	conn := newConnection(local, "i-1")
 	client.putIdle(conn)
-	c.Assert(client.takeIdle(local.RemoteAddr().String(), "i-1"), qt.Equals, conn)
+	c.Assert(client.takeIdle(local.RemoteAddr().String(), "i-1", "a1"), qt.Equals, conn)
 	client.putIdle(conn)
 	remote.Close()
 	for !readable(local) {
 		time.Sleep(time.Millisecond)
 	}
-	c.Assert(client.takeIdle(local.RemoteAddr().String(), "i-1"), qt.IsNil)
+	c.Assert(client.takeIdle(local.RemoteAddr().String(), "i-1", "a1"), qt.IsNil)
 }
 
 func tcpPair(c *qt.C) (local, remote net.Conn) {
