upstream: bound what servers send in place of an answer

Servers in trouble may send bytes that are no answer without end, until the caller closes. Nothing bounded the head of an answer: one request took hundreds of megabytes (instances have 134 for the whole process) and a second more than its caller had, and answers to other requests, comments and repeated events held the connection and a processor until the deadline. Class of fault: reads from a peer without a bound on bytes.

At most 128 KB may arrive before the head of the answer has ended, whatever they are; an event, and what is skipped in a stream until one that is new to the caller, is bounded by 256 KB, an answer that states no length by 16 MB. Beyond, the connection is closed and the server counts as failed; the request is sent to another one if it may be repeated, and otherwise answered at once with 502. The body of a refusal is no longer waited for.

--- a/ingress/events.go
+++ b/ingress/events.go
@@ -12,7 +12,7 @@
 )
 
 // maxEventBytes bounds one server-sent event.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // event is one server-sent event; raw includes the blank line that ends it.
 type event struct {
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -23,12 +23,18 @@
 	errNotRun        = eris.New("ingress: server did not run the request")
 	errNotSent       = eris.New("ingress: a server of the placement takes no more requests")
 	errServerError   = eris.New("ingress: server returned an error")
+	errEndless       = eris.New("ingress: response goes on without end")
 	errFalsePromise  = eris.New("ingress: server may have run the request, and its status promises the opposite")
 )
 
 const (
 	// maxBufferedBytes bounds a response that is read whole before it is forwarded.
 	maxBufferedBytes = 256 << 10
+	// maxUnframedBytes bounds a response that states no length.
+	maxUnframedBytes = 16 << 20
+	// maxIdleStreamBytes bounds what a server may send in a stream until the next event that
+	// is new to the caller: a resumed stream may repeat those before.
+	maxIdleStreamBytes = 256 << 10
 	// minSilenceTimeout is the shortest time without data after which the request is
 	// also sent to another server: longer than one prefill pass of a fully loaded
 	// engine, and shorter than callers wait.
@@ -85,7 +91,7 @@
 
 // notRun returns the outcome of a request that a server did not run.
 func (a *attempt) notRun() (dispatch.Outcome, error) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(a.response, maxBufferedBytes)) // after an error Close closes the connection
+	a.response.Discard()
 	metadata := a.response.Metadata()
 	outcome := dispatch.OutcomeRejected
 	if metadata.Misdirected() {
@@ -142,12 +148,25 @@
 	if _, err := q.w.Write(start.body); err != nil {
 		return dispatch.OutcomeCancelled, err
 	}
-	if _, err := io.Copy(q.w, response); err != nil {
+	if err := q.copyRest(response, int64(len(start.body))); err != nil {
 		return dispatch.OutcomeBroken, eris.Wrapf(errTruncated, "%v", err)
 	}
 	return dispatch.OutcomeComplete, nil
 }
 
+// copyRest forwards the body of a response after the bytes that were forwarded already.
+func (q *request) copyRest(response *upstream.Response, forwarded int64) error {
+	if response.ContentLength() >= 0 {
+		_, err := io.Copy(q.w, response)
+		return err
+	}
+	n, err := io.Copy(q.w, io.LimitReader(response, maxUnframedBytes-forwarded))
+	if err == nil && forwarded+n == maxUnframedBytes {
+		err = errEndless
+	}
+	return err
+}
+
 // brokenOutcome returns the outcome of a request that was sent and got no complete response.
 func brokenOutcome(ctx context.Context) dispatch.Outcome {
 	if errors.Is(context.Cause(ctx), errServerTimeout) {
@@ -163,6 +182,7 @@
 func (q *request) forwardStream(a *attempt) (dispatch.Outcome, error) {
 	control := http.NewResponseController(q.w)
 	_ = control.SetWriteDeadline(q.deadline.Add(responseMargin)) // if it fails, a caller that stops reading is detected later
+	idle := 0
 	for first := true; ; first = false {
 		next, err := a.firstEvent, a.firstErr
 		if !first {
@@ -185,7 +205,13 @@
 		if q.firstResponse.IsZero() {
 			q.firstResponse = q.server.timers.Now()
 		}
-		if !q.acceptEvent(next) {
+		isNew := q.acceptEvent(next)
+		if isNew && next.id != "" {
+			idle = 0
+		} else if idle += len(next.raw); idle > maxIdleStreamBytes {
+			return dispatch.OutcomeBroken, eris.Wrapf(errEndless, "after event %q", q.stream.lastID)
+		}
+		if !isNew {
 			continue
 		}
 		q.writeHeader(a.response)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -21,6 +22,7 @@
 	ErrNoResponse = eris.New("upstream: no response")
 
 	errStrayResponses = eris.New("upstream: only responses to other requests received")
+	errNoHead         = eris.Errorf("upstream: %d bytes received without the head of a response", maxBytesBeforeResponse)
 )
 
 // maxIdlePerServer bounds the idle connections to one server.
@@ -125,7 +127,13 @@
 		return
 	}
 	r.closed = true
-	reusable := r.stop() && r.complete && !r.raw.Close && r.conn.requestWritten()
+	r.release(r.stop())
+}
+
+// release keeps the connection for reuse if it is sound and the response is complete, and
+// closes it otherwise.
+func (r *Response) release(sound bool) {
+	reusable := sound && r.complete && !r.raw.Close && r.conn.requestWritten()
 	if reusable && r.conn.reserved {
 		r.conn.reserved = false
 		reusable = r.client.dialer.limitSilence(r.conn.tcp, false) == nil // else another one is opened
@@ -140,6 +148,27 @@
 	r.client.putIdle(r.conn)
 }
 
+// discardTimeout and maxDiscardedBytes bound the reading of a body that is of no interest.
+const (
+	discardTimeout    = time.Second
+	maxDiscardedBytes = 64 << 10
+)
+
+// Discard closes the response once the rest of its body has arrived, so that its connection
+// can be reused. It does not wait for that, and closes the connection of a long body.
+func (r *Response) Discard() {
+	if r.closed || !r.stop() || r.ContentLength() > maxDiscardedBytes {
+		r.Close()
+		return
+	}
+	r.closed = true
+	go func() {
+		late := time.AfterFunc(discardTimeout, func() { r.conn.tcp.Close() })
+		_, err := io.Copy(io.Discard, io.LimitReader(r, maxDiscardedBytes))
+		r.release(late.Stop() && err == nil)
+	}()
+}
+
 // takeIdle returns the most recently used idle connection, or nil if none is reusable
 // for an attempt.
 func (c *Client) takeIdle(address, server, attemptID string) *connection {
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -14,6 +14,9 @@
 const (
 	// bufferBytes is the size of a connection's read and write buffers.
 	bufferBytes = 4 << 10
+	// maxBytesBeforeResponse bounds what a server may send until the head of its response has
+	// ended: the head itself, informational responses and those to earlier requests.
+	maxBytesBeforeResponse = 128 << 10
 	// maxStrayResponses bounds the responses to earlier requests that are skipped on one connection.
 	maxStrayResponses = 4
 	// defaultIdleTimeout applies if the server states no keep-alive timeout.
@@ -28,6 +31,7 @@
 // connection is one connection to a backend server.
 type connection struct {
 	tcp         net.Conn
+	limiter     *readLimiter
 	reader      *bufio.Reader
 	writer      *bufio.Writer
 	server      string
@@ -42,9 +46,10 @@
 }
 
 func newConnection(c net.Conn, server string) *connection {
+	limiter := &readLimiter{r: c}
 	return &connection{
-		tcp: c, server: server, idleTimeout: defaultIdleTimeout,
-		reader: bufio.NewReaderSize(c, bufferBytes), writer: bufio.NewWriterSize(c, bufferBytes),
+		tcp: c, limiter: limiter, server: server, idleTimeout: defaultIdleTimeout,
+		reader: bufio.NewReaderSize(limiter, bufferBytes), writer: bufio.NewWriterSize(c, bufferBytes),
 	}
 }
 
@@ -65,6 +70,7 @@
 	} else {
 		go func() { c.writeErr <- r.write(c.writer, header) }()
 	}
+	c.limiter.limit(maxBytesBeforeResponse)
 	for range maxStrayResponses {
 		response, err := c.readResponse(r.method)
 		if err != nil {
@@ -72,6 +78,7 @@
 		}
 		metadata := headers.DecodeResponse(response.StatusCode, response.Header)
 		if metadata.attemptID == r.attemptID {
+			c.limiter.unlimit()
 			return response, metadata, nil
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
@@ -81,6 +88,31 @@
 	return nil, ResponseMetadata{}, errStrayResponses
 }
 
+// readLimiter limits the bytes that are read from a server while the head of a response is
+// expected.
+type readLimiter struct {
+	r       io.Reader
+	limited bool
+	left    int
+}
+
+func (l *readLimiter) limit(bytes int) { l.limited, l.left = true, bytes }
+
+func (l *readLimiter) unlimit() { l.limited = false }
+
+// Read reads from the server, and fails once it has sent more than the limit.
+func (l *readLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.r.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errNoHead
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // carry records that the connection carries an attempt.
 func (c *connection) carry(attemptID string) {
 	if len(c.attempts) < maxAttemptsKept {
