backend: end streams that send no events

The own interface's client bounds heads and bodies already; lines of a stream that are no data, such as comments, were skipped until the deadline. TestAnswersWithoutEndAreEnded did not end before, in the cases of comments and blank lines.

--- a/backend/stream.go
+++ b/backend/stream.go
@@ -175,9 +175,10 @@
 	return id[:dot], id[dot+1:], true
 }
 
-// nextData returns the data of the next event.
+// nextData returns the data of the next event. Lines without data, such as comments, are
+// skipped, up to maxEventBytes.
 func (s *Stream) nextData() ([]byte, error) {
-	for {
+	for skipped := 0; skipped <= maxEventBytes; {
 		line, err := s.nextLine()
 		if err != nil {
 			return nil, err
@@ -185,7 +186,9 @@
 		if data, ok := bytes.CutPrefix(line, dataField); ok {
 			return bytes.TrimSpace(data), nil
 		}
+		skipped += len(line) + 1
 	}
+	return nil, s.response.fault(FaultTooLarge, nil)
 }
 
 func (s *Stream) nextLine() ([]byte, error) {
