ingress: promise nothing about repeatable requests that a server may have run either

The statuses are promises whatever the request, so such an answer is retried elsewhere, as other failures are, and is 502 if that fails.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -113,7 +113,7 @@
 	if a.response.Metadata().NotRun() {
 		return a.notRun()
 	}
-	if status := a.response.Status(); promisesNotRun(status) && !q.route.Repeatable() {
+	if status := a.response.Status(); promisesNotRun(status) {
 		return dispatch.OutcomeServerError, eris.Wrapf(errFalsePromise, "status %d", status)
 	}
 	if q.route.Kind() == routing.KindStream && a.response.Status() == http.StatusOK {
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -71,7 +71,7 @@
 
 // promisesNotRun reports whether callers take a status as the promise that their request
 // has not run and never will. A server that gives that promise says so beside the status;
-// from one that does not, the status can't be passed on for a request that may run once.
+// from one that does not, the status can't be passed on.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
