soak: servers that state limits, leave, refuse or spoil answers, and a restored store

The stand-ins of these were played against entries in one process alone. The soak now has them beside its other faults, from a source of their own, so that what earlier seeds draw stays: a rate limit until the end of the run, an answer that the server leaves, refusals with a time, requests that run and are answered 503, 429 or 408, heads without end, and a store that comes back from a copy. Requests through entries that were disturbed meanwhile don't count. A mutation for each of the servers' ones is caught.

--- a/cmd/soak/crash.go
+++ b/cmd/soak/crash.go
@@ -106,7 +106,10 @@
 	replaced := !s.drainedAt.IsZero()
 	f.mu.Unlock()
 	s.proxy.close()
-	time.AfterFunc(silenceTime, func() { f.store.RemoveServer(s.ID()) })
+	time.AfterFunc(silenceTime, func() {
+		s.removed.Store(true)
+		f.store.RemoveServer(s.ID())
+	})
 	if replaced {
 		return
 	}
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -146,6 +146,7 @@
 		if undisturbed && last.Sub(s.drainedAt) > drainGrace {
 			f.checker.report("request to a draining server: %s got a request %v after it was published as draining", s.ID(), last.Sub(s.drainedAt))
 		}
+		s.removed.Store(true)
 		f.store.RemoveServer(s.ID())
 	})
 	return s.ID()
@@ -182,14 +183,15 @@
 }
 
 // selectFaults returns the faults with the given names, or all if there are no names;
-// crashingPartFault, which is not drawn with the others, is none of them.
+// crashingPartFault and the statement faults, which are not drawn with the others, are none
+// of them.
 func selectFaults(names []string) ([]fault, error) {
 	if len(names) == 0 {
 		return faults, nil
 	}
 	var out []fault
 	for _, name := range names {
-		if name == crashingPartFault {
+		if name == crashingPartFault || isStatementFault(name) {
 			continue
 		}
 		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"greengagedock.example/platform/platformtest"
@@ -17,14 +18,20 @@
 // backendServer is a backend server behind a proxy.
 type backendServer struct {
 	*platformtest.Server
+	limited       *platformtest.RateLimited
+	availability  *platformtest.Availability
 	servesPrompts bool
-	http          *httptest.Server
-	proxy         *proxy
-	startMs       int64 // Unix time
+	// stating is set while a statement fault has the server.
+	stating atomic.Bool
+	http    *httptest.Server
+	proxy   *proxy
+	startMs int64 // Unix time
 	// drainedAt is when it was published as draining, zero if it was not.
 	drainedAt time.Time
 	// endedAt is when it ended at a part of a prompt, zero if it did not.
 	endedAt time.Time
+	// removed is set once the store lists it no longer.
+	removed atomic.Bool
 }
 
 // releaseTime is how long KV reservations may outlast the last request: a
@@ -51,13 +58,17 @@
 	version        int
 	storeDisturbed intervals
 	crash          *crashingFault
+	statements     []statement
 	stopped        bool
+
+	// statementRandom is the source of the statement faults.
+	statementRandom *rand.Rand
 }
 
 // startFleet starts the store, the backend servers and the entries. After an error
 // nothing of it runs.
 func startFleet(dir, daemon string, seed uint64, entries, servers, port int) (*fleet, error) {
-	f := &fleet{seed: seed, random: rand.New(rand.NewPCG(seed, 1)), store: platformtest.NewStore()}
+	f := &fleet{seed: seed, random: rand.New(rand.NewPCG(seed, 1)), store: platformtest.NewStore(), statementRandom: newStatementRandom(seed)}
 	f.checker.runs = f.runs.Count
 	var err error
 	if f.storeProxy, err = newProxy(strings.TrimPrefix(httptest.NewServer(f.store).URL, "http://")); err != nil {
@@ -106,7 +117,9 @@
 	}
 	s.SetHolds(&f.holds)
 	s.SetCrashingParts(&f.crashing, func() { f.serverEnded(s) })
-	s.http = httptest.NewUnstartedServer(http.HandlerFunc(s.ServeHTTP))
+	s.limited = platformtest.NewRateLimited(s.Server)
+	s.availability = platformtest.NewAvailability(s.limited)
+	s.http = httptest.NewUnstartedServer(s.availability)
 	s.http.Listener = s.Listener(s.http.Listener)
 	s.http.Start()
 	var err error
@@ -265,6 +278,7 @@
 	}
 	time.Sleep(releaseTime)
 	f.checkCrashingPart()
+	f.checkStatements()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.servers {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -164,8 +164,11 @@
 	if len(o.faultNames) == 0 || slices.Contains(o.faultNames, crashingPartFault) {
 		injecting.Go(func() { crashing = f.injectCrashingPart(faultCtx, len(o.faultNames) > 0) })
 	}
+	var stated []string
+	injecting.Go(func() { stated = f.injectStatements(faultCtx, o.faultNames) })
 	injected := f.injectFaults(faultCtx, selected)
 	injecting.Wait()
+	injected = append(injected, stated...)
 	if crashing != "" {
 		injected = append(injected, crashing)
 	}
--- a/cmd/soak/mutation_test.go
+++ b/cmd/soak/mutation_test.go
@@ -66,6 +66,31 @@
 		"p.primary); refused {", "p.primary); refused && retryAfter < 0 {",
 		[]string{crashingPartFault}, "^crashing part not refused: ",
 	},
+	{
+		"rate limits of servers are ignored", "dispatch/ratelimit.go",
+		"func (p *pool) admitsLimited(now time.Time, s *server) bool {\n\tif s.limit.perSecond == 0 {", "func (p *pool) admitsLimited(now time.Time, s *server) bool {\n\tif s != nil {",
+		[]string{"server_limit"}, "^rate limit exceeded: ",
+	},
+	{
+		"leaving servers get new requests", "ingress/notice.go",
+		"if metadata.Leaving() && ", "if metadata.Leaving() && s == nil && ",
+		[]string{"server_leaving"}, "^request to a leaving server: ",
+	},
+	{
+		"refusing servers get new requests", "ingress/notice.go",
+		"wait := metadata.RetryAfter(); wait > 0 {", "wait := metadata.RetryAfter(); wait > 0 && s == nil {",
+		[]string{"server_refusing"}, "^request to a refusing server: ",
+	},
+	{
+		"promise of a server that ran the request is passed on", "ingress/attempt.go",
+		"promisesNotRun(status) {", "promisesNotRun(status) && q == nil {",
+		[]string{"server_promise"}, "^reported as not run, but ran: once ",
+	},
+	{
+		"heads without end are read", "upstream/connection.go",
+		"c.limiter.limit(maxBytesBeforeResponse)", "c.limiter.unlimit()",
+		[]string{"server_endless"}, "^answer without end not ended: ",
+	},
 }
 
 // maxMutationRuns is how many runs may be needed until a violation shows: runs
