--- a/caller/plain_test.go
+++ b/caller/plain_test.go
@@ -33,6 +33,8 @@
 	release  chan struct{}
 	began    chan struct{}
 	truncate bool
+	// body is sent in place of one that repeats the call.
+	body string
 }
 
 func (s *fakeService) serve(w http.ResponseWriter, r *http.Request) {
@@ -52,6 +54,10 @@
 	if s.status != 0 {
 		w.WriteHeader(s.status)
 	}
+	if s.body != "" {
+		io.WriteString(w, s.body)
+		return
+	}
 	fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), body)
 }
 
@@ -116,6 +122,23 @@
 	c.Assert(service.runs.Load(), qt.Equals, int32(1))
 }
 
+// Guards against REFUSED: a status of the service itself, whatever it promises elsewhere,
+// is passed on as its own and stored as the result of a call that ran.
+func TestServicesOwnRefusalIsItsResult(t *testing.T) {
+	c := qt.New(t)
+	for i, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		service, other := &fakeService{status: status, body: "overloaded"}, &fakeService{}
+		e := newTestEntry(t, Limits{}, newFakeServer(t, "service-1", "repairs", service.serve), newFakeServer(t, "service-2", "repairs", other.serve))
+		for range 2 {
+			response, text := e.mustDo(t, "POST", recordsPath, agencyKey, "stove", "X-Request-Id", fmt.Sprint(ownedID, i))
+			c.Assert(response.StatusCode, qt.Equals, status)
+			c.Assert(text, qt.Equals, "overloaded")
+		}
+		c.Assert(service.runs.Load(), qt.Equals, int32(1))
+		c.Assert(other.runs.Load(), qt.Equals, int32(0))
+	}
+}
+
 func TestNonIdempotentCallIsNotRetriedAfterSend(t *testing.T) {
 	draining := http.Header{"X-State": {"leaving"}}
 	crossed := http.Header{"X-Request-Id": {"other"}}
@@ -127,6 +150,8 @@
 		{"cut", &fakeService{truncate: true}, ReasonServerFailed},
 		{"crossed", &fakeService{header: crossed}, ReasonTruncated},
 		{"leaving", &fakeService{status: http.StatusServiceUnavailable, header: draining}, ReasonServerFailed},
+		{"full", &fakeService{status: http.StatusTooManyRequests, body: `{"error":{"reason":"full"}}`}, ReasonServerFailed},
+		{"late", &fakeService{status: http.StatusConflict, body: `{"error":{"reason":"not_after"}}`}, ReasonServerFailed},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
