gateway: tell other entries at once that this one is ready

Pattern: all entries lose power and start again in the same tenth of a second. Callers that waited for the configuration are placed as soon as it is there, and each entry learned that the others were ready only with the next heartbeats, up to 80 ms later.

A change of state now has a round of heartbeats sent at once.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -68,6 +68,8 @@
 	// entries is the number of entries that share the fleet-wide limits.
 	entries atomic.Int64
 	state   atomic.Value // memberState
+	// stateChanged has the next round of heartbeats sent at once.
+	stateChanged chan struct{}
 	// newerPeers carries the address of a peer with a newer revision.
 	newerPeers chan string
 }
@@ -84,6 +86,7 @@
 		schedulers:    make(map[string]string),
 		pendingEvents: make(map[string]*eventsMessage),
 		newerPeers:    make(chan string, 1),
+		stateChanged:  make(chan struct{}, 1),
 	}
 	c.members = members{
 		self: memberMessage{
@@ -211,6 +214,10 @@
 func (c *control) setState(state memberState) {
 	c.members.self.State = state
 	c.state.Store(state)
+	select {
+	case c.stateChanged <- struct{}{}:
+	default: // the next round is due already
+	}
 }
 
 // leave marks this entry as stopping.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -232,6 +232,7 @@
 	tick := c.timers.Every(heartbeatInterval)
 	defer tick.Stop()
 	inFlight := make(map[string]chan struct{})
+	announces := false // a change of this entry's state
 	for round := 0; ; round++ {
 		targets, alone := c.nextRound(round)
 		for _, target := range targets {
@@ -239,7 +240,9 @@
 				select {
 				case <-ended:
 				default:
-					continue // the previous heartbeat is still in flight
+					if !announces {
+						continue // the previous heartbeat is still in flight
+					}
 				}
 			}
 			ended := make(chan struct{})
@@ -252,12 +255,15 @@
 				c.sendHeartbeat(ctx, client, target)
 			}()
 		}
+		due := tick.C()
 		if round < startupRounds || alone {
-			sleep(ctx, startupInterval)
-			continue
+			due = time.After(startupInterval)
 		}
 		select {
-		case <-tick.C():
+		case <-due:
+			announces = false
+		case <-c.stateChanged:
+			announces = true
 		case <-ctx.Done():
 			return
 		}
--- a/gateway/startup_test.go
+++ b/gateway/startup_test.go
@@ -107,3 +107,38 @@
 		}
 	}
 }
+
+// stateOf returns an entry's state as another one knows it.
+func stateOf(p *Process, id string) (state memberState) {
+	p.control.do(func(time.Time) {
+		if known := p.control.members.byID[id]; known != nil {
+			state = known.State
+		}
+	})
+	return state
+}
+
+// Pattern: all entries start again at the same moment and are ready within milliseconds of
+// each other. Each knows at once that the others are ready: until then it takes itself for
+// the scheduler, and places requests on the servers that the others choose as well.
+func TestReadinessIsKnownAtOnce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	own, seed := listenLocal(c), listenLocal(c)
+	address := seed.Addr().String()
+	first := startTestEntry(c, "e1", own, address)
+	second := startTestEntry(c, "e2", seed)
+	c.Assert(knownAfter(first, 1, 3*time.Second) < 3*time.Second, qt.IsTrue)
+	c.Assert(knownAfter(second, 1, 3*time.Second) < 3*time.Second, qt.IsTrue)
+	time.Sleep(startupRounds * startupInterval) // heartbeats are further apart by now
+	for i := range 6 {
+		state := []memberState{memberReady, memberStarting}[i%2]
+		second.control.do(func(time.Time) { second.control.setState(state) })
+		start := time.Now()
+		for stateOf(first, "e2") != state && time.Since(start) < heartbeatInterval {
+			time.Sleep(time.Millisecond)
+		}
+		c.Assert(time.Since(start) < heartbeatInterval/4, qt.IsTrue, qt.Commentf("%s after %v", state, time.Since(start)))
+		time.Sleep(time.Duration(i) * heartbeatInterval / 6)
+	}
+}
