dispatch: don't take a scheduler that has just started for an idle fleet

Pattern: all entries lose power in a burst and start again. A prompt that exceeds the memory of one engine waits while the recent load is high, and the load that a fresh scheduler has seen is almost nothing.

The decayed sum of recent prefill is now divided by the fraction of it that the scheduler can have seen since it began.

--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -16,6 +16,9 @@
 	}
 	p.primary = primary
 	p.fillLimits(now)
+	if primary {
+		p.observedFrom = now
+	}
 	if !primary {
 		p.quarantine.Forget()
 		p.settling = nil
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -58,8 +58,10 @@
 	ticking          bool
 	cachedCandidates []*server
 	// primary is set while this scheduler places the requests of all entries.
-	primary    bool
-	quarantine quarantine.Registry
+	primary bool
+	// observedFrom is when this scheduler began to place the requests of all entries.
+	observedFrom time.Time
+	quarantine   quarantine.Registry
 	// limitedReturn is when the last caller may return that was refused because all
 	// servers have a rate limit.
 	limitedReturn time.Time
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -449,6 +449,44 @@
 	c.Assert(f.scheduler.pools["llm"].suspendedCandidates(f.now, request), qt.HasLen, 0)
 }
 
+// Pattern: all entries lose power in a burst and start again. The callers come back at the
+// same moment, and a scheduler that has just started has placed nothing yet; that is no
+// idleness in which a prompt may take eleven of fourteen servers for seconds.
+func TestFreshSchedulerIsNotTakenForIdle(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(14, 0)
+	short := func(i int) {
+		id := fmt.Sprint("s", i)
+		if _, ok := f.scheduler.Submit(f.now, f.owner, f.short(id, 4000)).(Granted); !ok {
+			c.Fatalf("short prompt %d waits", i)
+		}
+		f.now = f.now.Add(5 * time.Millisecond)
+		f.scheduler.Started(f.now, id)
+		f.scheduler.Ended(f.now, id, OutcomeComplete)
+	}
+	for i := range 5 {
+		short(i)
+	}
+	spread := f.prompt("spread", 434_966, 4*time.Second, time.Second)
+	c.Assert(f.scheduler.Submit(f.now, f.owner, spread), qt.Equals, Queued{})
+	for i := 5; i < 200; i++ {
+		short(i)
+		c.Assert(f.scheduler.Tick(f.now), qt.HasLen, 0)
+	}
+
+	// The scheduler of an idle fleet places it at once, and so does this one soon after.
+	idle := newFleet(14, 0)
+	idle.granted(c, idle.prompt("spread", 434_966, 4*time.Second, time.Second))
+	var decisions []Decision
+	for len(decisions) == 0 && f.now.Before(spread.Objective()) {
+		f.now = f.now.Add(TickInterval)
+		decisions = f.scheduler.Tick(f.now)
+	}
+	c.Assert(decisions, qt.HasLen, 1)
+	_, granted := decisions[0].(Granted)
+	c.Assert(granted, qt.IsTrue)
+}
+
 // A prompt that exceeds one engine's memory must wait during a burst of long prompts,
 // since its prefill takes longer than several prompts that can meet their objectives.
 func TestSpreadPromptWaitsForLowerLoad(t *testing.T) {
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -18,6 +18,9 @@
 	maxSpreadLoad = 0.6
 	idleLoad      = 0.1
 	loadDecayTime = 3 * time.Second
+	// minObservedTime is the shortest time from which the load of a scheduler that has just
+	// started is estimated.
+	minObservedTime = 50 * time.Millisecond
 )
 
 // load returns the fraction of the servers' time that recent prefill and the added
@@ -27,7 +30,14 @@
 	if usable == 0 {
 		return 1
 	}
-	return float64(p.recentPrefillTime(now)+added) / (float64(loadDecayTime) * float64(usable))
+	return (float64(p.recentPrefillTime(now))/p.observedFraction(now, loadDecayTime) + float64(added)) / (float64(loadDecayTime) * float64(usable))
+}
+
+// observedFraction returns the fraction of a sum that decays over a time constant that this
+// scheduler can have seen since it began to place all requests. What it has not seen was
+// not nothing.
+func (p *pool) observedFraction(now time.Time, decay time.Duration) float64 {
+	return -math.Expm1(-float64(max(now.Sub(p.observedFrom), minObservedTime)) / float64(decay))
 }
 
 // recentPrefillTime returns the recently placed prefill time, with exponential decay.
