dispatch: wait for a suspended server without a rate limit

While the only server without a limit was suspended for 400 ms after a failure, requests over the limits of the others were refused at once. TestSuspendedServerWithoutLimitIsWaitedFor failed before.

--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -103,17 +103,21 @@
 	free float64 // the number of requests for which there is room now
 }
 
-// limitedCapacity returns what the rate limits of all servers that may get requests leave.
-// It reports false if one of them has no limit, or there is none.
+// limitedCapacity returns what the rate limits of a service's servers leave. It reports false
+// if a server that wants requests has no limit, also one that is suspended for a while, or if
+// there is none.
 func (p *pool) limitedCapacity(now time.Time) (out limitedCapacity, limited bool) {
 	for _, s := range p.order {
-		if !s.available(now) && !s.availableInNeed(now) {
+		if !s.usable || now.Before(s.refusesUntil) {
 			continue
 		}
 		if s.limit.perSecond == 0 {
 			return limitedCapacity{}, false
 		}
 		limited = true
+		if !s.available(now) && !s.availableInNeed(now) {
+			continue
+		}
 		rate := s.limit.perSecond * p.rateLimitShare
 		out.rate += rate
 		out.free += 1 - max(0, s.limit.bucket.levelAt(now, rate)-1)
@@ -134,9 +138,12 @@
 	if !limited {
 		return nil
 	}
-	if capacity.rate == 0 {
+	if p.rateLimitShare == 0 {
 		return NewRefused(request.id, ReasonServersLimited, retryAfterNoServer) // other entries use them
 	}
+	if capacity.rate == 0 {
+		return nil // all of them are suspended for a while
+	}
 	freeAt := now.Add(capacity.wait(ahead))
 	if !freeAt.After(p.queueDeadline(request)) {
 		return nil
--- a/dispatch/ratelimit_test.go
+++ b/dispatch/ratelimit_test.go
@@ -265,6 +265,28 @@
 	c.Assert(decisions[0].(Refused).ID(), qt.Not(qt.Equals), "urgent")
 }
 
+// Guards against callers that are refused although a server without a rate limit may take
+// them soon: one that is suspended after a failure, or full.
+func TestSuspendedServerWithoutLimitIsWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	for _, outcome := range []Outcome{OutcomeUnreachable, OutcomeBroken, OutcomeRejected} {
+		f := newFleet(2, 0)
+		f.limit("e00", 0.5)
+		f.scheduler.Ended(f.now, f.granted(c, f.short("r1", 1000)).ID(), outcome)
+		request := f.short("r2", 1000).WithExclude("e01")
+		decisions := []Decision{f.scheduler.Submit(f.now, f.owner, request)}
+		if _, queued := decisions[0].(Queued); queued {
+			for decisions = nil; decisions == nil; {
+				f.now = f.now.Add(TickInterval)
+				decisions = f.scheduler.Tick(f.now)
+			}
+		}
+		granted, ok := decisions[0].(Granted)
+		c.Assert(ok, qt.IsTrue, qt.Commentf("%s", outcome))
+		c.Assert(granted.Grant().Server(), qt.Equals, "e01", qt.Commentf("%s", outcome))
+	}
+}
+
 // Guards against queued requests that wait in vain: those that arrive later do not take
 // the little that the rate limits of all servers leave.
 func TestQueuedRequestsGoFirstUnderRateLimits(t *testing.T) {
