upstream: close idle connections on which bytes arrive

A server that goes on sending after a complete response filled the receive buffer of its kept connection, which counts as memory of the process, until the connection timed out or was to be used again.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -211,8 +211,8 @@
 	c.idle[conn.server] = append(c.idle[conn.server], conn)
 }
 
-// Sweep closes idle connections that timed out, and those to servers for which
-// keep returns false.
+// Sweep closes idle connections that timed out or on which something arrived, and those to
+// servers for which keep returns false.
 func (c *Client) Sweep(keep func(server string) bool) {
 	now := c.timers.Now()
 	c.mu.Lock()
@@ -220,7 +220,7 @@
 	for server, list := range c.idle {
 		kept := list[:0]
 		for _, conn := range list {
-			if keep(server) && now.Sub(conn.idleAt) < conn.idleTimeout {
+			if keep(server) && conn.reusable(now) {
 				kept = append(kept, conn)
 				continue
 			}
