--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -1,43 +1,28 @@
 package backend
 
 import (
-	"bufio"
-	"fmt"
 	"io"
-	"net"
-	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengagedock.example/endlesstest"
 )
 
-// newEndlessServer returns the address of a server that answers with a beginning and then
-// repeats a text until the client closes the connection, which ended tells.
-func newEndlessServer(c *qt.C, beginning, repeated string) (address string, ended chan struct{}) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { listener.Close() })
-	ended = make(chan struct{})
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer close(ended)
-		defer conn.Close()
-		if _, err = http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return
-		}
-		_, err = fmt.Fprint(conn, beginning)
-		text := []byte(strings.Repeat(repeated, 4096/len(repeated)))
-		for err == nil {
-			_, err = conn.Write(text)
+// readEndless reads a response to its end or the first error.
+func readEndless(response *Response, stream bool) error {
+	if !stream {
+		_, err := response.Body(1 << 20)
+		return err
+	}
+	events := response.Stream(func() error { return nil })
+	for {
+		if _, err := events.Next(); err != nil {
+			return err
 		}
-	}()
-	return listener.Addr().String(), ended
+	}
 }
 
 // Guards against answers without end, of which a few use up the memory of an entry or hold
@@ -71,29 +56,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			address, ended := newEndlessServer(c, test.beginning, test.repeated)
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
+			server := endlesstest.ServeText(t, test.beginning, test.repeated)
 			start := time.Now()
-			response, failure := send(c, new(Client), address, start.Add(time.Minute), same)
-			if failure == nil {
-				var err error
-				if test.stream {
-					stream := response.Stream(func() error { return nil })
-					for err == nil {
-						_, err = stream.Next()
-					}
-				} else {
-					_, err = response.Body(1 << 20)
+			allocated := endlesstest.Allocated(func() {
+				response, failure := send(c, new(Client), server.Address(), start.Add(time.Minute), same)
+				if failure == nil {
+					err := readEndless(response, test.stream)
+					response.Close()
+					c.Assert(err, qt.IsNotNil)
+					c.Assert(err, qt.Not(qt.Equals), io.EOF)
 				}
-				response.Close()
-				c.Assert(err, qt.IsNotNil)
-				c.Assert(err, qt.Not(qt.Equals), io.EOF)
-			}
-			<-ended
-			runtime.ReadMemStats(&after)
+				<-server.Ended()
+			})
 			c.Assert(time.Since(start) < maxTime, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
-			c.Assert(after.TotalAlloc-before.TotalAlloc < maxAllocation, qt.IsTrue, qt.Commentf("%d bytes", after.TotalAlloc-before.TotalAlloc))
+			c.Assert(allocated < maxAllocation, qt.IsTrue, qt.Commentf("%d bytes", allocated))
 		})
 	}
 }
--- a/cmd/soak/statements.go
+++ b/cmd/soak/statements.go
@@ -50,16 +50,12 @@
 
 // drawStatementServer returns a server that states nothing yet, nil if there is none.
 func (f *fleet) drawStatementServer() *backendServer {
-	servers := slices.DeleteFunc(f.active(), func(s *backendServer) bool { return s.stating.Swap(true) })
+	servers := slices.DeleteFunc(f.active(), func(s *backendServer) bool { return s.stating.Load() })
 	if len(servers) == 0 {
 		return nil
 	}
 	drawn := servers[f.statementRandom.IntN(len(servers))]
-	for _, s := range servers {
-		if s != drawn {
-			s.stating.Store(false)
-		}
-	}
+	drawn.stating.Store(true)
 	return drawn
 }
 
--- /dev/null
+++ b/endlesstest/doc.go
@@ -0,0 +1,2 @@
+// Package endlesstest provides servers for tests whose answers do not end.
+package endlesstest
--- a/ingress/endless_test.go
+++ b/ingress/endless_test.go
@@ -1,11 +1,7 @@
 package ingress
 
 import (
-	"bufio"
-	"fmt"
-	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -13,35 +9,14 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengagedock.example/dispatch"
+	"greengagedock.example/endlesstest"
 )
 
 // newEndlessBackend returns a server that answers with a beginning and then repeats a text
 // until the entry closes the connection, which ended tells.
-func newEndlessBackend(c *qt.C, beginning, repeated string) (b *backend, ended chan struct{}) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { listener.Close() })
-	b, ended = &backend{address: listener.Addr().String()}, make(chan struct{})
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer close(ended)
-		defer conn.Close()
-		r, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
-		if _, err = fmt.Fprint(conn, strings.ReplaceAll(beginning, "ID", r.Header.Get("Id"))); err != nil {
-			return
-		}
-		text := []byte(strings.Repeat(repeated, max(1, 4096/len(repeated))))
-		for err == nil {
-			_, err = conn.Write(text)
-		}
-	}()
-	return b, ended
+func newEndlessBackend(c *qt.C, beginning, repeated string) (b *backend, ended <-chan struct{}) {
+	server := endlesstest.Serve(c, func(r *http.Request) string { return strings.ReplaceAll(beginning, "ID", r.Header.Get("Id")) }, repeated)
+	return &backend{address: server.Address()}, server.Ended()
 }
 
 // endlessHeads are answers whose head does not end, or that never come.
@@ -73,15 +48,6 @@
 	"other bytes":    {"HTTP/1.1 200 X\r\nId: ID\r\n\r\n", "\x00"},
 }
 
-// heapGrowth returns by how many bytes a function makes the process allocate.
-func heapGrowth(f func()) uint64 {
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	f()
-	runtime.ReadMemStats(&after)
-	return after.TotalAlloc - before.TotalAlloc
-}
-
 const (
 	// maxEndlessTime is the time after which an entry has done with a server that sends
 	// without end: far less than the time of the callers.
@@ -100,7 +66,7 @@
 			first, ended := newEndlessBackend(c, answer[0], answer[1])
 			b := newTestbedOn(c, first, newBackend(c, whole))
 			start := time.Now()
-			allocated := heapGrowth(func() {
+			allocated := endlesstest.Allocated(func() {
 				response, _, err := b.do(b.request(http.MethodPost, path, "x"))
 				c.Assert(err, qt.IsNil)
 				c.Assert(response.StatusCode, qt.Equals, status)
@@ -139,20 +105,21 @@
 	} {
 		c.Run(name, func(c *qt.C) {
 			var first *backend
-			ended := make(chan struct{})
+			var ended <-chan struct{}
 			if answer[1] != "" {
 				first, ended = newEndlessBackend(c, answer[0], answer[1])
 			} else {
 				first = newBackend(c, answer[0]+silence)
 				first.silenceTime = time.Second
-				close(ended)
 			}
 			b := newTestbedOn(c, first, newBackend(c, fullResponse(http.StatusOK, "whole")))
 			start := time.Now()
 			response, _, err := b.do(b.request(http.MethodPost, "/once/", "x"))
 			c.Assert(err, qt.IsNil)
 			c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
-			<-ended
+			if ended != nil {
+				<-ended
+			}
 			c.Assert(time.Since(start) < maxEndlessTime, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
 		})
 	}
