soak: excuse entries that have forgotten what a server stated

The check now asks, as the rule does, whether the entry of a request got such an answer before and was not disturbed since, or no entry was.

--- a/cmd/soak/statements.go
+++ b/cmd/soak/statements.go
@@ -17,6 +17,9 @@
 	// count, in any limitWindow.
 	limitSettle = 3 * time.Second
 	limitWindow = 4 * time.Second
+	// toldBefore is how long before a request its entry must have got an answer with the
+	// limit for the request to count.
+	toldBefore = 500 * time.Millisecond
 	// leavingGrace is how long after a server first answered that it leaves it may still
 	// get requests.
 	leavingGrace = 2 * time.Second
@@ -188,27 +191,31 @@
 // newStatementRandom returns the source of the statement faults of a run.
 func newStatementRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 3)) }
 
+// arrival is a request that reached a server through an entry.
+type arrival struct {
+	at    time.Time
+	entry *entry
+}
+
 // checkStatements checks what reached servers that stated a rate limit or that they leave,
 // and how much servers could send of answers without end. Requests through entries that
-// were disturbed meanwhile don't count.
+// were disturbed meanwhile don't count, nor do those through entries that have forgotten
+// what a server stated.
 func (f *fleet) checkStatements() {
 	arrivals := f.undisturbedArrivals()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.statements {
-		times := arrivals[s.server.ID()]
+		reached := arrivals[s.server.ID()]
 		switch {
 		case s.leaving:
-			from := s.server.availability.ToldAt()
-			if last := len(times) - 1; !from.IsZero() && last >= 0 && times[last].Sub(from) > leavingGrace {
-				f.checker.report("request to a leaving server: %s got one %v after it answered so", s.server.ID(), times[last].Sub(from))
+			told := s.server.availability.ToldAt()
+			if late := f.boundArrivals(reached, told, leavingGrace); len(late) > 0 {
+				f.checker.report("request to a leaving server: %s got one %v after it answered so", s.server.ID(), late[len(late)-1].Sub(told))
 			}
 		case s.perSecond > 0:
-			from := s.server.limited.StatedAt()
-			if from.IsZero() {
-				continue
-			}
-			times = slices.DeleteFunc(slices.Clone(times), func(at time.Time) bool { return at.Before(from.Add(limitSettle)) })
+			told := s.server.limited.StatedAt()
+			times := slices.DeleteFunc(f.boundArrivals(reached, told, toldBefore), func(at time.Time) bool { return at.Sub(told) < limitSettle })
 			allowed := platformtest.AllowedUnderLimit(s.perSecond, limitWindow.Seconds())
 			if n := platformtest.MostWithin(limitWindow, times); n > allowed {
 				f.checker.report("rate limit exceeded: %s with %v a second got %d requests in %v, allowed %d", s.server.ID(), s.perSecond, n, limitWindow, allowed)
@@ -222,10 +229,33 @@
 	}
 }
 
-// undisturbedArrivals returns when requests reached each server through entries that were
-// not disturbed while the request was open, in ascending order.
-func (f *fleet) undisturbedArrivals() map[string][]time.Time {
-	out := make(map[string][]time.Time)
+// boundArrivals returns the times of the arrivals at a server that are bound by what it
+// first stated at told: their entry got an answer with the statement so long before, and was
+// not disturbed since, or no entry was.
+func (f *fleet) boundArrivals(arrivals []arrival, told time.Time, before time.Duration) []time.Time {
+	var out []time.Time
+	if told.IsZero() {
+		return nil
+	}
+	for _, a := range arrivals {
+		knows := slices.ContainsFunc(arrivals, func(earlier arrival) bool {
+			return earlier.entry == a.entry && !earlier.at.Before(told) && a.at.Sub(earlier.at) > before && a.entry.undisturbed(earlier.at, a.at)
+		})
+		if knows || a.at.Sub(told) > before && f.entriesUndisturbed(told, a.at) {
+			out = append(out, a.at)
+		}
+	}
+	return out
+}
+
+// undisturbedArrivals returns the requests that reached each server through entries that
+// were not disturbed while the request was open, in the order of their arrival.
+func (f *fleet) undisturbedArrivals() map[string][]arrival {
+	entries := make(map[string]*entry)
+	for _, e := range f.entries {
+		entries[e.name] = e
+	}
+	out := make(map[string][]arrival)
 	for _, r := range f.checker.all() {
 		if !r.undisturbed {
 			continue
@@ -233,13 +263,13 @@
 		f.mu.Lock()
 		for _, s := range f.servers {
 			for _, a := range s.Attempts(r.id) {
-				out[s.ID()] = append(out[s.ID()], a.Received())
+				out[s.ID()] = append(out[s.ID()], arrival{a.Received(), entries[r.entry]})
 			}
 		}
 		f.mu.Unlock()
 	}
-	for _, times := range out {
-		slices.SortFunc(times, time.Time.Compare)
+	for _, reached := range out {
+		slices.SortFunc(reached, func(a, b arrival) int { return a.at.Compare(b.at) })
 	}
 	return out
 }
