--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -6,7 +6,8 @@
 	"greengagedock.example/routing"
 )
 
-// fullLevel is the highest level of a leaky bucket: it admits requests below 1.
+// fullLevel is the highest level of a leaky bucket. A bucket admits requests below level 1,
+// so that two may follow each other at once after a pause.
 const fullLevel = 2
 
 // leakyBucket limits the rate of requests. Its zero value is empty.
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -33,9 +33,9 @@
 	return (float64(p.recentPrefillTime(now))/p.observedFraction(now, loadDecayTime) + float64(added)) / (float64(loadDecayTime) * float64(usable))
 }
 
-// observedFraction returns the fraction of a sum that decays over a time constant that this
-// scheduler can have seen since it began to place all requests. What it has not seen was
-// not nothing.
+// observedFraction returns the fraction of an exponentially decaying sum that this scheduler
+// can have collected since it began to place all requests; the rest of it, placed by others
+// before, is unknown. Dividing by it corrects the bias of a short history.
 func (p *pool) observedFraction(now time.Time, decay time.Duration) float64 {
 	return -math.Expm1(-float64(max(now.Sub(p.observedFrom), minObservedTime)) / float64(decay))
 }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -35,6 +35,9 @@
 	// restartRounds is by how many rounds entries may differ that started together;
 	// if all entries are fresh, any of them schedules.
 	restartRounds = 5
+	// nextInLineShare is the fraction of the servers' rate limits that the entry next in line
+	// may use beside the scheduler.
+	nextInLineShare = 0.5
 	// minCPUCores is the lowest weight of an entry in the directory; an entry with
 	// unknown cores gets it.
 	minCPUCores = 0.05
@@ -235,7 +238,7 @@
 	if before > 1 {
 		return 0
 	}
-	return 0.5
+	return nextInLineShare
 }
 
 // maySchedule reports whether the entry is ready, was heard recently and is not
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -232,7 +232,7 @@
 	tick := c.timers.Every(heartbeatInterval)
 	defer tick.Stop()
 	inFlight := make(map[string]chan struct{})
-	announces := false // a change of this entry's state
+	announces := false // whether this round announces a change of this entry's state
 	for round := 0; ; round++ {
 		targets, alone := c.nextRound(round)
 		for _, target := range targets {
