ingress: log what identifies a request that comes again

The logs of a request that crashes server after server don't show that it is the same one: each attempt has an id of its own, and prompt parts exist for engines only. Each failed send now names a hash of account, method, host, target and body.

--- a/ingress/request.go
+++ b/ingress/request.go
@@ -57,6 +57,8 @@
 	outgoing upstream.Request
 	deadline time.Time
 	parts    []quarantine.Part
+	// fingerprint identifies what comes again if a caller repeats the request.
+	fingerprint quarantine.Fingerprint
 
 	firstResponse time.Time
 	lastGrant     dispatch.Grant
@@ -94,6 +96,7 @@
 	if !strings.HasPrefix(target, "/") {
 		target = q.r.URL.RequestURI()
 	}
+	q.fingerprint = quarantine.NewFingerprint(q.account.Name(), q.r.Method, hostName(q.r.Host), target, body)
 	q.outgoing = upstream.NewRequest(q.metadata.attemptID, q.r.Method, target, q.r.Host, q.r.Header, body)
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
@@ -243,7 +246,7 @@
 
 func (q *request) logFailure(a *attempt, outcome dispatch.Outcome, err error) {
 	q.server.log.Info("send failed", "id", q.id, "send", a.number, "server", a.grant.Server(), "outcome", string(outcome),
-		"parts", strings.Join(q.metadata.sharedParts, ","), "error", err)
+		"parts", strings.Join(q.metadata.sharedParts, ","), "fingerprint", q.fingerprint, "error", err)
 }
 
 // countFailure counts a failed attempt; q.mu must be held.
