--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -34,6 +34,8 @@
 	engines map[string]*standin.Engine
 	service *standin.Service
 	entries []*Process
+	// callIDs counts the IDs of the calls that must run at most once.
+	callIDs int
 }
 
 // published holds the instances that the fleet's platform lists.
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -69,6 +69,8 @@
 	// crashingPart is a part of a prompt at which the server ends: it closes the
 	// connection without a response.
 	crashingPart string
+	// crashingBody is the body of a request at which the server ends in the same way.
+	crashingBody string
 	// keeps has the server keep its connections, and answer each request with the step of
 	// its connection.
 	keeps bool
@@ -134,6 +136,9 @@
 	if b.crashingPart != "" && slices.Contains(strings.Split(r.Header.Get("Parts"), ","), b.crashingPart) {
 		return false
 	}
+	if b.crashingBody != "" && string(body) == b.crashingBody {
+		return false
+	}
 	if step == hang {
 		_, _ = reader.ReadByte() // returns when the connection is closed
 		return false
--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -81,3 +81,64 @@
 	c.Assert(reached <= maxCrashes, qt.IsTrue, qt.Commentf("%d requests reached servers", reached))
 	c.Assert(refused >= crashingRequests-maxCrashes, qt.IsTrue, qt.Commentf("%d refused", refused))
 }
+
+const (
+	// repeats is how often a caller sends the request that crashes servers in a test.
+	repeats = 12
+	// maxRepeats is the number of servers that may end before the request is known, and of
+	// retries that may reach one afterwards.
+	maxRepeats = 3 + 3
+)
+
+// Guards against BUDGET: a caller sends a request again and again that crashes each server
+// that begins to run it, whatever its prompt.
+func TestRepeatedRequestThatCrashesServersIsRefused(t *testing.T) {
+	for _, path := range []string{"/once/x", "/again/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			answer := fullResponse(http.StatusOK, "sound")
+			if strings.HasPrefix(path, "/stream/") {
+				answer = streamResponse(threeEvents, true)
+			}
+			var backends []*backend
+			servers := make(map[string]routing.Server)
+			for i := range 3 * repeats {
+				b := newBackend(c, slices.Repeat([]string{answer}, 2*repeats)...)
+				b.crashingBody = "bad"
+				backends = append(backends, b)
+				id := fmt.Sprint("s", i)
+				servers[id] = routing.NewServer(id, "desk", b.address, "a", 6)
+			}
+			b := newTestbedOn(c, backends...)
+			b.view.Store(routing.NewView(routing.NewRevision(0, 2), testTable(), servers, nil))
+			b.server.scheduler = newLocalScheduler(b.view.Load())
+			refused := 0
+			for i := range repeats {
+				time.Sleep(crashInterval)
+				for _, body := range []string{"bad", fmt.Sprint("sound ", i)} {
+					r := b.request(http.MethodPost, path, body)
+					r.Header.Set("Id", fmt.Sprint(body, " ", i))
+					response, _, err := b.do(r)
+					c.Assert(err, qt.IsNil)
+					switch {
+					case body != "bad":
+						c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+					case response.StatusCode == http.StatusServiceUnavailable:
+						c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+						refused++
+					}
+				}
+			}
+			reached := 0
+			for _, backend := range backends {
+				for _, seen := range backend.seen() {
+					if strings.HasSuffix(seen, "body=bad") {
+						reached++
+					}
+				}
+			}
+			c.Assert(reached <= maxRepeats, qt.IsTrue, qt.Commentf("%d requests reached servers", reached))
+			c.Assert(refused >= repeats-maxRepeats, qt.IsTrue, qt.Commentf("%d refused", refused))
+		})
+	}
+}
