quarantine: refuse a request that crashes the servers that run it

Cause: evidence about crashes exists for parts of prompts only. A request without any, or to a service without engines, is retried and comes again without end; each end of a server is blamed on the server (a query of death).

Ruled out: returning servers are cold and flooded (the first three ends of each spell were warm, each with one send of the same account and route, at an entry of its own); the evidence is there but not enough of it (it has no part to be recorded under).

Change: a request is known by a cryptographic hash of account, method, host, target and body. Each scheduler that sees a server end under it, and each entry that sent it, records the server's incarnation; what they know merges in any order and spreads with heartbeats, from the first end on, so that it survives a change of the scheduler. After three servers, at two moments or more and not all of them explained by another request, it is refused at once. It is let through twice for good, after 30 s and 10 min, by the scheduler alone. A request that settles is cleared.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -65,7 +65,7 @@
 	ReasonBusy Reason = "busy"
 	// ReasonPastDeadline means that the deadline has passed, or that the request can't be served in time.
 	ReasonPastDeadline Reason = "too_late"
-	// ReasonQuarantined means that requests with the same part of a prompt crash servers.
+	// ReasonQuarantined means that the same request, or ones with the same part of a prompt, crash servers.
 	ReasonQuarantined Reason = "quarantined"
 	// ReasonTooLarge means that no server has enough memory.
 	ReasonTooLarge Reason = "too_large"
@@ -183,12 +183,15 @@
 	maxTokenInterval time.Duration
 	started          bool
 	parts            []quarantine.Part
+	fingerprint      quarantine.Fingerprint
 }
 
 // NewRunningRequest returns the running request of a request on a server and its
 // prefill workers, before its first event.
 func NewRunningRequest(request Request, server string, prefillWorkers []string) RunningRequest {
-	return RestoreRunningRequest(request.id, request.service, server, prefillWorkers, request.prompt, request.answer, request.maxTokenInterval, false).WithParts(request.parts...)
+	running := RestoreRunningRequest(request.id, request.service, server, prefillWorkers, request.prompt, request.answer, request.maxTokenInterval, false)
+	running.parts, running.fingerprint = request.parts, request.fingerprint
+	return running
 }
 
 // RestoreRunningRequest returns a running request with the values that its owner reports.
@@ -196,12 +199,6 @@
 	return RunningRequest{id: id, service: service, server: server, prefillWorkers: prefillWorkers, prompt: prompt, answer: answer, maxTokenInterval: maxTokenInterval, started: started}
 }
 
-// WithParts returns the running request with the parts of its prompt that others may share.
-func (r RunningRequest) WithParts(parts ...quarantine.Part) RunningRequest {
-	r.parts = parts
-	return r
-}
-
 // Parts returns the parts of the prompt that others may share.
 func (r RunningRequest) Parts() []quarantine.Part { return r.parts }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -59,6 +59,7 @@
 		return p.queueOrRefuse(now, request, ReasonBusy)
 	}
 	p.quarantine.Sent(now, request.parts)
+	p.repeats.Sent(now, request.fingerprint)
 	return NewGranted(sched.place(now, p, owner, request, choice))
 }
 
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -48,8 +48,43 @@
 	}
 }
 
-// refuseQuarantined refuses a request with parts that crash servers, nil if it has none.
+// Repeats returns what is known of requests to a service that may come again.
+func (sched *Scheduler) Repeats(service string) []quarantine.Repeat {
+	if p := sched.pools[service]; p != nil {
+		return p.repeats.Known()
+	}
+	return nil
+}
+
+// RefusedRepeats returns the requests to a service that are refused since they crash servers.
+func (sched *Scheduler) RefusedRepeats(service string) []quarantine.Repeat {
+	if p := sched.pools[service]; p != nil {
+		return p.repeats.Refused()
+	}
+	return nil
+}
+
+// RepeatsDigest returns a hash of Repeats, 0 if there are none.
+func (sched *Scheduler) RepeatsDigest(service string) uint64 {
+	if p := sched.pools[service]; p != nil {
+		return p.repeats.Digest()
+	}
+	return 0
+}
+
+// MergeRepeats adds what another scheduler knows of requests to a service.
+func (sched *Scheduler) MergeRepeats(now time.Time, service string, repeats []quarantine.Repeat) {
+	if p := sched.pools[service]; p != nil {
+		p.repeats.Merge(now, repeats)
+	}
+}
+
+// refuseQuarantined refuses a request that crashes servers, or has parts that do. It
+// returns nil for any other.
 func (p *pool) refuseQuarantined(now time.Time, request Request) Decision {
+	if retryAfter, refused := p.repeats.Check(now, request.fingerprint, p.primary); refused {
+		return NewRefused(request.id, ReasonQuarantined, retryAfter)
+	}
 	if request.resumed {
 		return nil // what already wrote events crashes no server as it begins to
 	}
@@ -59,6 +94,26 @@
 	return nil
 }
 
+// recordRepeat records what the end of a request says about the same request. Each
+// scheduler that knows of it does so, not only the primary one.
+func (sched *Scheduler) recordRepeat(now time.Time, alloc *allocation, outcome Outcome) {
+	p := sched.pools[alloc.service]
+	if p == nil {
+		return
+	}
+	switch {
+	case outcome == OutcomeComplete, outcome == OutcomeServerError, alloc.hasSettled(now):
+		p.repeats.Settled(now, alloc.fingerprint)
+	case outcome == OutcomeBroken:
+		p.repeats.Crashed(now, alloc.assigned.info.Incarnation().String(), alloc.fingerprint)
+	}
+}
+
+// hasSettled reports whether the answer of a running request has gone on for long enough.
+func (alloc *allocation) hasSettled(now time.Time) bool {
+	return alloc.started && now.Sub(alloc.startedAt) >= quarantine.SettleTime
+}
+
 // learnsFrom reports whether a request says anything about parts of prompts: one without
 // such parts may, too.
 func (p *pool) learnsFrom(alloc *allocation) bool {
@@ -85,6 +140,7 @@
 		p.settling = nil // frees the array
 	}
 	p.quarantine.Evaluate(now)
+	p.repeats.Expire(now)
 }
 
 // recordEvidence records what the end of a request says about the parts of its prompt.
@@ -93,7 +149,7 @@
 	if p == nil || !p.primary || !p.learnsFrom(alloc) {
 		return
 	}
-	settled := alloc.started && (outcome == OutcomeComplete || now.Sub(alloc.startedAt) >= quarantine.SettleTime)
+	settled := alloc.started && outcome == OutcomeComplete || alloc.hasSettled(now)
 	switch {
 	case settled:
 		p.quarantine.Settled(now, alloc.parts)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -38,6 +38,7 @@
 	maxTokenInterval   time.Duration
 	exclude            []string
 	parts              []quarantine.Part
+	fingerprint        quarantine.Fingerprint
 	resumed            bool
 }
 
@@ -97,6 +98,12 @@
 	return r
 }
 
+// WithFingerprint returns the request with what identifies it if its caller repeats it.
+func (r Request) WithFingerprint(fingerprint quarantine.Fingerprint) Request {
+	r.fingerprint = fingerprint
+	return r
+}
+
 // WithResumed returns the request with whether its caller already has events of its answer.
 func (r Request) WithResumed(resumed bool) Request {
 	r.resumed = resumed
@@ -145,3 +152,6 @@
 
 // Parts returns the parts of the prompt that others may share.
 func (r Request) Parts() []quarantine.Part { return r.parts }
+
+// Fingerprint returns what identifies the request if its caller repeats it.
+func (r Request) Fingerprint() quarantine.Fingerprint { return r.fingerprint }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -62,6 +62,8 @@
 	// observedFrom is when this scheduler began to place the requests of all entries.
 	observedFrom time.Time
 	quarantine   quarantine.Registry
+	// repeats holds what is known of requests that come again.
+	repeats quarantine.Repeats
 	// limitedReturn is when the last caller may return that was refused because all
 	// servers have a rate limit.
 	limitedReturn time.Time
@@ -232,6 +234,7 @@
 		s.recordOutcome(now, outcome)
 	}
 	sched.recordEvidence(now, alloc, outcome)
+	sched.recordRepeat(now, alloc, outcome)
 	sched.release(now, alloc)
 }
 
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -82,6 +82,10 @@
 	// Baseline is the packed storeCache.baseline of the sender.
 	Baseline int64
 	Kept     []keptMessage
+	// RepeatsDigest is control.repeatsDigest of the sender. A response lists Repeats if the
+	// digests differ.
+	RepeatsDigest uint64
+	Repeats       []repeatMessage
 }
 
 // noticeMessage is what a backend server stated about itself.
@@ -120,6 +124,25 @@
 	ProbeAge   time.Duration
 }
 
+// repeatMessage is what the sender knows of a request to a service that may come again.
+type repeatMessage struct {
+	Service     string
+	Fingerprint quarantine.Fingerprint
+	Ends        []repeatEndMessage
+	Probes      int
+	// SettledAge, AskedAge and ProbeAge are the times since the request last settled, was
+	// refused or was let through, negative for never.
+	SettledAge time.Duration
+	AskedAge   time.Duration
+	ProbeAge   time.Duration
+}
+
+// repeatEndMessage is the end of a server's incarnation under a request.
+type repeatEndMessage struct {
+	Server string
+	Age    time.Duration
+}
+
 // itemsMessage requests the changes after a revision.
 type itemsMessage struct {
 	Revision int64
@@ -186,6 +209,7 @@
 	Parts         []quarantine.Part
 	Resumed       bool
 	Notices       []noticeMessage
+	Fingerprint   quarantine.Fingerprint
 }
 
 // placementReply is the response to a placementMessage. The request is queued if
@@ -240,7 +264,7 @@
 		ID: r.ID(), Service: r.Service(), Domain: r.Domain(), PromptTokens: r.Prompt(), AnswerTokens: r.Answer(), Priority: r.Priority(),
 		Age: now.Sub(r.Arrived()), ToObjective: r.Objective().Sub(now), ToDeadline: r.Deadline().Sub(now),
 		ToFirstToken: r.FirstTokenDeadline().Sub(now), TokenInterval: r.MaxTokenInterval(), Exclude: r.Exclude(),
-		Parts: r.Parts(), Resumed: r.Resumed(),
+		Parts: r.Parts(), Resumed: r.Resumed(), Fingerprint: r.Fingerprint(),
 	}
 }
 
@@ -254,7 +278,8 @@
 		WithMaxTokenInterval(m.TokenInterval).
 		WithExclude(m.Exclude...).
 		WithParts(m.Parts...).
-		WithResumed(m.Resumed)
+		WithResumed(m.Resumed).
+		WithFingerprint(m.Fingerprint)
 }
 
 func encodeDecision(d dispatch.Decision) placementReply {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -77,6 +77,9 @@
 	if heartbeat.SuspicionsDigest != reply.SuspicionsDigest {
 		reply.Suspicions = c.encodeSuspicions(now)
 	}
+	if heartbeat.RepeatsDigest != reply.RepeatsDigest {
+		reply.Repeats = c.encodeRepeats(now)
+	}
 	if heartbeat.NoticesDigest != reply.NoticesDigest {
 		reply.Notices = encodeNotices(now, c.notices.Current(now))
 	}
@@ -100,6 +103,7 @@
 	}
 	c.members.mergeCounters(now, heartbeat.Counters)
 	c.mergeSuspicions(now, heartbeat.Suspicions)
+	c.mergeRepeats(now, heartbeat.Repeats)
 	c.mergeNotices(now, heartbeat.From.ID, heartbeat.Notices)
 	for _, other := range heartbeat.Members {
 		if c.members.learn(other) {
@@ -118,7 +122,7 @@
 // newHeartbeat returns this entry's heartbeat for a target, or its response to one if
 // the target has no address.
 func (c *control) newHeartbeat(now time.Time, to heartbeatTarget) heartbeatMessage {
-	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision.Packed(), StoreAge: c.storeAge(now), Digest: c.members.digest(), SuspicionsDigest: c.suspicionsDigest(),
+	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision.Packed(), StoreAge: c.storeAge(now), Digest: c.members.digest(), SuspicionsDigest: c.suspicionsDigest(), RepeatsDigest: c.repeatsDigest(),
 		NoticesDigest: c.notices.Digest(now), Notices: encodeNotices(now, c.notices.News(now))}
 	if to.address == "" {
 		return heartbeat
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -339,6 +339,7 @@
 		WithMaxTokenInterval(q.route.TokenIntervalObjective()).
 		WithExclude(slices.Clone(q.exclude)...).
 		WithParts(q.parts...).
+		WithFingerprint(q.fingerprint).
 		WithResumed(q.stream.count > 0)
 }
 
--- a/routing/notice.go
+++ b/routing/notice.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"math"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -44,6 +45,9 @@
 // StartUnixMilli returns the start time in Unix milliseconds, 0 if unknown.
 func (i Incarnation) StartUnixMilli() int64 { return i.startUnixMilli }
 
+// String returns the id and the start time.
+func (i Incarnation) String() string { return i.id + "/" + strconv.FormatInt(i.startUnixMilli, 10) }
+
 // Notice is what a server has stated about itself in a response.
 type Notice struct {
 	server  Incarnation
