quarantine: tell servers that end together by when they got the request

Ends within 50 ms counted as one moment. One request of the own interface crashes four servers within that time, each after the one before had ended, and was not refused; and servers of a failure domain that is lost over a second counted as several moments. An end now is another moment if the request was sent to the server after the first end of the moment before. A request is taken for one that only ran beside another if their ends of a server are within a second, not for good.

The log of changes moves into the registry, for both interfaces.

--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -64,6 +64,15 @@
 	return nil
 }
 
+// RepeatChanges returns the requests to a service that are refused since the last call, and
+// those that no longer are.
+func (sched *Scheduler) RepeatChanges(service string) (refused []quarantine.Repeat, released []quarantine.Fingerprint) {
+	if p := sched.pools[service]; p != nil {
+		return p.repeats.Changes()
+	}
+	return nil, nil
+}
+
 // RepeatsDigest returns a hash of Repeats, 0 if there are none.
 func (sched *Scheduler) RepeatsDigest(service string) uint64 {
 	if p := sched.pools[service]; p != nil {
@@ -105,7 +114,7 @@
 	case outcome == OutcomeComplete, outcome == OutcomeServerError, alloc.hasSettled(now):
 		p.repeats.Settled(now, alloc.fingerprint)
 	case outcome == OutcomeBroken:
-		p.repeats.Crashed(now, alloc.assigned.info.Incarnation().String(), alloc.fingerprint)
+		p.repeats.Crashed(now, alloc.assigned.info.Incarnation().String(), alloc.granted, alloc.fingerprint)
 	}
 }
 
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -8,7 +8,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"greengagedock.example/dispatch"
-	"greengagedock.example/quarantine"
 	"greengagedock.example/routing"
 	"greengagedock.example/timer"
 )
@@ -63,8 +62,6 @@
 	// loggedSuspicions holds what was logged of them.
 	suspicionsLogged uint64
 	loggedSuspicions map[string]bool
-	// loggedRepeats holds the services of the refused requests that were logged.
-	loggedRepeats map[quarantine.Fingerprint]string
 	// notices holds what backend servers stated about themselves.
 	notices        routing.Notices
 	noticesExpired time.Time
@@ -164,7 +161,7 @@
 	c.entries.Store(int64(entries))
 	c.updateShares(now)
 	c.logSuspicions(now)
-	c.logRepeats(now)
+	c.logRepeats()
 	c.expireNotices(now)
 	for _, decision := range c.scheduler.Tick(now) {
 		c.deliver(decision)
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -140,7 +140,9 @@
 // repeatEndMessage is the end of a server's incarnation under a request.
 type repeatEndMessage struct {
 	Server string
-	Age    time.Duration
+	// Age is the time since then, and SentAge that since the request was sent to the server.
+	Age     time.Duration
+	SentAge time.Duration
 }
 
 // itemsMessage requests the changes after a revision.
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -44,7 +44,7 @@
 				SettledAge: ageOf(now, r.SettledAt()), AskedAge: ageOf(now, r.AskedAt()), ProbeAge: ageOf(now, r.ProbedAt()),
 			}
 			for _, end := range r.Ends() {
-				m.Ends = append(m.Ends, repeatEndMessage{Server: end.Server(), Age: ageOf(now, end.At())})
+				m.Ends = append(m.Ends, repeatEndMessage{Server: end.Server(), Age: ageOf(now, end.At()), SentAge: ageOf(now, end.SentAt())})
 			}
 			out = append(out, m)
 		}
@@ -55,7 +55,7 @@
 func (m repeatMessage) decode(now time.Time) quarantine.Repeat {
 	var ends []quarantine.End
 	for _, end := range m.Ends {
-		ends = append(ends, quarantine.NewEnd(end.Server, timeOf(now, end.Age)))
+		ends = append(ends, quarantine.NewEnd(end.Server, timeOf(now, end.SentAge), timeOf(now, end.Age)))
 	}
 	return quarantine.NewRepeat(m.Fingerprint, ends...).
 		WithSettled(timeOf(now, m.SettledAge)).
@@ -72,25 +72,14 @@
 
 // logRepeats logs the requests that are refused since the last call, and those that no
 // longer are.
-func (c *control) logRepeats(now time.Time) {
-	refused := make(map[quarantine.Fingerprint]string)
+func (c *control) logRepeats() {
 	for _, service := range c.cache.services() {
-		for _, r := range c.scheduler.RefusedRepeats(service) {
-			refused[r.Fingerprint()] = service
-			if _, logged := c.loggedRepeats[r.Fingerprint()]; logged {
-				continue
-			}
-			var servers []string
-			for _, end := range r.Ends() {
-				servers = append(servers, end.Server())
-			}
-			c.log.Warn("request crashes servers", "service", service, "fingerprint", r.Fingerprint(), "servers", servers)
+		refused, released := c.scheduler.RepeatChanges(service)
+		for _, r := range refused {
+			c.log.Warn("request crashes servers", "service", service, "fingerprint", r.Fingerprint(), "servers", r.Servers())
 		}
-	}
-	for fingerprint, service := range c.loggedRepeats {
-		if _, ok := refused[fingerprint]; !ok {
+		for _, fingerprint := range released {
 			c.log.Info("request no longer refused", "service", service, "fingerprint", fingerprint)
 		}
 	}
-	c.loggedRepeats = refused
 }
--- a/gateway/repeats_test.go
+++ b/gateway/repeats_test.go
@@ -93,7 +93,7 @@
 	_, decoded := encodeRequest(entry.owner, request, now).decode(now)
 	c.Assert(decoded.Fingerprint(), qt.Equals, crashingRepeat)
 
-	repeat := quarantine.NewRepeat(crashingRepeat, quarantine.NewEnd("s1/5", now.Add(-2*time.Second)), quarantine.NewEnd("s2/6", now.Add(-time.Second))).
+	repeat := quarantine.NewRepeat(crashingRepeat, quarantine.NewEnd("s1/5", now.Add(-3*time.Second), now.Add(-2*time.Second)), quarantine.NewEnd("s2/6", now.Add(-2*time.Second), now.Add(-time.Second))).
 		WithProbes(1, now.Add(-time.Second)).WithAsked(now.Add(-3 * time.Second)).WithSettled(now.Add(-time.Minute))
 	entry.scheduler.MergeRepeats(now, "llm", []quarantine.Repeat{repeat})
 	got := entry.encodeRepeats(now)[0].decode(now)
@@ -116,11 +116,11 @@
 	for range 20 {
 		now = now.Add(200 * time.Millisecond)
 		ended = crashRepeat(entry, now, ended)
-		entry.logRepeats(now)
+		entry.logRepeats()
 	}
 	c.Assert(strings.Count(out.String(), "request crashes servers"), qt.Equals, 1)
 	now = now.Add(2 * time.Hour)
 	entry.scheduler.Tick(now)
-	entry.logRepeats(now)
+	entry.logRepeats()
 	c.Assert(strings.Count(out.String(), "request no longer refused"), qt.Equals, 1)
 }
--- a/quarantine/repeats.go
+++ b/quarantine/repeats.go
@@ -13,8 +13,9 @@
 
 const (
 	// repeatCrashes is the number of servers that must end under a request before it is
-	// refused. They must end at minMoments moments at least: a failure domain that is lost
-	// takes many servers along at one.
+	// refused. They must end at minMoments moments at least: the request was sent to one of
+	// them after another had ended. A failure domain that is lost takes all servers along
+	// that have the request at that time.
 	repeatCrashes = 3
 	minMoments    = 2
 	// maxProbes is the number of times that a refused request is let through, until it is
@@ -25,6 +26,8 @@
 	// settledTrust is how long after a request settled the ends of servers under it are put
 	// down to something else.
 	settledTrust = 10 * time.Second
+	// sameEnd is the time within which entries see one end of a server.
+	sameEnd = time.Second
 	// forgetRefused is how long a refused request is remembered after it was last asked for.
 	forgetRefused = time.Hour
 	// askedResolution is the least difference between the times at which a request was last
@@ -39,15 +42,22 @@
 // End is the end of a server under a request that had not settled there.
 type End struct {
 	server string
+	sentAt time.Time
 	at     time.Time
 }
 
-// NewEnd returns the end of a server's incarnation at a time.
-func NewEnd(server string, at time.Time) End { return End{server: server, at: at} }
+// NewEnd returns the end of a server's incarnation at a time, with when the request was sent
+// to it.
+func NewEnd(server string, sentAt, at time.Time) End {
+	return End{server: server, sentAt: sentAt, at: at}
+}
 
 // Server returns the server's incarnation.
 func (e End) Server() string { return e.server }
 
+// SentAt returns when the request was sent to the server.
+func (e End) SentAt() time.Time { return e.sentAt }
+
 // At returns when the server ended.
 func (e End) At() time.Time { return e.at }
 
@@ -94,6 +104,15 @@
 // Ends returns the ends of servers since the request last settled, in order of time.
 func (r Repeat) Ends() []End { return r.ends }
 
+// Servers returns the incarnations that ended, in order of time.
+func (r Repeat) Servers() []string {
+	var out []string
+	for _, end := range r.ends {
+		out = append(out, end.server)
+	}
+	return out
+}
+
 // SettledAt returns when the request last settled, zero for never.
 func (r Repeat) SettledAt() time.Time { return r.settledAt }
 
@@ -143,14 +162,17 @@
 	// refused holds the requests to refuse; it is nil if it must be evaluated.
 	refused map[Fingerprint]bool
 	digest  uint64
+	// reported holds the requests that the last call of Changes reported as refused.
+	reported map[Fingerprint]bool
 }
 
-// Crashed records that a server's incarnation ended under a request that had not settled there.
-func (r *Repeats) Crashed(now time.Time, server string, fingerprint Fingerprint) {
+// Crashed records that a server's incarnation ended under a request that was sent to it at a
+// time and had not settled there.
+func (r *Repeats) Crashed(now time.Time, server string, sentAt time.Time, fingerprint Fingerprint) {
 	if fingerprint == (Fingerprint{}) || now.Sub(r.settledAt(fingerprint)) < settledTrust {
 		return
 	}
-	if r.of(fingerprint).add(NewEnd(server, now)) {
+	if r.of(fingerprint).add(NewEnd(server, sentAt, now)) {
 		r.changed()
 	}
 }
@@ -241,7 +263,7 @@
 	}
 	r.refused = make(map[Fingerprint]bool)
 	byEnds := slices.SortedFunc(maps.Values(r.byFingerprint), func(a, b *Repeat) int { return len(b.ends) - len(a.ends) })
-	explained := make(map[string]bool)
+	explained := make(map[string]time.Time)
 	for len(byEnds) > 0 && len(byEnds[0].ends) >= repeatCrashes {
 		// Of those with equally many ends, none accounts for the others.
 		n := 1
@@ -256,7 +278,7 @@
 				continue
 			}
 			for _, end := range repeat.ends {
-				explained[end.server] = true
+				explained[end.server] = end.at
 			}
 		}
 		byEnds = byEnds[n:]
@@ -264,16 +286,17 @@
 	return r.refused
 }
 
-// crashes reports whether a request with the ends is to be refused if some are explained.
-func crashes(ends []End, explained map[string]bool) bool {
+// crashes reports whether a request with the ends is to be refused, if others account for
+// the ends of some servers.
+func crashes(ends []End, explained map[string]time.Time) bool {
 	moments, unexplained := 0, false
 	var last time.Time
 	for _, end := range ends {
-		if moments == 0 || end.at.Sub(last) >= momentTime {
+		if moments == 0 || end.sentAt.After(last) {
 			moments++
 			last = end.at
 		}
-		unexplained = unexplained || !explained[end.server]
+		unexplained = unexplained || end.at.Sub(explained[end.server]).Abs() > sameEnd
 	}
 	return unexplained && len(ends) >= repeatCrashes && moments >= minMoments
 }
@@ -325,6 +348,25 @@
 	return out
 }
 
+// Changes returns the requests that are refused since the last call, and those that no
+// longer are.
+func (r *Repeats) Changes() (refused []Repeat, released []Fingerprint) {
+	current := make(map[Fingerprint]bool)
+	for _, repeat := range r.Refused() {
+		current[repeat.fingerprint] = true
+		if !r.reported[repeat.fingerprint] {
+			refused = append(refused, repeat)
+		}
+	}
+	for fingerprint := range r.reported {
+		if !current[fingerprint] {
+			released = append(released, fingerprint)
+		}
+	}
+	r.reported = current
+	return refused, released
+}
+
 // Known returns all that is known of requests, for other entries.
 func (r *Repeats) Known() []Repeat {
 	var out []Repeat
@@ -398,10 +440,7 @@
 		if len(repeat.ends) == 0 {
 			continue
 		}
-		var servers []string
-		for _, end := range repeat.ends {
-			servers = append(servers, end.server)
-		}
+		servers := repeat.Servers()
 		slices.Sort(servers)
 		encoded := append([]byte(strings.Join(servers, "\n")), fingerprint[:]...)
 		encoded = binary.BigEndian.AppendUint32(encoded, uint32(repeat.probes))
--- a/quarantine/repeats_test.go
+++ b/quarantine/repeats_test.go
@@ -33,10 +33,11 @@
 			w.repeats.Sent(w.now, testFingerprint(name))
 		}
 	}
+	sentAt := w.now
 	w.now = w.now.Add(60 * time.Millisecond)
 	for name := range sent {
 		if crashes {
-			w.repeats.Crashed(w.now, fmt.Sprint("s", w.ended), testFingerprint(name))
+			w.repeats.Crashed(w.now, fmt.Sprint("s", w.ended), sentAt, testFingerprint(name))
 		} else {
 			w.repeats.Settled(w.now, testFingerprint(name))
 		}
@@ -100,8 +101,8 @@
 	w.send(true, "bad", "beside")
 	// Several servers run both before the ends of any of them are known.
 	for i := range 2 {
-		w.repeats.Crashed(w.now, fmt.Sprint("t", i), testFingerprint("bad"))
-		w.repeats.Crashed(w.now, fmt.Sprint("t", i), testFingerprint("beside"))
+		w.repeats.Crashed(w.now, fmt.Sprint("t", i), w.now.Add(-time.Second), testFingerprint("bad"))
+		w.repeats.Crashed(w.now, fmt.Sprint("t", i), w.now.Add(-time.Second), testFingerprint("beside"))
 	}
 	for range 10 {
 		c.Assert(w.send(false, "beside"), qt.HasLen, 1)
@@ -129,7 +130,7 @@
 	var lost Repeats
 	now := time.Unix(1000, 0)
 	for i := range 9 {
-		lost.Crashed(now.Add(time.Duration(i)*time.Millisecond), fmt.Sprint("s", i), testFingerprint("popular"))
+		lost.Crashed(now.Add(time.Duration(i)*100*time.Millisecond), fmt.Sprint("s", i), now, testFingerprint("popular"))
 	}
 	c.Assert(lost.Refused(), qt.HasLen, 0)
 
@@ -145,7 +146,7 @@
 	c := qt.New(t)
 	var r Repeats
 	for i := range 10 {
-		r.Crashed(time.Unix(1000+int64(i), 0), "s0", testFingerprint("cut"))
+		r.Crashed(time.Unix(1000+int64(i), 0), "s0", time.Unix(1000+int64(i), 0), testFingerprint("cut"))
 	}
 	c.Assert(r.Refused(), qt.HasLen, 0)
 	c.Assert(r.Known()[0].Ends(), qt.HasLen, 1)
@@ -160,7 +161,7 @@
 		w.send(true, "bad")
 	}
 	for i := range 10 * maxRepeats {
-		w.repeats.Crashed(w.now, "other", testFingerprint(fmt.Sprint("x", i)))
+		w.repeats.Crashed(w.now, "other", w.now, testFingerprint(fmt.Sprint("x", i)))
 		w.repeats.Settled(w.now, testFingerprint(fmt.Sprint("y", i)))
 	}
 	c.Assert(len(w.repeats.byFingerprint), qt.Equals, maxRepeats)
@@ -179,7 +180,7 @@
 		settles := random.IntN(2) == 0
 		for i := range 6 {
 			now = now.Add(time.Duration(1+random.IntN(3000)) * time.Millisecond)
-			entries[random.IntN(len(entries))].Crashed(now, fmt.Sprint("s", i), testFingerprint("bad"))
+			entries[random.IntN(len(entries))].Crashed(now, fmt.Sprint("s", i), now.Add(-time.Millisecond), testFingerprint("bad"))
 			for range random.IntN(4) {
 				entries[random.IntN(len(entries))].Merge(now, entries[random.IntN(len(entries))].Known())
 			}
