peer, caller: refuse a call that crashes the servers that run it

Each attempt that a server ends under counts against the server alone; the call is sent to up to eight servers, and again when the caller repeats it.

Change: an attempt that ends because its server closed the connection is reported to the control state, which tells all other entries at once and each entry that connects. A call under which three servers ended is refused, before it is placed and when its slot is granted; of a list, one entry lets it through twice for good.

The text that a mutation of the soak replaces is no longer unique; it names more of the same line and fails the run as before.

--- a/backend/client_attempt.go
+++ b/backend/client_attempt.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -91,6 +93,19 @@
 	}
 }
 
+// Broken reports whether an attempt failed because its server closed the connection before
+// its response was whole, as a server does that ends.
+func Broken(err error) bool {
+	if errors.Is(err, ErrStalled) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return false
+	}
+	if fault, ok := errors.AsType[*FaultError](err); ok {
+		return fault.fault == FaultTruncated
+	}
+	attempt, ok := errors.AsType[*AttemptError](err)
+	return ok && attempt.outcome == OutcomeFailed && attempt.status == 0
+}
+
 // AttemptError is the error of an attempt that got no answer.
 type AttemptError struct {
 	outcome    Outcome
--- a/backend/refusal.go
+++ b/backend/refusal.go
@@ -20,6 +20,8 @@
 	ReasonBusy Reason = "busy"
 	// ReasonDeadline means that the deadline has passed.
 	ReasonDeadline Reason = "deadline"
+	// ReasonQuarantined means that the same request has crashed several servers.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonDraining means that the entry is shutting down.
 	ReasonDraining Reason = "draining"
 )
--- a/backend/slot_request.go
+++ b/backend/slot_request.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"greengagedock.example/quarantine"
+)
 
 // Workload is what a request is for: a model of a service, or a plain service
 // if the model is empty.
@@ -113,6 +117,8 @@
 	priority int
 	share    int
 	avoid    []string
+	// fingerprint identifies the request whose attempt this is.
+	fingerprint quarantine.Fingerprint
 }
 
 // NewSlotRequest returns a request for a slot; the attempt id must be unique.
@@ -141,6 +147,13 @@
 	return r
 }
 
+// WithFingerprint returns the request with what identifies the caller's request if it comes
+// again.
+func (r SlotRequest) WithFingerprint(fingerprint quarantine.Fingerprint) SlotRequest {
+	r.fingerprint = fingerprint
+	return r
+}
+
 // Avoiding returns the request with the ids of servers that have failed it
 // already.
 func (r SlotRequest) Avoiding(servers ...string) SlotRequest {
@@ -148,6 +161,9 @@
 	return r
 }
 
+// Fingerprint returns what identifies the caller's request if it comes again.
+func (r SlotRequest) Fingerprint() quarantine.Fingerprint { return r.fingerprint }
+
 // ID returns the attempt's id.
 func (r SlotRequest) ID() string { return r.id }
 
--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"time"
 
 	"greengagedock.example/backend"
+	"greengagedock.example/quarantine"
 )
 
 // attempt is one send of a request to a server, from its slot to the end of its
@@ -27,6 +29,8 @@
 	firstErr   error
 	body       []byte
 	tokens     int
+	// startedAt is when the first event of a stream arrived, zero before.
+	startedAt time.Time
 }
 
 // newAttempt returns an attempt to send under the slot.
@@ -63,6 +67,9 @@
 func (a *attempt) openStream() error {
 	a.stream = a.response.Stream(a.flush)
 	a.firstEvent, a.firstErr = a.stream.Next()
+	if a.firstErr == nil {
+		a.startedAt = a.execution.request.server.timers.Now()
+	}
 	if a.firstErr == io.EOF {
 		return nil
 	}
@@ -101,6 +108,19 @@
 	return err
 }
 
+// reportSurvival reports, before the slot is released, whether the server survived the
+// attempt, which ended with err.
+func (a *attempt) reportSurvival(err error) {
+	server := a.execution.request.server
+	settled := !a.startedAt.IsZero() && server.timers.Now().Sub(a.startedAt) >= quarantine.SettleTime
+	switch {
+	case err == nil || settled:
+		server.slots.Settled(a.slot)
+	case a.ctx.Err() == nil && backend.Broken(err):
+		server.slots.Crashed(a.slot)
+	}
+}
+
 // close ends the response.
 func (a *attempt) close() {
 	if a.response != nil {
--- a/caller/backup.go
+++ b/caller/backup.go
@@ -118,6 +118,7 @@
 		q.server.log.Info("backup failed", append(q.logArgs(), "attempt", request.ID(), "error", err)...)
 	}
 	if b.attempt != nil {
+		b.attempt.reportSurvival(err)
 		b.attempt.close()
 		e.releaseReplaced(b.attempt.slot, err)
 		if !dropped {
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"greengagedock.example/backend"
+	"greengagedock.example/quarantine"
 	"greengagedock.example/registry"
 )
 
@@ -73,17 +74,18 @@
 	defer cancel()
 	workload := backend.NewWorkload(q.access.document.Service(), model.Name())
 	e := &execution{
-		request:    q,
-		workload:   workload,
-		cost:       cost,
-		prefix:     params.prefixHash,
-		deadline:   deadline,
-		body:       body,
-		method:     http.MethodPost,
-		path:       q.r.URL.Path,
-		header:     http.Header{"Content-Type": {"application/json"}},
-		idempotent: true,
-		delivery:   q.newDelivery(params.stream),
+		request:     q,
+		workload:    workload,
+		cost:        cost,
+		prefix:      params.prefixHash,
+		deadline:    deadline,
+		body:        body,
+		method:      http.MethodPost,
+		path:        q.r.URL.Path,
+		header:      http.Header{"Content-Type": {"application/json"}},
+		idempotent:  true,
+		delivery:    q.newDelivery(params.stream),
+		fingerprint: quarantine.NewFingerprint(q.access.account.Name(), http.MethodPost, q.access.document.Service(), q.r.URL.Path, body),
 	}
 	failure := e.runOnServers(ctx)
 	e.sendFailure(failure)
--- a/caller/execution.go
+++ b/caller/execution.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"greengagedock.example/backend"
+	"greengagedock.example/quarantine"
 )
 
 const (
@@ -37,6 +38,8 @@
 	header     http.Header
 	idempotent bool
 	delivery   delivery
+	// fingerprint identifies the request if it comes again.
+	fingerprint quarantine.Fingerprint
 
 	// sendCtx is the context of the attempts.
 	sendCtx        context.Context
@@ -77,6 +80,7 @@
 			a = e.attemptFor(e.sendCtx, slot)
 		}
 		err := e.deliver(a)
+		a.reportSurvival(err)
 		a.close()
 		next := e.awaitBackup(err)
 		if err == nil {
@@ -112,6 +116,7 @@
 		WithPrefix(e.prefix).
 		WithPriority(q.access.document.Priority()).
 		WithShare(q.access.account.Share()).
+		WithFingerprint(e.fingerprint).
 		Avoiding(e.avoid...)
 }
 
--- a/caller/failure.go
+++ b/caller/failure.go
@@ -39,6 +39,7 @@
 	ReasonAccountTokens    Reason = "account_tokens"
 	ReasonNoServer         Reason = "no_server"
 	ReasonBusy             Reason = "busy"
+	ReasonQuarantined      Reason = "quarantined"
 	ReasonDeadline         Reason = "deadline"
 	ReasonDraining         Reason = "draining"
 	ReasonRejected         Reason = "rejected"
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -114,6 +114,10 @@
 	return backend.Slot{}, backend.NewRefusal(backend.ReasonNoServer, 1500*time.Millisecond)
 }
 
+func (s *fakeSlots) Crashed(backend.Slot) {}
+
+func (s *fakeSlots) Settled(backend.Slot) {}
+
 func (s *fakeSlots) Release(slot backend.Slot, outcome backend.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/caller/group.go
+++ b/caller/group.go
@@ -111,6 +111,9 @@
 	}
 	for i := range g.slots {
 		if err := g.sendPart(groupCtx, i); err != nil {
+			if groupCtx.Err() == nil && backend.Broken(err) {
+				g.execution.request.server.slots.Crashed(g.slots[i])
+			}
 			return false, g.handleAttemptError(ctx, groupCtx, g.slots[i], err)
 		}
 	}
@@ -141,7 +144,11 @@
 	}
 	a := e.newAttempt(ctx, g.slots[i], g.outgoing(i).ResumingFrom(e.request.tokens))
 	defer a.close()
-	return e.deliver(a)
+	err := e.deliver(a)
+	if err == nil {
+		e.request.server.slots.Settled(a.slot)
+	}
+	return err
 }
 
 // outgoing returns what to send for one part.
--- a/caller/group_reserve.go
+++ b/caller/group_reserve.go
@@ -69,7 +69,7 @@
 func (g *serverGroup) acquire(ctx context.Context, cost backend.Cost) (backend.Slot, *Failure) {
 	e := g.execution
 	q := e.request
-	request := g.slotRequest(e.workload, cost).Avoiding(e.avoid...).Avoiding(g.refusers...)
+	request := g.slotRequest(e.workload, cost).WithFingerprint(e.fingerprint).Avoiding(e.avoid...).Avoiding(g.refusers...)
 	for _, slot := range g.slots {
 		request = request.Avoiding(slot.Server())
 	}
--- a/caller/group_test.go
+++ b/caller/group_test.go
@@ -65,6 +65,10 @@
 	return backend.Slot{}, false
 }
 
+func (s *groupSlots) Crashed(backend.Slot) {}
+
+func (s *groupSlots) Settled(backend.Slot) {}
+
 func (s *groupSlots) Release(slot backend.Slot, _ backend.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/caller/interfaces.go
+++ b/caller/interfaces.go
@@ -15,6 +15,10 @@
 type Slots interface {
 	Acquire(ctx context.Context, request backend.SlotRequest) (backend.Slot, error)
 	Release(slot backend.Slot, outcome backend.Outcome)
+	// Crashed reports, before its release, that the slot's server ended under the attempt.
+	Crashed(slot backend.Slot)
+	// Settled reports, before its release, that the slot's server survives the request.
+	Settled(slot backend.Slot)
 }
 
 // Snapshot is the published state at one moment. It is immutable.
--- a/caller/plain.go
+++ b/caller/plain.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"greengagedock.example/backend"
+	"greengagedock.example/quarantine"
 	"greengagedock.example/registry"
 )
 
@@ -127,15 +128,16 @@
 	defer cancel()
 	plain := &plainDelivery{request: q}
 	e := &execution{
-		request:    q,
-		workload:   backend.NewWorkload(q.access.document.Service(), ""),
-		deadline:   deadline,
-		body:       body,
-		method:     q.r.Method,
-		path:       call.path,
-		header:     filterHeader(q.r.Header),
-		idempotent: idempotent,
-		delivery:   plain,
+		request:     q,
+		workload:    backend.NewWorkload(q.access.document.Service(), ""),
+		deadline:    deadline,
+		body:        body,
+		method:      q.r.Method,
+		path:        call.path,
+		header:      filterHeader(q.r.Header),
+		idempotent:  idempotent,
+		delivery:    plain,
+		fingerprint: quarantine.NewFingerprint(q.access.account.Name(), q.r.Method, q.access.document.Service(), call.path, body),
 	}
 	if failure := e.run(ctx); failure != nil {
 		return nil, failure
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -33,6 +33,8 @@
 		return http.StatusRequestEntityTooLarge, ReasonTooLarge, "the request needs more memory than any server has"
 	case backend.ReasonDeadline:
 		return http.StatusGatewayTimeout, ReasonDeadline, "the deadline has passed"
+	case backend.ReasonQuarantined:
+		return http.StatusServiceUnavailable, ReasonQuarantined, "the same request has crashed several servers"
 	case backend.ReasonDraining:
 		return http.StatusServiceUnavailable, ReasonDraining, "the entry is shutting down: ask for another address"
 	default:
--- a/cmd/soak/mutation_test.go
+++ b/cmd/soak/mutation_test.go
@@ -63,7 +63,7 @@
 	},
 	{
 		"crashing parts are not refused", "dispatch/quarantine.go",
-		"p.primary); refused {", "p.primary); refused && retryAfter < 0 {",
+		"request.parts, p.primary); refused {", "request.parts, p.primary); refused && retryAfter < 0 {",
 		[]string{crashingPartFault}, "^crashing part not refused: ",
 	},
 	{
--- a/peer/control.go
+++ b/peer/control.go
@@ -297,6 +297,12 @@
 	return r.slot, nil
 }
 
+// Crashed reports that a slot's server ended under the attempt.
+func (c *Control) Crashed(slot backend.Slot) { c.Deliver(ServerCrashed{slot: slot}) }
+
+// Settled reports that a slot's server survives the request of the attempt.
+func (c *Control) Settled(slot backend.Slot) { c.Deliver(RequestSettled{slot: slot}) }
+
 // Release releases a slot and reports the outcome of its attempt.
 func (c *Control) Release(slot backend.Slot, outcome backend.Outcome) {
 	c.Deliver(SlotReleased{slot: slot, outcome: outcome})
--- a/peer/event.go
+++ b/peer/event.go
@@ -46,6 +46,12 @@
 	outcome backend.Outcome
 }
 
+// ServerCrashed is the end of a slot's server under this entry's own attempt.
+type ServerCrashed struct{ slot backend.Slot }
+
+// RequestSettled is an attempt of this entry's own traffic that its server survived.
+type RequestSettled struct{ slot backend.Slot }
+
 // LoadReported is a load report of a backend server that this entry keeps.
 type LoadReported struct{ report backend.Report }
 
@@ -77,6 +83,8 @@
 func (SlotRequested) event()     {}
 func (RequestWithdrawn) event()  {}
 func (SlotReleased) event()      {}
+func (ServerCrashed) event()     {}
+func (RequestSettled) event()    {}
 func (LoadReported) event()      {}
 func (ServerUnreachable) event() {}
 func (Draining) event()          {}
--- a/peer/message.go
+++ b/peer/message.go
@@ -21,6 +21,7 @@
 	kindSlotDeclaration messageKind = "hold"
 	kindPull            messageKind = "pull"
 	kindItems           messageKind = "item"
+	kindRepeats         messageKind = "rpt"
 )
 
 // newMessage returns an empty message of a kind, nil for an unknown one.
@@ -44,6 +45,8 @@
 		return new(pull)
 	case kindItems:
 		return new(items)
+	case kindRepeats:
+		return new(repeats)
 	default:
 		return nil
 	}
@@ -201,6 +204,24 @@
 	Compressed []byte
 }
 
+// repeats is what the sender knows of requests that may come again and of the servers that
+// ended under them.
+type repeats struct {
+	Known []knownRepeat
+}
+
+// knownRepeat is one such request. Ages are negative for what never happened.
+type knownRepeat struct {
+	Fingerprint  []byte
+	Servers      []string // incarnations that ended
+	EndAgesMs    []int64
+	SentAgesMs   []int64
+	SettledAgeMs int64
+	AskedAgeMs   int64
+	Probes       int
+	ProbeAgeMs   int64
+}
+
 func (*hello) kind() messageKind           { return kindHello }
 func (*heartbeat) kind() messageKind       { return kindHeartbeat }
 func (*slotRequest) kind() messageKind     { return kindSlotRequest }
@@ -210,6 +231,7 @@
 func (*slotDeclaration) kind() messageKind { return kindSlotDeclaration }
 func (*pull) kind() messageKind            { return kindPull }
 func (*items) kind() messageKind           { return kindItems }
+func (*repeats) kind() messageKind         { return kindRepeats }
 
 // newSlotRequest returns the message for a slot request. The deadline is sent
 // as the time left.
--- a/peer/node.go
+++ b/peer/node.go
@@ -79,6 +79,10 @@
 		n.withdrawRequest(now, e.attemptID)
 	case SlotReleased:
 		n.releaseSlot(now, e.slot, e.outcome)
+	case ServerCrashed:
+		n.recordCrash(now, e.slot)
+	case RequestSettled:
+		n.recordSettled(now, e.slot)
 	case LoadReported:
 		n.deliverDecisions(now, n.keeper.report(now, e.report))
 	case ServerUnreachable:
@@ -100,6 +104,7 @@
 	n.updateAssignment(now)
 	n.deliverDecisions(now, n.keeper.tick(now))
 	n.tickRequests(now)
+	n.tickRepeats(now)
 	n.tickDeclarations(now)
 	n.tickSync(now)
 	n.cancelOrphans(now)
@@ -212,6 +217,8 @@
 		n.deliverDecisions(now, n.keeper.receiveDeclaration(now, from, m))
 	case *pull:
 		n.send(from.Entry(), newItems(n.items.newerThan(m.Versions)))
+	case *repeats:
+		n.mergeRepeats(now, m)
 	case *items:
 		n.offer(now, from.Entry(), m.published())
 		n.sync.recordPeerAnswer(from.Entry())
--- a/peer/slot_declarations.go
+++ b/peer/slot_declarations.go
@@ -72,6 +72,7 @@
 		return
 	}
 	n.declareSlots(now, entry)
+	n.sendRepeats(now, entry, n.requester.repeats.Known())
 	peer := n.membership.members[entry]
 	if peer == nil {
 		return
--- a/peer/slot_requests.go
+++ b/peer/slot_requests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagedock.example/backend"
+	"greengagedock.example/quarantine"
 )
 
 const (
@@ -31,6 +32,8 @@
 	pending  map[string]*pendingRequest
 	held     map[string]*ownedSlot
 	prefixes prefixCache
+	// repeats holds what is known of requests that come again.
+	repeats quarantine.Repeats
 }
 
 // pendingRequest is a slot request of this entry's traffic that has no slot
@@ -48,8 +51,10 @@
 // ownedSlot is a slot that this entry's traffic holds, and the keeper
 // incarnation to which it was last declared.
 type ownedSlot struct {
-	slot       backend.Slot
-	declaredTo backend.Owner
+	slot        backend.Slot
+	declaredTo  backend.Owner
+	grantedAt   time.Time
+	fingerprint quarantine.Fingerprint
 }
 
 func newRequesterState(random *rand.Rand) requesterState {
@@ -64,6 +69,10 @@
 func (n *Node) requestSlot(now time.Time, request backend.SlotRequest) {
 	p := &pendingRequest{request: request, reason: backend.ReasonNoServer, retryAfter: defaultRetryAfter}
 	n.requester.pending[request.ID()] = p
+	if n.quarantined(now, p) {
+		n.refuse(p)
+		return
+	}
 	n.askNextKeeper(now, p)
 }
 
@@ -197,8 +206,15 @@
 
 // acceptSlot hands a granted slot to the traffic.
 func (n *Node) acceptSlot(now time.Time, p *pendingRequest, slot backend.Slot, keeper backend.Owner) {
+	owned := &ownedSlot{slot: slot, declaredTo: keeper, grantedAt: now, fingerprint: p.request.Fingerprint()}
+	n.requester.held[slot.ID()] = owned
+	if n.quarantined(now, p) {
+		n.releaseSlot(now, slot, backend.OutcomeNotStarted)
+		n.refuse(p)
+		return
+	}
+	n.requester.repeats.Sent(now, owned.fingerprint)
 	delete(n.requester.pending, p.request.ID())
-	n.requester.held[slot.ID()] = &ownedSlot{slot: slot, declaredTo: keeper}
 	n.requester.prefixes.put(p.request.Prefix(), slot.Server())
 	n.effects = append(n.effects, SlotResult{attemptID: slot.ID(), slot: slot})
 }
