--- a/cmd/greengagedockd/gateway.go
+++ b/cmd/greengagedockd/gateway.go
@@ -11,7 +11,9 @@
 	"github.com/spf13/cobra"
 
 	"greengagedock.example/gateway"
+	"greengagedock.example/ingress"
 	"greengagedock.example/platform"
+	"greengagedock.example/upstream"
 )
 
 // settingsPollInterval is the time between two checks whether the settings file
@@ -59,7 +61,7 @@
 	adapters := gateway.Platform{
 		Source:     platform.NewStore(store, settings.Timeouts()),
 		Decode:     platform.Decode,
-		KVReserver: platform.NewEngineClient(settings.Timeouts()),
+		KVReserver: func(network upstream.Network) ingress.KVReserver { return platform.NewEngineClient(network) },
 		Headers:    platform.Headers{},
 		Directory:  platform.DirectoryHandler,
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -36,10 +36,14 @@
 
 // Platform holds the adapters to the platform on which an entry runs.
 type Platform struct {
-	Source     Source
-	Decode     Decoder
-	KVReserver ingress.KVReserver
-	Headers    interface {
+	Source Source
+	Decode Decoder
+	// KVReserver returns the client of model engines, which reaches them through a network;
+	// nil if there are none.
+	KVReserver func(upstream.Network) ingress.KVReserver
+	// Network opens connections to backend servers; nil for TCP.
+	Network upstream.Network
+	Headers interface {
 		ingress.HeaderDecoder
 		upstream.HeaderCodec
 	}
@@ -90,13 +94,22 @@
 	p := &Process{settings: settings, log: log, logs: logs, stop: make(chan struct{})}
 	incarnation := newIncarnation()
 	p.control = newControl(settings, incarnation, platform.Decode, log, &p.timers)
+	network := platform.Network
+	if network == nil {
+		network = settings.timeouts.ServerDialer()
+	}
 	p.client = upstream.NewClient(platform.Headers, &p.timers, settings.timeouts.ServerDialer())
+	p.client.SetNetwork(network)
 	p.peerClient = mesh.NewClient(settings.timeouts.Dialer())
+	var reserver ingress.KVReserver
+	if platform.KVReserver != nil {
+		reserver = platform.KVReserver(network)
+	}
 	p.control.markReachable = p.peerClient.MarkReachable
 	retries := ingress.NewRetryBudget(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
 	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold())
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
-	p.callerServer = ingress.NewServer(p.control, scheduler, platform.KVReserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
+	p.callerServer = ingress.NewServer(p.control, scheduler, reserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
 	p.peerServer = mesh.NewServer(p.control.handle)
 	if err := p.listen(platform); err != nil {
 		for _, listener := range p.listeners {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -33,6 +33,7 @@
 	headers HeaderCodec
 	timers  *timer.Service
 	dialer  Dialer
+	network Network
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -44,9 +45,13 @@
 // NewClient returns a client that encodes request metadata with headers and opens
 // connections with the dialer.
 func NewClient(headers HeaderCodec, timers *timer.Service, dialer Dialer) *Client {
-	return &Client{headers: headers, timers: timers, dialer: dialer, idle: make(map[string][]*connection)}
+	return &Client{headers: headers, timers: timers, dialer: dialer, network: dialer, idle: make(map[string][]*connection)}
 }
 
+// SetNetwork has the client open connections through a network in place of its dialer. It is
+// to be called before the first request.
+func (c *Client) SetNetwork(network Network) { c.network = network }
+
 // ConnectionsOpened returns the number of connections opened so far.
 func (c *Client) ConnectionsOpened() int64 { return c.opened.Load() }
 
@@ -70,7 +75,7 @@
 	conn := c.takeIdle(address, m.server, r.attemptID)
 	if conn == nil {
 		var err error
-		if conn, err = dial(ctx, c.dialer, address, m.server); err != nil {
+		if conn, err = dial(ctx, c.network, address, m.server); err != nil {
 			return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
 		}
 		c.opened.Add(1)
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -162,8 +162,8 @@
 }
 
 // dial opens a connection to a server.
-func dial(ctx context.Context, dialer Dialer, address, server string) (*connection, error) {
-	c, err := dialer.Dial(ctx, address)
+func dial(ctx context.Context, network Network, address, server string) (*connection, error) {
+	c, err := network.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -25,6 +25,13 @@
 	defaultSilenceTimeout = 4 * keepAliveInterval
 )
 
+// Network opens connections to backend servers.
+type Network interface {
+	// Dial opens a connection to an IP:PORT address. It is a TCP connection, or has the
+	// methods of one.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
 // Dialer opens TCP connections that fail soon after their peer stops responding.
 // Its zero value waits for the default times.
 type Dialer struct {
