gateway: reach servers through other entries while the direct ways are lost

Cause: an entry that loses the way to all servers has no other way, and takes the failures for those of the servers. It stays listed and asked; each request waits for a dial of half a second, or on a connection that hangs, and is refused. What it reports suspends the servers for all entries (class of fault: a local failure is taken for a remote one, and the verdict is shared).

Ruled out: slots that stay taken by hung requests alone (with resets nothing hangs, and the entries that are cut off still serve none); the scheduler being cut off (no difference).

Change: a dial that failed, or a connection that ended or was silent, is followed by a dial through another entry, aside from any request. If that reaches the server, the way is lost; two lost ways and none found whole mean that the entry is cut off. It then opens tunnels through other entries: the bytes of a request and its answer pass unchanged, with their end or reset, so that what may have run is as exact as on a direct way, and no second pass is possible. The entry no longer schedules, and leaves the directory unless most entries are cut off; it stays ready. The scheduler forgives servers that only such entries blamed.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -168,6 +168,9 @@
 	OutcomeBroken Outcome = "broken"
 	// OutcomeStalled means that the server sent nothing for too long.
 	OutcomeStalled Outcome = "silent"
+	// OutcomePathLost means that the answer is not complete because the entry has lost the
+	// way to the server, which is not at fault.
+	OutcomePathLost Outcome = "path_lost"
 	// OutcomeServerError means that the server answered with an error of its own.
 	OutcomeServerError Outcome = "failed"
 )
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -30,6 +30,8 @@
 	entry   string
 	pools   map[string]*pool
 	running map[string]*allocation
+	// cutOff holds the entries that have lost the way to all servers.
+	cutOff map[string]bool
 }
 
 // pool holds the servers of one service and the requests queued for them.
@@ -231,22 +233,43 @@
 		return
 	}
 	if s := sched.serverOf(alloc); s != nil {
-		s.recordOutcome(now, outcome)
+		s.recordOutcome(now, alloc.owner.entry, outcome)
 	}
 	sched.recordEvidence(now, alloc, outcome)
 	sched.recordRepeat(now, alloc, outcome)
 	sched.release(now, alloc)
 }
 
-// ReportFault records that the server at the address caused a request at another server to fail.
-func (sched *Scheduler) ReportFault(now time.Time, service, address string, outcome Outcome) {
+// ReportFault records that the server at the address caused a request at another server to
+// fail, as an entry reports it.
+func (sched *Scheduler) ReportFault(now time.Time, entry, service, address string, outcome Outcome) {
 	p := sched.pools[service]
 	if p == nil {
 		return
 	}
 	for _, s := range p.order {
 		if s.info.Address() == address {
-			s.recordOutcome(now, outcome)
+			s.recordOutcome(now, entry, outcome)
+		}
+	}
+}
+
+// SetCutOff sets which entries have lost the way to all servers. What they reported of
+// servers before that was known no longer counts, and events that they wait for are not
+// overdue.
+func (sched *Scheduler) SetCutOff(entries map[string]bool) {
+	for _, alloc := range sched.running {
+		if !entries[alloc.owner.entry] || sched.cutOff[alloc.owner.entry] {
+			continue
+		}
+		for _, part := range alloc.prefillParts {
+			part.server.removePending(alloc)
+		}
+	}
+	sched.cutOff = entries
+	for _, p := range sched.pools {
+		for _, s := range p.order {
+			s.forgive(entries)
 		}
 	}
 }
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -428,7 +428,7 @@
 	f := newFleet(4, 0)
 	f.startShorts(8)
 	for _, s := range f.scheduler.pools["llm"].order[1:] {
-		s.recordOutcome(f.now, OutcomeBroken)
+		s.recordOutcome(f.now, "e1", OutcomeBroken)
 	}
 	for i := range 16 { // all slots of the server without failures
 		f.scheduler.Submit(f.now, f.owner, f.short(fmt.Sprint("fill-", i), 20))
@@ -444,7 +444,7 @@
 
 	// A server that stalled or has refused is left alone.
 	for _, s := range f.scheduler.pools["llm"].order {
-		s.recordOutcome(f.now, OutcomeStalled)
+		s.recordOutcome(f.now, "e1", OutcomeStalled)
 	}
 	c.Assert(f.scheduler.pools["llm"].suspendedCandidates(f.now, request), qt.HasLen, 0)
 }
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -74,6 +74,8 @@
 	// may be asked again.
 	refusedUntil time.Time
 	failureRate  float64
+	// blamers holds the entries that reported the consecutive failures.
+	blamers map[string]bool
 }
 
 // allocation is a running request with what it takes on its servers.
@@ -226,11 +228,12 @@
 	return s.cold.admits(now, s.coldRate*coldCapacityFraction*share)
 }
 
-// recordOutcome updates the server's failure state with the outcome of a request.
-func (s *server) recordOutcome(now time.Time, outcome Outcome) {
+// recordOutcome updates the server's failure state with the outcome of a request, as an entry
+// reports it.
+func (s *server) recordOutcome(now time.Time, entry string, outcome Outcome) {
 	cost := 0.0
 	switch outcome {
-	case OutcomeCancelled, OutcomeWithdrawn, OutcomeRejected:
+	case OutcomeCancelled, OutcomeWithdrawn, OutcomePathLost, OutcomeRejected:
 		if outcome == OutcomeRejected {
 			s.refusedUntil = later(s.refusedUntil, now.Add(minSuspension/4))
 		}
@@ -238,9 +241,11 @@
 	case OutcomeComplete:
 		s.consecutiveFailures = 0
 		s.unresponsive = false
+		s.blamers = nil
 	case OutcomeServerError:
 		s.consecutiveFailures = 0
 		s.unresponsive = false
+		s.blamers = nil
 		cost = serverErrorCost
 	case OutcomeReplaced:
 		s.refusedUntil = later(s.refusedUntil, now.Add(maxSuspension))
@@ -248,6 +253,10 @@
 	case OutcomeUnreachable, OutcomeBroken, OutcomeStalled:
 		cost = 1
 		s.consecutiveFailures++
+		if s.blamers == nil {
+			s.blamers = make(map[string]bool)
+		}
+		s.blamers[entry] = true
 		s.unresponsive = outcome != OutcomeBroken
 		duration := min(maxSuspension, minSuspension<<min(s.consecutiveFailures-1, 4))
 		if outcome == OutcomeStalled {
@@ -265,3 +274,18 @@
 func (s *server) suspend(now time.Time, duration time.Duration) {
 	s.suspendedUntil = later(s.suspendedUntil, now.Add(duration))
 }
+
+// forgive ends the suspension of a server whose consecutive failures were all reported by
+// entries that turn out to have lost the way to all servers.
+func (s *server) forgive(cutOff map[string]bool) {
+	if len(s.blamers) == 0 {
+		return
+	}
+	for entry := range s.blamers {
+		if !cutOff[entry] {
+			return
+		}
+	}
+	s.blamers, s.consecutiveFailures, s.unresponsive, s.failureRate = nil, 0, false, 0
+	s.suspendedUntil = time.Time{}
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +67,8 @@
 	// notices holds what backend servers stated about themselves.
 	notices        routing.Notices
 	noticesExpired time.Time
+	// cutOff holds the entries that the scheduler knows to be cut off.
+	cutOff map[string]bool
 	// entries is the number of entries that share the fleet-wide limits.
 	entries atomic.Int64
 	state   atomic.Value // memberState
@@ -160,6 +164,7 @@
 	}
 	c.entries.Store(int64(entries))
 	c.updateShares(now)
+	c.updateCutOff()
 	c.logSuspicions(now)
 	c.logRepeats()
 	c.expireNotices(now)
@@ -221,6 +226,46 @@
 	}
 }
 
+// setCutOff sets whether this entry has lost the direct way to all servers.
+func (c *control) setCutOff(cutOff bool) {
+	c.do(func(time.Time) {
+		switch {
+		case cutOff && c.members.self.State == memberReady:
+			c.setState(memberCutOff)
+		case !cutOff && c.members.self.State == memberCutOff:
+			c.setState(memberReady)
+		}
+		c.updateCutOff()
+	})
+}
+
+// updateCutOff tells the scheduler which entries are cut off.
+func (c *control) updateCutOff() {
+	cutOff := c.members.cutOff()
+	if maps.Equal(cutOff, c.cutOff) {
+		return
+	}
+	c.cutOff = cutOff
+	c.scheduler.SetCutOff(cutOff)
+	c.log.Info("entries cut off from servers", "entries", slices.Sorted(maps.Keys(cutOff)))
+}
+
+// relays returns the peer addresses of entries that lead to servers, in weighted random order.
+func (c *control) relays() []string {
+	var out []string
+	c.do(func(now time.Time) { out = c.members.relays(now) })
+	return out
+}
+
+// serverAddresses returns the addresses of the known servers.
+func (c *control) serverAddresses() []string {
+	var out []string
+	for _, server := range c.View().Servers() {
+		out = append(out, server.Address())
+	}
+	return out
+}
+
 // leave marks this entry as stopping.
 func (c *control) leave() {
 	c.do(func(time.Time) { c.setState(memberLeaving) })
@@ -249,7 +294,10 @@
 }
 
 // Ready reports whether this entry accepts requests.
-func (c *control) Ready() bool { return c.state.Load() == memberReady }
+func (c *control) Ready() bool {
+	state := c.state.Load()
+	return state == memberReady || state == memberCutOff
+}
 
 // View returns the current view of the store.
 func (c *control) View() *routing.View { return c.view.Load() }
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -38,7 +38,7 @@
 )
 
 // memberStates lists the states in the order of their numbers in encoded counters.
-var memberStates = []memberState{memberStarting, memberReady, memberLeaving}
+var memberStates = []memberState{memberStarting, memberReady, memberLeaving, memberCutOff}
 
 // incarnationKey returns a hash that identifies the entry's incarnation.
 func (m memberMessage) incarnationKey() uint64 {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -63,7 +63,9 @@
 const (
 	memberStarting memberState = "starting"
 	memberReady    memberState = "ready"
-	memberLeaving  memberState = "leaving"
+	// memberCutOff: ready, but without a direct way to any server.
+	memberCutOff  memberState = "cut_off"
+	memberLeaving memberState = "leaving"
 )
 
 // member is what this entry knows of another one.
@@ -296,28 +298,76 @@
 	return out
 }
 
+// relays returns the peer addresses of the other entries that reach servers, in weighted
+// random order.
+func (m *members) relays(now time.Time) []string {
+	var candidates []weightedAddress
+	for _, known := range m.live(now, m.timeouts.scheduler()) {
+		if known.State == memberReady {
+			candidates = append(candidates, m.weigh(known.PeerAddress, known.CPUCores))
+		}
+	}
+	return inOrder(candidates)
+}
+
+// weightedAddress is an address with a random key, by which addresses of entries with more
+// CPU are more often first.
+type weightedAddress struct {
+	address string
+	key     float64
+}
+
+func (m *members) weigh(address string, cpuCores float64) weightedAddress {
+	return weightedAddress{address, m.random.ExpFloat64() / max(minCPUCores, cpuCores)}
+}
+
+// inOrder returns the addresses in the order of their keys.
+func inOrder(candidates []weightedAddress) []string {
+	slices.SortFunc(candidates, func(a, b weightedAddress) int { return cmp.Compare(a.key, b.key) })
+	var out []string
+	for _, c := range candidates {
+		out = append(out, c.address)
+	}
+	return out
+}
+
 // addresses returns the caller addresses of ready entries in weighted random
-// order. Callers that can't use all of them take the first ones, where entries
+// order. Entries that are cut off from the servers are left out while the others have
+// most of the CPU: requests through other entries cost both of them. Callers that can't use all of them take the first ones, where entries
 // with more CPU appear more often.
 func (m *members) addresses(now time.Time) []string {
-	type candidate struct {
-		address string
-		key     float64
-	}
-	var candidates []candidate
+	var ready, cutOff []weightedAddress
+	readyCores, cutOffCores := 0.0, 0.0
 	add := func(entry memberMessage) {
-		if entry.State == memberReady {
-			candidates = append(candidates, candidate{entry.CallerAddress, m.random.ExpFloat64() / max(minCPUCores, entry.CPUCores)})
+		switch entry.State {
+		case memberReady:
+			ready = append(ready, m.weigh(entry.CallerAddress, entry.CPUCores))
+			readyCores += entry.CPUCores
+		case memberCutOff:
+			cutOff = append(cutOff, m.weigh(entry.CallerAddress, entry.CPUCores))
+			cutOffCores += entry.CPUCores
 		}
 	}
 	add(m.self)
 	for _, known := range m.live(now, m.timeouts.listed()) {
 		add(known.memberMessage)
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.key, b.key) })
-	var out []string
-	for _, c := range candidates {
-		out = append(out, c.address)
+	if len(ready) == 0 || cutOffCores > readyCores {
+		ready = append(ready, cutOff...)
+	}
+	return inOrder(ready)
+}
+
+// cutOff returns the ids of the entries without a direct way to any server.
+func (m *members) cutOff() map[string]bool {
+	out := make(map[string]bool)
+	if m.self.State == memberCutOff {
+		out[m.self.ID] = true
+	}
+	for id, known := range m.byID {
+		if known.State == memberCutOff {
+			out[id] = true
+		}
 	}
 	return out
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -219,7 +219,7 @@
 			c.scheduler.Ended(now, end.ID, end.Outcome)
 		}
 		for _, fault := range call.Faults {
-			c.scheduler.ReportFault(now, fault.Service, fault.Address, fault.Outcome)
+			c.scheduler.ReportFault(now, call.Entry, fault.Service, fault.Address, fault.Outcome)
 		}
 		for _, id := range call.Withdrawn {
 			c.scheduler.Withdraw(id)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 const (
 	// sweepInterval is how often idle upstream connections are swept.
 	sweepInterval = time.Second
+	// tunnelPollInterval is how often a stopping entry looks whether tunnels are open.
+	tunnelPollInterval = 50 * time.Millisecond
 	// bodyMemoryDivisor is the memory of the process divided by the part that
 	// request bodies may take.
 	bodyMemoryDivisor = 4
@@ -66,6 +69,7 @@
 	log          hclog.Logger
 	timers       timer.Service
 	control      *control
+	paths        *paths
 	client       *upstream.Client
 	peerClient   *mesh.Client
 	callerServer *ingress.Server
@@ -94,16 +98,26 @@
 	p := &Process{settings: settings, log: log, logs: logs, stop: make(chan struct{})}
 	incarnation := newIncarnation()
 	p.control = newControl(settings, incarnation, platform.Decode, log, &p.timers)
-	network := platform.Network
-	if network == nil {
-		network = settings.timeouts.ServerDialer()
+	dialer := settings.timeouts.ServerDialer()
+	p.paths = &paths{
+		direct: platform.Network, timers: &p.timers, log: log, relays: p.control.relays, servers: p.control.serverAddresses,
+		open: func(ctx context.Context, relay, address string) (net.Conn, error) {
+			return mesh.OpenTunnel(ctx, dialer, relay, address)
+		},
+	}
+	if p.paths.direct == nil {
+		p.paths.direct = dialer
+	}
+	p.client = upstream.NewClient(platform.Headers, &p.timers, dialer)
+	p.client.SetNetwork(p.paths)
+	p.paths.cutOffChanged = func(cutOff bool) {
+		p.control.setCutOff(cutOff)
+		p.sweepOnce()
 	}
-	p.client = upstream.NewClient(platform.Headers, &p.timers, settings.timeouts.ServerDialer())
-	p.client.SetNetwork(network)
 	p.peerClient = mesh.NewClient(settings.timeouts.Dialer())
 	var reserver ingress.KVReserver
 	if platform.KVReserver != nil {
-		reserver = platform.KVReserver(network)
+		reserver = platform.KVReserver(p.paths)
 	}
 	p.control.markReachable = p.peerClient.MarkReachable
 	retries := ingress.NewRetryBudget(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
@@ -111,6 +125,7 @@
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
 	p.callerServer = ingress.NewServer(p.control, scheduler, reserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
 	p.peerServer = mesh.NewServer(p.control.handle)
+	p.peerServer.ServeTunnels(p.serveTunnel, maxServedTunnels)
 	if err := p.listen(platform); err != nil {
 		for _, listener := range p.listeners {
 			listener.Close()
@@ -126,6 +141,7 @@
 		p.running.Go(func() { p.control.catchUp(ctx, p.peerClient) })
 	}
 	p.running.Go(func() { p.sweep(ctx) })
+	p.running.Go(func() { p.paths.probe(ctx) })
 	log.Info("started", "entry", settings.ID(), "domain", settings.Domain(), "region", settings.Region(), "incarnation", incarnation, "callers", settings.CallerAddress(), "peers", settings.PeerAddress())
 	return p, nil
 }
@@ -170,6 +186,7 @@
 func (p *Process) gauges() map[string]any {
 	values := map[string]any{
 		"open": p.callerServer.OpenRequests(), "log_lines_dropped": p.logs.Dropped(),
+		"tunnels_served":     p.peerServer.Tunnels(),
 		"connections_opened": p.client.ConnectionsOpened(), "connections_reused": p.client.ConnectionsReused(),
 		"control_bytes_sent":     sum(p.peerClient.Traffic().Sent(), p.peerServer.Traffic().Sent()),
 		"control_bytes_received": sum(p.peerClient.Traffic().Received(), p.peerServer.Traffic().Received()),
@@ -212,14 +229,44 @@
 	for {
 		select {
 		case <-tick.C():
-			view := p.control.View()
-			p.client.Sweep(func(server string) bool { return view.Usable(server) })
+			p.sweepOnce()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// awaitTunnels waits until the entries that send requests through this one have ended their
+// tunnels, or ctx ends. They open no more since this entry leaves, and close idle ones.
+func (p *Process) awaitTunnels(ctx context.Context) {
+	tick := p.timers.Every(tunnelPollInterval)
+	defer tick.Stop()
+	for p.peerServer.Tunnels() > 0 {
+		select {
+		case <-tick.C():
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// sweepOnce closes the idle upstream connections that are of no more use.
+func (p *Process) sweepOnce() {
+	view, ofUse := p.control.View(), p.paths.idleOfUse()
+	p.client.Sweep(func(server, address, relay string) bool { return view.Usable(server) && ofUse(address, relay) })
+}
+
+// serveTunnel connects to a server for another entry that has lost the way to it.
+func (p *Process) serveTunnel(ctx context.Context, address string) (net.Conn, error) {
+	switch {
+	case !slices.Contains(p.control.serverAddresses(), address):
+		return nil, eris.Wrapf(mesh.ErrRefused, "%s: not a known server", address)
+	case p.control.state.Load() != memberReady:
+		return nil, eris.Wrapf(mesh.ErrRefused, "entry is %v", p.control.state.Load())
+	}
+	return p.paths.dialDirect(ctx, address)
+}
+
 // Reload applies changed settings that take effect without a restart: the seeds,
 // the CPU cores and the address TTL.
 func (p *Process) Reload(settings Settings) {
@@ -243,6 +290,7 @@
 	p.callerServer.DisableKeepAlives()
 	sleep(ctx, min(lameDuckPeriod, p.settings.ShutdownGrace()/3))
 	err := p.callerServer.Shutdown(ctx)
+	p.awaitTunnels(ctx)
 	p.cancel()
 	close(p.stop)
 	for _, listener := range p.listeners {
--- a/gateway/schedulerclient.go
+++ b/gateway/schedulerclient.go
@@ -165,7 +165,7 @@
 // sent to.
 func (s *schedulerClient) Fault(service, address string, outcome dispatch.Outcome) {
 	s.notify(service, func(now time.Time, events *eventsMessage) {
-		s.control.scheduler.ReportFault(now, service, address, outcome)
+		s.control.scheduler.ReportFault(now, s.control.owner.Entry(), service, address, outcome)
 		events.Faults = append(events.Faults, faultMessage{Service: service, Address: address, Outcome: outcome})
 	})
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -130,7 +130,7 @@
 	case a.firstErr == nil:
 		a.request.server.scheduler.Started(a.request.service.Name(), a.grant.ID())
 	case a.firstErr != io.EOF:
-		return brokenOutcome(a.ctx), eris.Wrapf(errTruncated, "after event %q: %v", a.lastEventID, a.firstErr)
+		return a.brokenOutcome(), eris.Wrapf(errTruncated, "after event %q: %v", a.lastEventID, a.firstErr)
 	case a.events.partial():
 		return dispatch.OutcomeBroken, eris.Wrap(errTruncated, "ended within an event")
 	}
@@ -142,7 +142,7 @@
 func (a *attempt) readBody() (dispatch.Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(a.response, maxBufferedBytes+1))
 	if err != nil {
-		return brokenOutcome(a.ctx), eris.Wrapf(errTruncated, "%v", err)
+		return a.brokenOutcome(), eris.Wrapf(errTruncated, "%v", err)
 	}
 	status := a.response.Status()
 	a.body = &bufferedResponse{status: status, header: a.response.Header(), body: body}
--- a/ingress/backup.go
+++ b/ingress/backup.go
@@ -97,7 +97,7 @@
 		return // the attempt ends, or data arrived as the timer fired
 	}
 	a.silence.fired++
-	if a.silence.fired == maxSilences {
+	if q.server.client.Doubt(a.grant.Address()) && a.silence.fired == maxSilences {
 		go q.server.scheduler.Fault(q.service.Name(), a.grant.Address(), dispatch.OutcomeStalled)
 	}
 	if q.backup != nil && q.backup.attempt == a {
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -286,7 +286,7 @@
 func (s *localScheduler) Fault(service, address string, outcome dispatch.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scheduler.ReportFault(time.Now(), service, address, outcome)
+	s.scheduler.ReportFault(time.Now(), "e1", service, address, outcome)
 }
 
 func (s *localScheduler) Notice(_ string, notice routing.Notice) {
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -83,10 +83,16 @@
 
 // sendOutcome returns the outcome of a send without a response.
 func sendOutcome(ctx context.Context, err error) dispatch.Outcome {
-	if errors.Is(err, upstream.ErrNotSent) {
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
 		return dispatch.OutcomeUnreachable
+	case errors.Is(err, upstream.ErrNoPath):
+		return dispatch.OutcomeWithdrawn
+	case errors.Is(err, upstream.ErrPathLost):
+		return dispatch.OutcomePathLost
+	default:
+		return brokenOutcome(ctx)
 	}
-	return brokenOutcome(ctx)
 }
 
 // notRun returns the outcome of a request that a server did not run.
@@ -178,6 +184,15 @@
 	return dispatch.OutcomeBroken
 }
 
+// brokenOutcome returns the outcome of an attempt whose response is not complete.
+func (a *attempt) brokenOutcome() dispatch.Outcome {
+	outcome := brokenOutcome(a.ctx)
+	if outcome != dispatch.OutcomeCancelled && a.response.PathLost() {
+		return dispatch.OutcomePathLost
+	}
+	return outcome
+}
+
 // forwardStream forwards the events of a stream, from its first one on, as they arrive.
 func (q *request) forwardStream(a *attempt) (dispatch.Outcome, error) {
 	control := http.NewResponseController(q.w)
@@ -193,7 +208,7 @@
 		case err == io.EOF && a.events.partial():
 			return dispatch.OutcomeBroken, eris.Wrapf(errTruncated, "ended within an event after event %q", q.stream.lastID)
 		case err != nil && err != io.EOF:
-			return brokenOutcome(a.ctx), eris.Wrapf(errTruncated, "after event %q: %v", q.stream.lastID, err)
+			return a.brokenOutcome(), eris.Wrapf(errTruncated, "after event %q: %v", q.stream.lastID, err)
 		}
 		if !q.progressed(a) {
 			return dispatch.OutcomeStalled, errServerTimeout
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -15,9 +15,13 @@
 	handler Handler
 	traffic Traffic
 
-	mu     sync.Mutex
-	closed bool
-	conns  map[net.Conn]bool
+	dialTunnel TunnelDialer
+	maxTunnels int
+
+	mu      sync.Mutex
+	closed  bool
+	conns   map[net.Conn]bool
+	tunnels int
 }
 
 // NewServer returns a server that passes calls to the handler.
@@ -81,6 +85,10 @@
 		if err != nil {
 			return
 		}
+		if call.Kind == kindTunnel {
+			s.serveTunnel(conn, call)
+			return
+		}
 		go func() {
 			response := s.respond(call)
 			s.traffic.count(call.Kind, len(response.Body), len(call.Body))
--- /dev/null
+++ b/mesh/tunnel.go
@@ -0,0 +1,240 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"greengagedock.example/upstream"
+)
+
+// A tunnel is a connection to a backend server through another entry: the first call on a
+// connection to that entry names the server's address, and after the response the bytes of
+// both connections are passed on unchanged, with their ends and resets.
+
+// kindTunnel is the kind of the call that opens a tunnel. Its body is the address.
+const kindTunnel = "tunnel"
+
+// kindServerUnreachable is the kind of the response that the server could not be reached, as
+// opposed to other reasons not to open a tunnel.
+const kindServerUnreachable = "server_unreachable"
+
+const (
+	// tunnelBufferBytes is the size of the buffer for each direction of a tunnel.
+	tunnelBufferBytes = 8 << 10
+	// maxTunnelReplyBytes bounds the response to the call that opens a tunnel.
+	maxTunnelReplyBytes = 4 << 10
+)
+
+// tunnelKeepAlive ends the connection to an entry that answers no probe for four seconds.
+var tunnelKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
+// Errors of tunnels.
+var (
+	// ErrServerUnreachable is returned when the other entry could not reach the server either.
+	ErrServerUnreachable = eris.New("mesh: server not reachable through the entry")
+
+	errTooManyTunnels = eris.New("mesh: too many tunnels")
+	errNoTunnels      = eris.New("mesh: tunnels not served")
+)
+
+// TunnelDialer opens the connection of a tunnel to a server's address. Its error wraps
+// ErrRefused if it did not try to.
+type TunnelDialer func(ctx context.Context, address string) (net.Conn, error)
+
+// ServeTunnels has the server open tunnels, so many at most at the same time. It is to be
+// called before Serve.
+func (s *Server) ServeTunnels(dial TunnelDialer, limit int) {
+	s.dialTunnel, s.maxTunnels = dial, limit
+}
+
+// Tunnels returns the number of open tunnels.
+func (s *Server) Tunnels() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tunnels
+}
+
+// serveTunnel opens a tunnel on a connection and serves it to its end.
+func (s *Server) serveTunnel(conn net.Conn, call envelope) {
+	response := envelope{ID: call.ID}
+	server, err := s.openTunnel(call.Body)
+	if err != nil {
+		response.Error = err.Error()
+		if errors.Is(err, ErrServerUnreachable) {
+			response.Kind = kindServerUnreachable
+		}
+	} else {
+		defer s.endTunnel(server)
+	}
+	if err := writeEnvelope(conn, response); err != nil || server == nil {
+		return
+	}
+	if err := keepTunnel(conn); err != nil {
+		return
+	}
+	var both sync.WaitGroup
+	both.Go(func() { pass(server, conn) })
+	both.Go(func() { pass(conn, server) })
+	both.Wait()
+}
+
+// keepTunnel has a connection on which a tunnel was opened stay without calls, and end soon
+// after the entry at its other end has vanished.
+func keepTunnel(conn net.Conn) error {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if err := tcp.SetKeepAliveConfig(tunnelKeepAlive); err != nil {
+			return err
+		}
+	}
+	return conn.SetWriteDeadline(time.Time{})
+}
+
+// openTunnel connects to the server that a call names.
+func (s *Server) openTunnel(body []byte) (net.Conn, error) {
+	var address string
+	if err := msgpack.Unmarshal(body, &address); err != nil {
+		return nil, eris.Wrap(ErrRefused, err.Error())
+	}
+	if s.dialTunnel == nil {
+		return nil, errNoTunnels
+	}
+	s.mu.Lock()
+	full := s.tunnels >= s.maxTunnels
+	if !full {
+		s.tunnels++
+	}
+	s.mu.Unlock()
+	if full {
+		return nil, errTooManyTunnels
+	}
+	server, err := s.dialTunnel(context.Background(), address)
+	if err != nil && !errors.Is(err, ErrRefused) {
+		err = eris.Wrap(ErrServerUnreachable, err.Error())
+	} else if err == nil && !s.add(server) {
+		server.Close()
+		err = errNoTunnels
+	}
+	if err != nil {
+		s.mu.Lock()
+		s.tunnels--
+		s.mu.Unlock()
+		return nil, err
+	}
+	return server, nil
+}
+
+// endTunnel ends the connection of a tunnel to its server.
+func (s *Server) endTunnel(server net.Conn) {
+	server.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, server)
+	s.tunnels--
+}
+
+// pass copies the bytes of one connection to another one, and then its end: a clean one
+// ends only this direction, any other one resets the other connection.
+func pass(to, from net.Conn) {
+	// The structs hide methods by which io.CopyBuffer would use larger buffers.
+	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, tunnelBufferBytes))
+	if half, ok := to.(interface{ CloseWrite() error }); ok && err == nil {
+		err = half.CloseWrite()
+	}
+	if err == nil {
+		return
+	}
+	for _, conn := range []net.Conn{to, from} {
+		if linger, ok := conn.(interface{ SetLinger(int) error }); ok {
+			_ = linger.SetLinger(0) // fails only if the connection is closed
+		}
+		conn.Close()
+	}
+}
+
+// OpenTunnel connects to a server's address through the entry at an address. Errors wrap
+// ErrServerUnreachable if the entry can't reach the server, and else ErrUnreachable.
+func OpenTunnel(ctx context.Context, dialer upstream.Dialer, entry, address string) (net.Conn, error) {
+	conn, err := dialer.Dial(ctx, entry)
+	if err != nil {
+		return nil, eris.Wrapf(ErrUnreachable, "tunnel through %s: %v", entry, err)
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	err = requestTunnel(conn, address)
+	if !stop() && err == nil {
+		err = eris.Wrapf(ErrUnreachable, "tunnel through %s: %v", entry, ctx.Err())
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// requestTunnel calls for a tunnel on a new connection to an entry. It reads no byte beyond
+// the response.
+func requestTunnel(conn net.Conn, address string) error {
+	body, err := encode(address)
+	if err == nil {
+		err = writeEnvelope(conn, envelope{ID: 1, Kind: kindTunnel, Body: body})
+	}
+	if err == nil {
+		err = conn.SetWriteDeadline(time.Time{})
+	}
+	if err != nil {
+		return eris.Wrapf(ErrUnreachable, "tunnel: %v", err)
+	}
+	var response envelope
+	single := &byteReader{r: io.LimitReader(conn, maxTunnelReplyBytes)}
+	if err := msgpack.NewDecoder(single).Decode(&response); err != nil {
+		return eris.Wrapf(ErrUnreachable, "tunnel: %v", err)
+	}
+	switch {
+	case response.Error == "":
+		return nil
+	case response.Kind == kindServerUnreachable:
+		return eris.Wrap(ErrServerUnreachable, response.Error)
+	default:
+		return eris.Wrap(ErrUnreachable, response.Error)
+	}
+}
+
+// byteReader reads single bytes, so that a decoder leaves what follows a message unread.
+type byteReader struct {
+	r      io.Reader
+	last   [1]byte
+	unread bool
+}
+
+// Read reads up to len(p) bytes.
+func (b *byteReader) Read(p []byte) (int, error) {
+	if b.unread && len(p) > 0 {
+		b.unread = false
+		p[0] = b.last[0]
+		return 1, nil
+	}
+	n, err := b.r.Read(p)
+	if n > 0 {
+		b.last[0] = p[n-1]
+	}
+	return n, err
+}
+
+// ReadByte reads one byte.
+func (b *byteReader) ReadByte() (byte, error) {
+	var p [1]byte
+	_, err := io.ReadFull(b, p[:])
+	return p[0], err
+}
+
+// UnreadByte has the last byte read again.
+func (b *byteReader) UnreadByte() error {
+	b.unread = true
+	return nil
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -21,6 +22,13 @@
 	// ErrNoResponse is returned when the request may have run.
 	ErrNoResponse = eris.New("upstream: no response")
 
+	// ErrNoPath is returned when neither the server nor an entry that leads to it could be
+	// reached, so that nothing is known of the server; no byte of the request was sent.
+	ErrNoPath = eris.New("upstream: no way to the server")
+	// ErrPathLost is returned when the request may have run, and its connection ended or was
+	// silent while the direct ways to all servers are lost.
+	ErrPathLost = eris.New("upstream: way to the server lost")
+
 	errStrayResponses = eris.New("upstream: only responses to other requests received")
 	errNoHead         = eris.Errorf("upstream: %d bytes received without the head of a response", maxBytesBeforeResponse)
 )
@@ -76,6 +84,9 @@
 	if conn == nil {
 		var err error
 		if conn, err = dial(ctx, c.network, address, m.server); err != nil {
+			if errors.Is(err, ErrNoPath) {
+				return nil, eris.Wrap(err, address)
+			}
 			return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
 		}
 		c.opened.Add(1)
@@ -99,11 +110,35 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
+		if c.doubt(conn) {
+			return nil, eris.Wrapf(ErrPathLost, "%s: %v", address, err)
+		}
 		return nil, eris.Wrapf(ErrNoResponse, "%s: %v", address, err)
 	}
 	return &Response{client: c, conn: conn, raw: raw, metadata: metadata, stop: stop}, nil
 }
 
+// doubt has the network doubt the server of a connection that ended early or is silent. It
+// reports whether the server is not at fault, since the way to it is known to be lost.
+func (c *Client) doubt(conn *connection) bool {
+	if conn.relay != "" {
+		return false
+	}
+	c.network.Doubt(conn.address)
+	return c.network.CutOff()
+}
+
+// Doubt records that the server at an address is silent, and reports whether it may be at
+// fault: not while the direct ways to all servers are lost.
+func (c *Client) Doubt(address string) (mayBeAtFault bool) {
+	c.network.Doubt(address)
+	return !c.network.CutOff()
+}
+
+// PathLost reports whether the response ended early, or is silent, because the way to its
+// server is lost.
+func (r *Response) PathLost() bool { return r.client.doubt(r.conn) }
+
 // Status returns the HTTP status code.
 func (r *Response) Status() int { return r.raw.StatusCode }
 
@@ -183,7 +218,7 @@
 		if conn == nil {
 			return nil
 		}
-		if conn.tcp.RemoteAddr().String() == address && conn.reusable(now) {
+		if conn.address == address && conn.reusable(now) {
 			return conn
 		}
 		conn.tcp.Close()
@@ -216,16 +251,17 @@
 	c.idle[conn.server] = append(c.idle[conn.server], conn)
 }
 
-// Sweep closes idle connections that timed out or on which something arrived, and those to
-// servers for which keep returns false.
-func (c *Client) Sweep(keep func(server string) bool) {
+// Sweep closes idle connections that timed out or on which something arrived, and those for
+// which keep returns false, given the server, its address and that of the entry through which
+// the connection leads, which is empty for a direct one.
+func (c *Client) Sweep(keep func(server, address, relay string) bool) {
 	now := c.timers.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for server, list := range c.idle {
 		kept := list[:0]
 		for _, conn := range list {
-			if keep(server) && conn.reusable(now) {
+			if keep(server, conn.address, conn.relay) && conn.reusable(now) {
 				kept = append(kept, conn)
 				continue
 			}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -35,6 +35,8 @@
 	reader      *bufio.Reader
 	writer      *bufio.Writer
 	server      string
+	address     string
+	relay       string // empty for a direct connection
 	idleAt      time.Time
 	idleTimeout time.Duration
 	writeErr    chan error
@@ -45,10 +47,10 @@
 	reserved bool
 }
 
-func newConnection(c net.Conn, server string) *connection {
+func newConnection(c net.Conn, address, server string) *connection {
 	limiter := &readLimiter{r: c}
 	return &connection{
-		tcp: c, limiter: limiter, server: server, idleTimeout: defaultIdleTimeout,
+		tcp: c, limiter: limiter, server: server, address: address, relay: relayOf(c), idleTimeout: defaultIdleTimeout,
 		reader: bufio.NewReaderSize(limiter, bufferBytes), writer: bufio.NewWriterSize(c, bufferBytes),
 	}
 }
@@ -167,5 +169,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConnection(c, server), nil
+	return newConnection(c, address, server), nil
 }
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -30,6 +30,27 @@
 	// Dial opens a connection to an IP:PORT address. It is a TCP connection, or has the
 	// methods of one.
 	Dial(ctx context.Context, address string) (net.Conn, error)
+	// Doubt reports that a server at an address sends nothing on a connection, or has ended
+	// one without a response.
+	Doubt(address string)
+	// CutOff reports whether the direct ways to all servers are lost.
+	CutOff() bool
+}
+
+// Relayed is a connection that leads to its server through another entry.
+type Relayed interface {
+	net.Conn
+	// Relay returns the IP:PORT address of that entry.
+	Relay() string
+}
+
+// relayOf returns the address of the entry through which a connection leads, empty if it
+// leads to its server directly.
+func relayOf(conn net.Conn) string {
+	if relayed, ok := conn.(Relayed); ok {
+		return relayed.Relay()
+	}
+	return ""
 }
 
 // Dialer opens TCP connections that fail soon after their peer stops responding.
@@ -114,6 +135,12 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
+// Doubt implements Network.
+func (d Dialer) Doubt(string) {}
+
+// CutOff implements Network: a dialer knows of no other way.
+func (d Dialer) CutOff() bool { return false }
+
 // readable reports whether the peer has closed or reset an idle connection, or sent more.
 func readable(conn net.Conn) bool {
 	raw, err := conn.(syscall.Conn).SyscallConn()
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -43,7 +43,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(body, qt.Equals, "whole")
 	time.Sleep(100 * time.Millisecond)
-	client.Sweep(func(string) bool { return true })
+	client.Sweep(func(string, string, string) bool { return true })
 	select {
 	case <-ended:
 	case <-time.After(2 * time.Second):
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -114,7 +114,7 @@
 		c.Assert(err, qt.IsNil)
 	}
 	c.Assert(server.connections.Load(), qt.Equals, int64(1))
-	client.Sweep(func(string) bool { return false })
+	client.Sweep(func(string, string, string) bool { return false })
 	_, err := send(c, client, server.address, "4")
 	c.Assert(err, qt.IsNil)
 	c.Assert(server.connections.Load(), qt.Equals, int64(2))
@@ -240,7 +240,7 @@
 	c := qt.New(t)
 	client := NewClient(testHeaders{}, &timer.Service{}, Dialer{})
 	local, remote := tcpPair(c)
-	conn := newConnection(local, "i-1")
+	conn := newConnection(local, local.RemoteAddr().String(), "i-1")
 	client.putIdle(conn)
 	c.Assert(client.takeIdle(local.RemoteAddr().String(), "i-1", "a1"), qt.Equals, conn)
 	client.putIdle(conn)
