mesh: move the paths to servers to where both interfaces can use them; find a lost way sooner

Calls that run once wait on connections that hang for their whole time, and each then shows the loss of one way; the second one came two seconds later.

A request without a byte of its answer for half a second (an engine's: for the time after which it is silent) has the way to its server checked, and a way that is lost has two others checked.

Entries that opened no tunnel lately are asked after the others.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -257,15 +257,6 @@
 	return out
 }
 
-// serverAddresses returns the addresses of the known servers.
-func (c *control) serverAddresses() []string {
-	var out []string
-	for _, server := range c.View().Servers() {
-		out = append(out, server.Address())
-	}
-	return out
-}
-
 // leave marks this entry as stopping.
 func (c *control) leave() {
 	c.do(func(time.Time) { c.setState(memberLeaving) })
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -69,7 +68,7 @@
 	log          hclog.Logger
 	timers       timer.Service
 	control      *control
-	paths        *paths
+	paths        *mesh.Paths
 	client       *upstream.Client
 	peerClient   *mesh.Client
 	callerServer *ingress.Server
@@ -99,21 +98,14 @@
 	incarnation := newIncarnation()
 	p.control = newControl(settings, incarnation, platform.Decode, log, &p.timers)
 	dialer := settings.timeouts.ServerDialer()
-	p.paths = &paths{
-		direct: platform.Network, timers: &p.timers, log: log, relays: p.control.relays, servers: p.control.serverAddresses,
-		open: func(ctx context.Context, relay, address string) (net.Conn, error) {
-			return mesh.OpenTunnel(ctx, dialer, relay, address)
-		},
-	}
-	if p.paths.direct == nil {
-		p.paths.direct = dialer
+	var network upstream.Network = dialer
+	if platform.Network != nil {
+		network = platform.Network
 	}
+	ways := ways{process: p, dialer: dialer}
+	p.paths = mesh.NewPaths(network, ways, &p.timers, log)
 	p.client = upstream.NewClient(platform.Headers, &p.timers, dialer)
 	p.client.SetNetwork(p.paths)
-	p.paths.cutOffChanged = func(cutOff bool) {
-		p.control.setCutOff(cutOff)
-		p.sweepOnce()
-	}
 	p.peerClient = mesh.NewClient(settings.timeouts.Dialer())
 	var reserver ingress.KVReserver
 	if platform.KVReserver != nil {
@@ -125,7 +117,7 @@
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
 	p.callerServer = ingress.NewServer(p.control, scheduler, reserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
 	p.peerServer = mesh.NewServer(p.control.handle)
-	p.peerServer.ServeTunnels(p.serveTunnel, maxServedTunnels)
+	p.peerServer.ServeTunnels(ways.serveTunnel, maxServedTunnels)
 	if err := p.listen(platform); err != nil {
 		for _, listener := range p.listeners {
 			listener.Close()
@@ -141,7 +133,7 @@
 		p.running.Go(func() { p.control.catchUp(ctx, p.peerClient) })
 	}
 	p.running.Go(func() { p.sweep(ctx) })
-	p.running.Go(func() { p.paths.probe(ctx) })
+	p.running.Go(func() { p.paths.Probe(ctx) })
 	log.Info("started", "entry", settings.ID(), "domain", settings.Domain(), "region", settings.Region(), "incarnation", incarnation, "callers", settings.CallerAddress(), "peers", settings.PeerAddress())
 	return p, nil
 }
@@ -252,21 +244,10 @@
 
 // sweepOnce closes the idle upstream connections that are of no more use.
 func (p *Process) sweepOnce() {
-	view, ofUse := p.control.View(), p.paths.idleOfUse()
+	view, ofUse := p.control.View(), p.paths.IdleOfUse()
 	p.client.Sweep(func(server, address, relay string) bool { return view.Usable(server) && ofUse(address, relay) })
 }
 
-// serveTunnel connects to a server for another entry that has lost the way to it.
-func (p *Process) serveTunnel(ctx context.Context, address string) (net.Conn, error) {
-	switch {
-	case !slices.Contains(p.control.serverAddresses(), address):
-		return nil, eris.Wrapf(mesh.ErrRefused, "%s: not a known server", address)
-	case p.control.state.Load() != memberReady:
-		return nil, eris.Wrapf(mesh.ErrRefused, "entry is %v", p.control.state.Load())
-	}
-	return p.paths.dialDirect(ctx, address)
-}
-
 // Reload applies changed settings that take effect without a restart: the seeds,
 // the CPU cores and the address TTL.
 func (p *Process) Reload(settings Settings) {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -116,6 +116,7 @@
 	if status := a.response.Status(); promisesNotRun(status) {
 		return dispatch.OutcomeServerError, eris.Wrapf(errFalsePromise, "status %d", status)
 	}
+	a.silence.received()
 	if q.route.Kind() == routing.KindStream && a.response.Status() == http.StatusOK {
 		a.events = newEventReader(a.response)
 		a.firstEvent, a.firstErr = a.events.next()
@@ -179,15 +180,26 @@
 	lastData time.Time
 	// fired counts how often the timer fired since then.
 	fired int
+	// doubt has the way to the server checked if nothing arrives for a while.
+	doubt *time.Timer
 }
 
-// start starts the timer of an attempt that is sent now, if it may have a backup.
+// doubtTimeout is how long a plain service may take until the way to its server is checked,
+// and maxDoubtFraction the fraction of the time left that this may be.
+const (
+	doubtTimeout     = 500 * time.Millisecond
+	maxDoubtFraction = 0.5
+)
+
+// start starts the timers of an attempt that is sent now: that of the way to its server, and
+// that of a backup if it may have one.
 func (t *silenceTimer) start(a *attempt, now time.Time) {
 	q := a.request
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	a.sent = true
 	t.lastData = now
+	t.doubt = time.AfterFunc(q.doubtTimeout(a.grant, now), func() { q.server.client.Doubt(a.grant.Address()) })
 	t.timeout = q.silenceTimeout(a.grant, now)
 	if t.timeout < q.deadline.Sub(now) {
 		t.timer = time.AfterFunc(t.timeout, func() { q.serverSilent(a) })
@@ -195,11 +207,39 @@
 }
 
 func (t *silenceTimer) stop() {
+	t.received()
 	if t.timer != nil {
 		t.timer.Stop()
 	}
 }
 
+// received ends the doubt about the way to the server: something arrived.
+func (t *silenceTimer) received() {
+	if t.doubt != nil {
+		t.doubt.Stop()
+	}
+}
+
+// doubtTimeout returns how long the server may take until its first byte before the way to
+// it is checked.
+func (q *request) doubtTimeout(grant dispatch.Grant, now time.Time) time.Duration {
+	if q.service.Engine() == nil {
+		return min(doubtTimeout, time.Duration(maxDoubtFraction*float64(q.deadline.Sub(now))))
+	}
+	return q.firstByteTimeout(grant)
+}
+
+// firstByteTimeout returns how long an engine may take until its first byte, by the time that
+// was expected for the placement.
+func (q *request) firstByteTimeout(grant dispatch.Grant) time.Duration {
+	timeout := q.server.minSilence
+	if len(grant.PrefillWorkers()) > 0 {
+		// A server that waits for a dead prefill worker reports which one it is.
+		timeout = max(timeout, q.server.workerStall)
+	}
+	return timeout + silenceFactor*grant.TimeToFirstToken()
+}
+
 // silenceTimeout returns how long the server may take until its first byte before the
 // request is also sent to another one; q.mu must be held.
 func (q *request) silenceTimeout(grant dispatch.Grant, now time.Time) time.Duration {
@@ -210,12 +250,7 @@
 	if q.service.Engine() == nil {
 		return time.Duration(silenceFraction * float64(left))
 	}
-	timeout := q.server.minSilence
-	if len(grant.PrefillWorkers()) > 0 {
-		// A server that waits for a dead prefill worker reports which one it is.
-		timeout = max(timeout, q.server.workerStall)
-	}
-	return min(left, timeout+silenceFactor*grant.TimeToFirstToken())
+	return min(left, q.firstByteTimeout(grant))
 }
 
 // mayResume reports whether the stream may resume at another server; q.mu must be held.
--- a/gateway/paths.go
+++ b/mesh/paths.go
@@ -1,4 +1,4 @@
-package gateway
+package mesh
 
 import (
 	"context"
@@ -13,7 +13,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
-	"greengagedock.example/mesh"
 	"greengagedock.example/timer"
 	"greengagedock.example/upstream"
 )
@@ -43,24 +42,29 @@
 	probesPerRound = 2
 	// maxRelays is the number of entries that are asked for one connection.
 	maxRelays = 3
-	// maxServedTunnels bounds the tunnels that this entry serves. Each takes two descriptors
-	// and some ten kilobytes.
-	maxServedTunnels = 512
+	// refusedTime is how long an entry that opened no tunnel is asked after the others.
+	refusedTime = 2 * time.Second
 )
 
-// paths is a network that reaches servers through other entries where the direct way is lost.
-type paths struct {
+// Ways is what Paths need to know of the servers and the other entries.
+type Ways interface {
+	// Servers returns the IP:PORT addresses of the servers.
+	Servers() []string
+	// Relays returns the addresses of the entries that may lead to servers, in random order.
+	Relays() []string
+	// Open opens a tunnel to a server through the entry at the address relay.
+	Open(ctx context.Context, relay, address string) (net.Conn, error)
+	// CutOffChanged is called when the result of Paths.CutOff changes.
+	CutOffChanged(cutOff bool)
+}
+
+// Paths is an upstream.Network that reaches servers through other entries where the direct
+// way is lost; NewPaths returns one.
+type Paths struct {
 	direct upstream.Network
+	ways   Ways
 	timers *timer.Service
 	log    hclog.Logger
-	// open opens a tunnel through the entry at an address.
-	open func(ctx context.Context, relay, address string) (net.Conn, error)
-	// relays returns the addresses of entries that reach servers, in random order.
-	relays func() []string
-	// servers returns the addresses of the servers.
-	servers func() []string
-	// cutOffChanged is called, without a lock, when CutOff changes.
-	cutOffChanged func(cutOff bool)
 
 	mu sync.Mutex
 	// lost holds when the direct way to a server was found to be lost, by its address.
@@ -70,6 +74,16 @@
 	cutOff    bool
 	checks    int
 	checkedAt map[string]time.Time
+	// refusedAt holds when an entry last opened no tunnel, by its address.
+	refusedAt map[string]time.Time
+}
+
+// NewPaths returns paths whose direct ways lead through a network.
+func NewPaths(direct upstream.Network, ways Ways, timers *timer.Service, log hclog.Logger) *Paths {
+	return &Paths{
+		direct: direct, ways: ways, timers: timers, log: log,
+		lost: make(map[string]time.Time), checkedAt: make(map[string]time.Time), refusedAt: make(map[string]time.Time),
+	}
 }
 
 // relayedConn is a connection through another entry.
@@ -82,11 +96,11 @@
 func (c relayedConn) Relay() string { return c.relay }
 
 // Dial implements upstream.Network.
-func (p *paths) Dial(ctx context.Context, address string) (net.Conn, error) {
+func (p *Paths) Dial(ctx context.Context, address string) (net.Conn, error) {
 	if p.isLost(address) {
 		return p.dialRelayed(ctx, address)
 	}
-	conn, err := p.dialDirect(ctx, address)
+	conn, err := p.DialDirect(ctx, address)
 	if err == nil || ctx.Err() != nil {
 		return conn, err
 	}
@@ -98,29 +112,29 @@
 }
 
 // Doubt implements upstream.Network.
-func (p *paths) Doubt(address string) {
+func (p *Paths) Doubt(address string) {
 	if !p.isLost(address) {
 		p.check(address, true)
 	}
 }
 
 // CutOff implements upstream.Network.
-func (p *paths) CutOff() bool {
+func (p *Paths) CutOff() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.cutOff
 }
 
 // isLost reports whether the direct way to a server is lost.
-func (p *paths) isLost(address string) bool {
+func (p *Paths) isLost(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, lost := p.lost[address]
 	return lost || p.cutOff
 }
 
-// dialDirect opens a direct connection, which shows that the way is not lost.
-func (p *paths) dialDirect(ctx context.Context, address string) (net.Conn, error) {
+// DialDirect opens a direct connection, which shows that the way is not lost.
+func (p *Paths) DialDirect(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := p.direct.Dial(ctx, address)
 	if err == nil {
 		p.reached(address)
@@ -129,34 +143,45 @@
 }
 
 // dialRelayed opens a connection through another entry.
-func (p *paths) dialRelayed(ctx context.Context, address string) (net.Conn, error) {
+func (p *Paths) dialRelayed(ctx context.Context, address string) (net.Conn, error) {
 	relays := p.relays()
 	lastErr := eris.New("no other entry reaches servers")
 	for _, relay := range relays[:min(maxRelays, len(relays))] {
-		conn, err := p.open(ctx, relay, address)
+		conn, err := p.ways.Open(ctx, relay, address)
 		switch {
 		case err == nil:
 			return relayedConn{conn.(*net.TCPConn), relay}, nil
-		case errors.Is(err, mesh.ErrServerUnreachable):
+		case errors.Is(err, ErrServerUnreachable) || ctx.Err() != nil:
 			return nil, err
 		}
 		lastErr = err
+		p.mu.Lock()
+		p.refusedAt[relay] = p.timers.Now()
+		p.mu.Unlock()
 	}
 	return nil, eris.Wrapf(upstream.ErrNoPath, "%v", lastErr)
 }
 
+// relays returns the entries that may lead to servers; those that lately opened no tunnel
+// come last.
+func (p *Paths) relays() []string {
+	relays, now := p.ways.Relays(), p.timers.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.refusedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= refusedTime })
+	slices.SortStableFunc(relays, func(a, b string) int { return p.refusedAt[a].Compare(p.refusedAt[b]) })
+	return relays
+}
+
 // check finds out, aside from any request, whether the direct way to a server is lost. With
 // dial set it dials the server first.
-func (p *paths) check(address string, dial bool) {
+func (p *Paths) check(address string, dial bool) {
 	now := p.timers.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.checks >= maxChecks || now.Sub(p.checkedAt[address]) < checkInterval {
 		return
 	}
-	if p.checkedAt == nil {
-		p.checkedAt = make(map[string]time.Time)
-	}
 	maps.DeleteFunc(p.checkedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= checkInterval })
 	p.checkedAt[address] = now
 	p.checks++
@@ -174,9 +199,9 @@
 }
 
 // wayLost reports whether another entry reaches a server that this one doesn't.
-func (p *paths) wayLost(ctx context.Context, address string, dial bool) bool {
+func (p *Paths) wayLost(ctx context.Context, address string, dial bool) bool {
 	if dial {
-		if conn, err := p.dialDirect(ctx, address); err == nil {
+		if conn, err := p.DialDirect(ctx, address); err == nil {
 			conn.Close()
 			return false
 		}
@@ -190,12 +215,9 @@
 }
 
 // lose records that the direct way to a server is lost, as found at a time.
-func (p *paths) lose(address string, now time.Time) {
-	servers := len(p.servers())
+func (p *Paths) lose(address string, now time.Time) {
+	servers := len(p.ways.Servers())
 	p.mu.Lock()
-	if p.lost == nil {
-		p.lost = make(map[string]time.Time)
-	}
 	p.lost[address] = now
 	since := 0
 	for _, at := range p.lost {
@@ -208,12 +230,28 @@
 	p.mu.Unlock()
 	p.log.Warn("way to server lost", "address", address, "lost", since, "servers", servers, "cut_off", changed)
 	if changed {
-		p.cutOffChanged(true)
+		p.ways.CutOffChanged(true)
+	} else {
+		p.checkOthers()
+	}
+}
+
+// checkOthers checks the ways to some servers to which they are not known to be lost: open
+// connections that hang don't show it soon.
+func (p *Paths) checkOthers() {
+	servers := p.ways.Servers()
+	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	checked := 0
+	for _, address := range servers {
+		if checked < minLostForCutOff && !p.isLost(address) {
+			p.check(address, true)
+			checked++
+		}
 	}
 }
 
 // reached records that a server was reached directly.
-func (p *paths) reached(address string) {
+func (p *Paths) reached(address string) {
 	p.mu.Lock()
 	_, lost := p.lost[address]
 	changed := p.cutOff
@@ -225,12 +263,12 @@
 		p.log.Info("way to server is back", "address", address, "cut_off", false)
 	}
 	if changed {
-		p.cutOffChanged(false)
+		p.ways.CutOffChanged(false)
 	}
 }
 
-// probe dials servers to which the way is lost, at intervals until ctx ends.
-func (p *paths) probe(ctx context.Context) {
+// Probe dials servers to which the way is lost, at intervals until ctx ends.
+func (p *Paths) Probe(ctx context.Context) {
 	tick := p.timers.Every(probeInterval)
 	defer tick.Stop()
 	var running sync.WaitGroup
@@ -245,7 +283,7 @@
 			running.Go(func() {
 				ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 				defer cancel()
-				if conn, err := p.dialDirect(ctx, address); err == nil {
+				if conn, err := p.DialDirect(ctx, address); err == nil {
 					conn.Close()
 				}
 			})
@@ -254,8 +292,8 @@
 }
 
 // probed returns the servers to dial in a round, and forgets those that are gone.
-func (p *paths) probed() []string {
-	servers := p.servers()
+func (p *Paths) probed() []string {
+	servers := p.ways.Servers()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.lost, func(address string, _ time.Time) bool { return !slices.Contains(servers, address) })
@@ -266,10 +304,10 @@
 	return servers[:min(probesPerRound, len(servers))]
 }
 
-// idleOfUse returns which idle connections are of use for later requests, given the address
+// IdleOfUse returns which idle connections are of use for later requests, given the address
 // of the server and that of the entry through which they lead, which is empty for direct ones.
-func (p *paths) idleOfUse() func(address, relay string) bool {
-	relays := p.relays()
+func (p *Paths) IdleOfUse() func(address, relay string) bool {
+	relays := p.ways.Relays()
 	return func(address, relay string) bool {
 		return p.isLost(address) == (relay != "") && (relay == "" || slices.Contains(relays, relay))
 	}
--- a/gateway/paths_test.go
+++ b/mesh/paths_test.go
@@ -1,9 +1,10 @@
-package gateway
+package mesh
 
 import (
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -12,8 +13,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
-	"greengagedock.example/dispatch"
-	"greengagedock.example/mesh"
 	"greengagedock.example/timer"
 	"greengagedock.example/upstream"
 )
@@ -28,6 +27,10 @@
 	down   map[string]bool
 	direct int
 	relays []string
+	refuse string // a relay that opens no tunnels
+	// refused is the number of times that it was asked.
+	refused int
+	servers []string
 }
 
 // Dial implements upstream.Network.
@@ -47,12 +50,29 @@
 // CutOff implements upstream.Network.
 func (w *testWays) CutOff() bool { return false }
 
-// open opens a tunnel.
-func (w *testWays) open(_ context.Context, relay, address string) (net.Conn, error) {
+// Servers implements Ways.
+func (w *testWays) Servers() []string { return w.servers }
+
+// Relays implements Ways.
+func (w *testWays) Relays() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.relays)
+}
+
+// CutOffChanged implements Ways.
+func (w *testWays) CutOffChanged(bool) {}
+
+// Open implements Ways.
+func (w *testWays) Open(_ context.Context, relay, address string) (net.Conn, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if relay == w.refuse {
+		w.refused++
+		return nil, eris.Wrap(ErrUnreachable, relay)
+	}
 	if w.down[address] {
-		return nil, eris.Wrap(mesh.ErrServerUnreachable, address)
+		return nil, eris.Wrap(ErrServerUnreachable, address)
 	}
 	return &net.TCPConn{}, nil
 }
@@ -66,26 +86,16 @@
 	}
 }
 
-func newTestPaths(servers int) (*paths, *testWays, []string) {
+func newTestPaths(servers int) (*Paths, *testWays, []string) {
 	w := &testWays{cut: make(map[string]bool), down: make(map[string]bool), relays: []string{"e2"}}
-	var addresses []string
 	for i := range servers {
-		addresses = append(addresses, fmt.Sprint("s", i))
-	}
-	p := &paths{
-		direct: w, timers: &timer.Service{}, log: hclog.NewNullLogger(), open: w.open,
-		relays: func() []string {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			return w.relays
-		},
-		servers: func() []string { return addresses }, cutOffChanged: func(bool) {},
+		w.servers = append(w.servers, fmt.Sprint("s", i))
 	}
-	return p, w, addresses
+	return NewPaths(w, w, &timer.Service{}, hclog.NewNullLogger()), w, w.servers
 }
 
 // dial dials a server and reports how it was reached.
-func dial(p *paths, address string) (relay string, err error) {
+func dial(p *Paths, address string) (relay string, err error) {
 	conn, err := p.Dial(context.Background(), address)
 	if relayed, ok := conn.(upstream.Relayed); ok {
 		return relayed.Relay(), err
@@ -116,14 +126,14 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(relay, qt.Equals, "e2")
 	}
-	ofUse := p.idleOfUse()
+	ofUse := p.IdleOfUse()
 	c.Assert(ofUse(servers[4], ""), qt.IsFalse)
 	c.Assert(ofUse(servers[4], "e2"), qt.IsTrue)
 	c.Assert(ofUse(servers[4], "gone"), qt.IsFalse)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go p.probe(ctx)
+	go p.Probe(ctx)
 	time.Sleep(2 * probeInterval)
 	c.Assert(p.CutOff(), qt.IsTrue)
 	set(w, w.cut, false, servers...)
@@ -214,67 +224,28 @@
 	w.relays = []string{"e2"}
 	w.mu.Unlock()
 	_, err = dial(p, servers[2])
-	c.Assert(err, qt.ErrorIs, mesh.ErrServerUnreachable)
+	c.Assert(err, qt.ErrorIs, ErrServerUnreachable)
 }
 
-// Entries that are cut off schedule for no other one, lead nowhere, and leave the directory
-// unless most are cut off.
-func TestCutOffEntriesLeaveTheDirectory(t *testing.T) {
+// An entry that opens no tunnel, as one that is cut off itself, is asked after the others.
+func TestRefusingRelayIsAskedLast(t *testing.T) {
 	c := qt.New(t)
-	now := time.Unix(1000, 0)
-	m := newTestMembers(memberReady)
-	m.self.CallerAddress, m.self.CPUCores = "self", 1
-	for i := range 3 {
-		other := testMember(fmt.Sprint("e", i), 1, memberReady)
-		other.CallerAddress, other.PeerAddress, other.CPUCores = fmt.Sprint("c", i), fmt.Sprint("p", i), 1
-		m.observe(now, other)
-	}
-	setState := func(i int, state memberState) { m.byID[fmt.Sprint("e", i)].State = state }
-	setState(0, memberCutOff)
-	c.Assert(m.addresses(now), qt.ContentEquals, []string{"self", "c1", "c2"})
-	c.Assert(m.relays(now), qt.ContentEquals, []string{"p1", "p2"})
-	c.Assert(m.cutOff(), qt.DeepEquals, map[string]bool{"e0": true})
-	for i := range 20 {
-		if scheduler := m.scheduler(now, fmt.Sprint("service-", i)); scheduler != nil {
-			c.Assert(scheduler.ID, qt.Not(qt.Equals), "e0")
-		}
-	}
-	setState(1, memberCutOff)
-	setState(2, memberCutOff)
-	c.Assert(m.addresses(now), qt.ContentEquals, []string{"self", "c0", "c1", "c2"})
-}
-
-// What entries reported of servers before they were known to be cut off holds back nobody.
-func TestBlameOfCutOffEntriesIsForgiven(t *testing.T) {
-	c := qt.New(t)
-	now := time.Unix(1000, 0)
-	scheduler := newSuspicionEntry(1, now)
-	cut, other := dispatch.NewOwner("e2", 1), dispatch.NewOwner("e3", 1)
-	fail := func(owner dispatch.Owner, server string) {
-		request := scheduler.crashingRequest(now, owner.Entry()+server).WithParts()
-		scheduler.scheduler.Adopt(now, owner, dispatch.NewRunningRequest(request, server, nil))
-		scheduler.scheduler.Ended(now, request.ID(), dispatch.OutcomeUnreachable)
-	}
-	for i := range 12 {
-		fail(cut, fmt.Sprint("s", i))
-	}
-	fail(other, "s3")
-	c.Assert(granted(scheduler, now, "before"), qt.Equals, "")
-	scheduler.members.observe(now, memberMessage{ID: "e2", Incarnation: 1, State: memberCutOff})
-	scheduler.updateCutOff()
-	for i := range 30 {
-		server := granted(scheduler, now, fmt.Sprint("after-", i))
-		c.Assert(server, qt.Not(qt.Equals), "")
-		c.Assert(server, qt.Not(qt.Equals), "s3") // another entry did not reach it either
+	p, w, servers := newTestPaths(3)
+	w.relays, w.refuse = []string{"e2", "e3"}, "e2"
+	set(w, w.cut, true, servers...)
+	for _, address := range servers[:2] {
+		_, _ = dial(p, address)
 	}
-}
-
-// granted places a request and returns the server, empty if there is none.
-func granted(c *control, now time.Time, id string) string {
-	decision, ok := c.scheduler.Submit(now, c.owner, c.crashingRequest(now, id).WithParts()).(dispatch.Granted)
-	if !ok {
-		c.scheduler.Withdraw(id)
-		return ""
+	eventually(c, "cut off", p.CutOff)
+	w.mu.Lock()
+	before := w.refused
+	w.mu.Unlock()
+	for range 10 {
+		relay, err := dial(p, servers[2])
+		c.Assert(err, qt.IsNil)
+		c.Assert(relay, qt.Equals, "e3")
 	}
-	return decision.Grant().Server()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c.Assert(w.refused, qt.Equals, before)
 }
