--- a/backend/client.go
+++ b/backend/client.go
@@ -42,6 +42,19 @@
 	pooled   *http.Transport
 	unpooled *http.Transport
 	faults   expvar.Map
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// SetDial has the client open connections to servers' IPs and ports with a function. It is to
+// be called before the first attempt.
+func (c *Client) SetDial(dial func(ctx context.Context, address string) (net.Conn, error)) {
+	c.dial = dial
+}
+
+// Dial opens a connection to a server's IP and port, as clients do without SetDial.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Faults returns how many responses or events had each Fault.
@@ -116,17 +129,19 @@
 
 func (c *Client) setup() {
 	c.once.Do(func() {
-		c.pooled = newTransport()
-		c.unpooled = newTransport()
+		if c.dial == nil {
+			c.dial = Dial
+		}
+		c.pooled = newTransport(c.dial)
+		c.unpooled = newTransport(c.dial)
 		c.unpooled.DisableKeepAlives = true
 	})
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(dial func(ctx context.Context, address string) (net.Conn, error)) *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := dial(ctx, address)
 			if err != nil {
 				return nil, err
 			}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,10 +17,12 @@
 	"github.com/hashicorp/go-hclog"
 
 	"greengagedock.example/backend"
+	"greengagedock.example/cuttest"
 	"greengagedock.example/peer"
 	"greengagedock.example/registry"
 	"greengagedock.example/settings"
 	"greengagedock.example/standin"
+	"greengagedock.example/upstream"
 )
 
 // fleetTimeout is how long a test waits for an expected state.
@@ -34,8 +37,10 @@
 	engines map[string]*standin.Engine
 	service *standin.Service
 	entries []*Process
+	// networks are the ways of the entries to the servers.
+	networks []*cuttest.Network
 	// callIDs counts the IDs of the calls that must run at most once.
-	callIDs int
+	callIDs atomic.Int64
 }
 
 // published holds the instances that the fleet's platform lists.
@@ -154,7 +159,9 @@
 		"platform_addresses": [%q]
 	}`, id, fleetRegion, domain, f.address))
 	f.c.Assert(err, qt.IsNil)
-	process, err := Start(s, hclog.New(&hclog.LoggerOptions{Name: id, Level: hclog.Info, Output: testWriter{f.c}}))
+	network := cuttest.NewNetwork(upstream.Dialer{})
+	f.networks = append(f.networks, network)
+	process, err := start(s, hclog.New(&hclog.LoggerOptions{Name: id, Level: hclog.Info, Output: testWriter{f.c}}), network)
 	f.c.Assert(err, qt.IsNil)
 	f.c.Cleanup(process.Kill)
 	return process
--- a/entry/process.go
+++ b/entry/process.go
@@ -19,6 +19,7 @@
 	"greengagedock.example/registry"
 	"greengagedock.example/settings"
 	"greengagedock.example/timer"
+	"greengagedock.example/upstream"
 )
 
 // ErrStart is the error that every failed start of an entry wraps.
@@ -49,12 +50,18 @@
 
 // Start opens the listeners of an entry and runs it until Shutdown or Kill; errors wrap ErrStart.
 func Start(s settings.Settings, log hclog.Logger) (*Process, error) {
+	return start(s, log, serverNetwork{})
+}
+
+// start is Start with the network to the servers.
+func start(s settings.Settings, log hclog.Logger, network upstream.Network) (*Process, error) {
 	open, err := listen(s)
 	if err != nil {
 		return nil, err
 	}
 	p := &Process{settings: s, log: log, listeners: open, drainRequested: make(chan struct{})}
 	p.startedAt = p.timers.Now()
+	p.client.SetDial(network.Dial)
 	p.recorder.entryID = s.ID()
 	p.recorder.timers = &p.timers
 	self := registry.NewEntry(s.ID(), s.Location(), registry.StateLive, p.CallerAddress(), p.PeerAddress())
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -56,8 +56,7 @@
 			Prefix string `json:"request_id_prefix"`
 		}
 		f.c.Assert(json.Unmarshal([]byte(text), &address), qt.IsNil)
-		f.callIDs++
-		id = fmt.Sprint(address.Prefix, "call-", f.callIDs)
+		id = fmt.Sprint(address.Prefix, "call-", f.callIDs.Add(1))
 	}
 	status, response, err := f.call(f.c.Context(), entry, method, "/v1/services/licensing/grants", id, body)
 	f.c.Assert(err, qt.IsNil)
