entry: reach servers through other entries while the direct ways are lost

Cause, on the own interface: the same as on the users' platform. An entry without a way to any server fails its own callers and, as the keeper of servers that it can't poll, grants them to nobody.

Change: attempts and polls of load reports open their connections through mesh.Paths, as on the platform. Entries open tunnels for each other on the port for peers, where a connection for a tunnel begins with a message of its own. An entry that is cut off, or drains, opens none for others and is asked after the rest.

Paths shuffled the list of servers that they were given, in place; they shuffle a copy. TestSingleLostWay failed once for that, in a whole run of the tests.

--- a/backend/client.go
+++ b/backend/client.go
@@ -60,7 +60,7 @@
 // Faults returns how many responses or events had each Fault.
 func (c *Client) Faults() *expvar.Map { return &c.faults }
 
-// Close closes idle connections.
+// Close closes idle connections; others are opened as they are needed.
 func (c *Client) Close() {
 	c.setup()
 	c.pooled.CloseIdleConnections()
--- a/entry/poller.go
+++ b/entry/poller.go
@@ -19,8 +19,10 @@
 
 // poller polls the load reports of the backend servers that this entry keeps.
 type poller struct {
-	control  *peer.Control
-	client   *backend.Client
+	control *peer.Control
+	client  *backend.Client
+	// doubt has the way to a server at an address checked.
+	doubt    func(address string)
 	timers   *timer.Service
 	mu       sync.Mutex
 	inFlight map[string]bool
@@ -66,6 +68,7 @@
 	defer cancel()
 	report, err := p.client.LoadReport(ctx, poll.Server(), poll.Address())
 	if err != nil {
+		p.doubt(poll.Address())
 		p.control.Deliver(peer.NewServerUnreachable(poll.Server()))
 		return
 	}
--- a/entry/process.go
+++ b/entry/process.go
@@ -14,6 +14,7 @@
 
 	"greengagedock.example/backend"
 	"greengagedock.example/caller"
+	"greengagedock.example/mesh"
 	"greengagedock.example/operator"
 	"greengagedock.example/peer"
 	"greengagedock.example/registry"
@@ -35,7 +36,9 @@
 	timers         timer.Service
 	startedAt      time.Time
 	client         backend.Client
+	paths          *mesh.Paths
 	control        *peer.Control
+	controlStarted chan struct{} // closed once control is set
 	server         *caller.Server
 	admin          *operator.Server
 	recorder       recorder
@@ -59,9 +62,11 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{settings: s, log: log, listeners: open, drainRequested: make(chan struct{})}
+	p := &Process{settings: s, log: log, listeners: open, drainRequested: make(chan struct{}), controlStarted: make(chan struct{})}
 	p.startedAt = p.timers.Now()
-	p.client.SetDial(network.Dial)
+	ways := ways{p}
+	p.paths = mesh.NewPaths(network, ways, &p.timers, log.Named("mesh"))
+	p.client.SetDial(p.dialServer)
 	p.recorder.entryID = s.ID()
 	p.recorder.timers = &p.timers
 	self := registry.NewEntry(s.ID(), s.Location(), registry.StateLive, p.CallerAddress(), p.PeerAddress())
@@ -72,6 +77,8 @@
 		return nil, eris.Wrapf(ErrStart, "%v", err)
 	}
 	p.control = control
+	close(p.controlStarted)
+	control.ServeTunnels(ways.serveTunnel, maxServedTunnels)
 	callers := recordingLogger{Logger: log.Named("caller"), record: p.recorder.recordCallerLine}
 	p.server = caller.NewServer(snapshotSource{control}, control, &p.client, limits(s), callers, &p.timers)
 	p.admin = operator.NewServer(p, p, &p.recorder.decisions, log.Named("operator"))
@@ -107,9 +114,10 @@
 func (p *Process) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	poll := &poller{control: p.control, client: &p.client, timers: &p.timers, inFlight: make(map[string]bool)}
+	poll := &poller{control: p.control, client: &p.client, doubt: p.paths.Doubt, timers: &p.timers, inFlight: make(map[string]bool)}
 	watch := &watcher{control: p.control, client: registry.NewClient(p.settings.PlatformAddresses()...), log: p.log.Named("platform")}
 	p.goroutines.Go(func() { poll.run(ctx) })
+	p.goroutines.Go(func() { p.paths.Probe(ctx) })
 	p.goroutines.Go(func() { watch.run(ctx) })
 	p.goroutines.Go(func() { p.reportOpenRequests(ctx) })
 	p.goroutines.Go(func() { p.checkDeadlines(ctx) })
--- a/mesh/paths.go
+++ b/mesh/paths.go
@@ -165,7 +165,7 @@
 // relays returns the entries that may lead to servers; those that lately opened no tunnel
 // come last.
 func (p *Paths) relays() []string {
-	relays, now := p.ways.Relays(), p.timers.Now()
+	relays, now := slices.Clone(p.ways.Relays()), p.timers.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.refusedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= refusedTime })
@@ -239,7 +239,7 @@
 // checkOthers checks the ways to some servers to which they are not known to be lost: open
 // connections that hang don't show it soon.
 func (p *Paths) checkOthers() {
-	servers := p.ways.Servers()
+	servers := slices.Clone(p.ways.Servers())
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 	checked := 0
 	for _, address := range servers {
@@ -293,7 +293,7 @@
 
 // probed returns the servers to dial in a round, and forgets those that are gone.
 func (p *Paths) probed() []string {
-	servers := p.ways.Servers()
+	servers := slices.Clone(p.ways.Servers())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.lost, func(address string, _ time.Time) bool { return !slices.Contains(servers, address) })
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -15,13 +15,12 @@
 	handler Handler
 	traffic Traffic
 
+	mu         sync.Mutex
+	closed     bool
+	conns      map[net.Conn]bool
 	dialTunnel TunnelDialer
 	maxTunnels int
-
-	mu      sync.Mutex
-	closed  bool
-	conns   map[net.Conn]bool
-	tunnels int
+	tunnels    int
 }
 
 // NewServer returns a server that passes calls to the handler.
@@ -51,6 +50,15 @@
 	}
 }
 
+// ServeConn serves the calls on one connection until it ends.
+func (s *Server) ServeConn(conn net.Conn) {
+	if !s.add(conn) {
+		conn.Close()
+		return
+	}
+	s.serve(conn)
+}
+
 // Close closes all connections and refuses new ones.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/mesh/tunnel.go
+++ b/mesh/tunnel.go
@@ -48,9 +48,10 @@
 // ErrRefused if it did not try to.
 type TunnelDialer func(ctx context.Context, address string) (net.Conn, error)
 
-// ServeTunnels has the server open tunnels, so many at most at the same time. It is to be
-// called before Serve.
+// ServeTunnels has the server open tunnels from now on, so many at most at the same time.
 func (s *Server) ServeTunnels(dial TunnelDialer, limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.dialTunnel, s.maxTunnels = dial, limit
 }
 
@@ -88,7 +89,9 @@
 // keepTunnel has a connection on which a tunnel was opened stay without calls, and end soon
 // after the entry at its other end has vanished.
 func keepTunnel(conn net.Conn) error {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	}); ok {
 		if err := tcp.SetKeepAliveConfig(tunnelKeepAlive); err != nil {
 			return err
 		}
@@ -102,19 +105,19 @@
 	if err := msgpack.Unmarshal(body, &address); err != nil {
 		return nil, eris.Wrap(ErrRefused, err.Error())
 	}
-	if s.dialTunnel == nil {
-		return nil, errNoTunnels
-	}
 	s.mu.Lock()
-	full := s.tunnels >= s.maxTunnels
-	if !full {
+	dial, full := s.dialTunnel, s.tunnels >= s.maxTunnels
+	if dial != nil && !full {
 		s.tunnels++
 	}
 	s.mu.Unlock()
-	if full {
+	switch {
+	case dial == nil:
+		return nil, errNoTunnels
+	case full:
 		return nil, errTooManyTunnels
 	}
-	server, err := s.dialTunnel(context.Background(), address)
+	server, err := dial(context.Background(), address)
 	if err != nil && !errors.Is(err, ErrRefused) {
 		err = eris.Wrap(ErrServerUnreachable, err.Error())
 	} else if err == nil && !s.add(server) {
@@ -158,15 +161,16 @@
 	}
 }
 
-// OpenTunnel connects to a server's address through the entry at an address. Errors wrap
-// ErrServerUnreachable if the entry can't reach the server, and else ErrUnreachable.
-func OpenTunnel(ctx context.Context, dialer upstream.Dialer, entry, address string) (net.Conn, error) {
+// OpenTunnel connects to a server's address through the entry at an address, on a connection
+// that begins with the opening bytes. Errors wrap ErrServerUnreachable if the entry can't
+// reach the server, and else ErrUnreachable.
+func OpenTunnel(ctx context.Context, dialer upstream.Dialer, entry, address string, opening ...byte) (net.Conn, error) {
 	conn, err := dialer.Dial(ctx, entry)
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "tunnel through %s: %v", entry, err)
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	err = requestTunnel(conn, address)
+	err = requestTunnel(conn, address, opening)
 	if !stop() && err == nil {
 		err = eris.Wrapf(ErrUnreachable, "tunnel through %s: %v", entry, ctx.Err())
 	}
@@ -179,8 +183,11 @@
 
 // requestTunnel calls for a tunnel on a new connection to an entry. It reads no byte beyond
 // the response.
-func requestTunnel(conn net.Conn, address string) error {
+func requestTunnel(conn net.Conn, address string, opening []byte) error {
 	body, err := encode(address)
+	if err == nil && len(opening) > 0 {
+		_, err = conn.Write(opening)
+	}
 	if err == nil {
 		err = writeEnvelope(conn, envelope{ID: 1, Kind: kindTunnel, Body: body})
 	}
--- a/peer/build_snapshot.go
+++ b/peer/build_snapshot.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -31,7 +32,9 @@
 	if previous == nil || n.changed {
 		s.documents = n.items.documents()
 		s.items = n.items.activeItems()
+		s.serverAddresses = slices.Sorted(maps.Values(n.requester.table.addresses))
 	} else {
+		s.serverAddresses = previous.serverAddresses
 		s.documents = previous.documents
 		s.items = previous.items
 	}
--- a/peer/control.go
+++ b/peer/control.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"greengagedock.example/backend"
+	"greengagedock.example/mesh"
 	"greengagedock.example/registry"
 	"greengagedock.example/timer"
 )
@@ -37,6 +38,7 @@
 // Release.
 type Control struct {
 	node      *Node
+	region    string
 	events    chan Event
 	snapshot  atomic.Pointer[Snapshot]
 	acceptor  *acceptor
@@ -78,6 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{
 		node:      NewNode(timers.Now(), self, incarnation),
+		region:    self.Location().Region(),
 		events:    make(chan Event, eventQueueSize),
 		canceller: canceller,
 		log:       log,
@@ -92,6 +95,7 @@
 	c.acceptor = &acceptor{
 		listener: listener, region: self.Location().Region(), deliver: c.Deliver, log: log,
 		conns: make(map[net.Conn]struct{}), newest: make(map[string]net.Conn),
+		tunnels: mesh.NewServer(refuseCalls),
 	}
 	for _, seed := range seeds {
 		c.ensureLink(seedPrefix+seed, seed)
--- a/peer/listener.go
+++ b/peer/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"greengagedock.example/backend"
+	"greengagedock.example/mesh"
 )
 
 const (
@@ -23,6 +25,8 @@
 )
 
 var (
+	// errTunnel is returned for a connection that opens with a tunnel message.
+	errTunnel       = eris.New("peer: connection for a tunnel")
 	errQueueFull    = eris.New("peer: send queue is full")
 	errInvalidHello = eris.New("peer: connection opened without a valid hello")
 )
@@ -34,6 +38,7 @@
 	region   string
 	deliver  func(Event)
 	log      hclog.Logger
+	tunnels  *mesh.Server
 
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
@@ -97,6 +102,11 @@
 	reader := bufio.NewReader(conn)
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	from, err := in.readHello(reader)
+	if errors.Is(err, errTunnel) {
+		_ = conn.SetReadDeadline(time.Time{})
+		in.tunnels.ServeConn(&bufferedConn{TCPConn: conn.(*net.TCPConn), reader: reader})
+		return
+	}
 	if err != nil {
 		in.log.Warn("rejected connection from peer", "remote", conn.RemoteAddr(), "error", err)
 		return
@@ -119,6 +129,9 @@
 	if err != nil {
 		return backend.Owner{}, err
 	}
+	if t, ok := m.(*tunnel); ok && t.Protocol == protocolVersion && t.Region == in.region {
+		return backend.Owner{}, errTunnel
+	}
 	h, ok := m.(*hello)
 	if !ok || h.Protocol != protocolVersion || h.Entry == "" || h.Region != in.region {
 		return backend.Owner{}, errInvalidHello
@@ -126,6 +139,15 @@
 	return backend.NewOwner(h.Entry, h.Incarnation), nil
 }
 
+// bufferedConn is a connection of which the first bytes were read into a buffer.
+type bufferedConn struct {
+	*net.TCPConn
+	reader *bufio.Reader
+}
+
+// Read reads the buffered bytes first.
+func (c *bufferedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+
 // close closes the listener and every connection.
 func (in *acceptor) close() {
 	in.listener.Close()
--- a/peer/message.go
+++ b/peer/message.go
@@ -22,6 +22,7 @@
 	kindPull            messageKind = "pull"
 	kindItems           messageKind = "item"
 	kindRepeats         messageKind = "rpt"
+	kindTunnel          messageKind = "tun"
 )
 
 // newMessage returns an empty message of a kind, nil for an unknown one.
@@ -47,6 +48,8 @@
 		return new(items)
 	case kindRepeats:
 		return new(repeats)
+	case kindTunnel:
+		return new(tunnel)
 	default:
 		return nil
 	}
@@ -63,6 +66,13 @@
 	Incarnation uint64
 }
 
+// tunnel opens a connection on which a tunnel of package mesh is called for, in place of
+// hello.
+type tunnel struct {
+	Protocol int
+	Region   string
+}
+
 // heartbeat reports the state of its sender and confirms its list version; see
 // docs/DESIGN.md.
 type heartbeat struct {
@@ -223,6 +233,7 @@
 }
 
 func (*hello) kind() messageKind           { return kindHello }
+func (*tunnel) kind() messageKind          { return kindTunnel }
 func (*heartbeat) kind() messageKind       { return kindHeartbeat }
 func (*slotRequest) kind() messageKind     { return kindSlotRequest }
 func (*slotReply) kind() messageKind       { return kindSlotReply }
--- a/peer/snapshot.go
+++ b/peer/snapshot.go
@@ -25,6 +25,7 @@
 	documents           []*registry.Document
 	entries             []Entry
 	servers             []backend.ServerState
+	serverAddresses     []string
 	polledServers       []PolledServer
 	items               []Item
 	refused             []RefusedItem
@@ -150,6 +151,9 @@
 // polls.
 func (s *Snapshot) PolledServers() []PolledServer { return s.polledServers }
 
+// ServerAddresses returns the IPs and ports of all listed servers, in order.
+func (s *Snapshot) ServerAddresses() []string { return s.serverAddresses }
+
 // Items returns the active published items.
 func (s *Snapshot) Items() []Item { return s.items }
 
