quarantine: tell requests with other prompts apart

Where prompts are stated beside the body, requests of one account on one path looked the same. While servers ended under one prompt and nothing else settled, all of them were refused. TestRequestsWithOtherPromptsAreServed failed before: 503 for a sound prompt after four ends under another one. The prompt now counts to what identifies a request.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -85,7 +85,7 @@
 		header:      http.Header{"Content-Type": {"application/json"}},
 		idempotent:  true,
 		delivery:    q.newDelivery(params.stream),
-		fingerprint: quarantine.NewFingerprint(q.access.account.Name(), http.MethodPost, q.access.document.Service(), q.r.URL.Path, body),
+		fingerprint: quarantine.NewFingerprint(q.access.account.Name(), http.MethodPost, q.access.document.Service(), q.r.URL.Path, "", body),
 	}
 	failure := e.runOnServers(ctx)
 	e.sendFailure(failure)
--- a/caller/plain.go
+++ b/caller/plain.go
@@ -137,7 +137,7 @@
 		header:      filterHeader(q.r.Header),
 		idempotent:  idempotent,
 		delivery:    plain,
-		fingerprint: quarantine.NewFingerprint(q.access.account.Name(), q.r.Method, q.access.document.Service(), call.path, body),
+		fingerprint: quarantine.NewFingerprint(q.access.account.Name(), q.r.Method, q.access.document.Service(), call.path, "", body),
 	}
 	if failure := e.run(ctx); failure != nil {
 		return nil, failure
--- a/gateway/repeats_test.go
+++ b/gateway/repeats_test.go
@@ -15,7 +15,7 @@
 )
 
 // crashingRepeat identifies a request at which servers end.
-var crashingRepeat = quarantine.NewFingerprint("account", "GET", "h", "/bad", nil)
+var crashingRepeat = quarantine.NewFingerprint("account", "GET", "h", "/bad", "", nil)
 
 // crashRepeat has a server end at the request that servers don't survive, one that has not
 // ended before, and returns the servers that have. None is added if the entry refuses the
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -31,7 +31,7 @@
 func (fakeHeaders) DecodeRequest(header http.Header) (RequestMetadata, error) {
 	metadata := NewRequestMetadata(header.Get("Id")).WithAPIKey(header.Get("Key")).WithLastEventID(header.Get("After"))
 	if text := header.Get("Parts"); text != "" {
-		metadata = metadata.WithSharedParts(strings.Split(text, ","))
+		metadata = metadata.WithSharedParts(strings.Split(text, ",")).WithPrompt(text)
 	}
 	if text := header.Get("Left"); text != "" {
 		left, err := time.ParseDuration(text)
--- a/ingress/metadata.go
+++ b/ingress/metadata.go
@@ -15,6 +15,7 @@
 	answerTokens int
 	lastEventID  string
 	sharedParts  []string
+	prompt       string
 }
 
 // NewRequestMetadata returns the metadata of the attempt with the given id, which may be empty.
@@ -47,6 +48,13 @@
 	return m
 }
 
+// WithPrompt returns the metadata with a text that is the same for the same prompt, empty if
+// the prompt is in the body.
+func (m RequestMetadata) WithPrompt(prompt string) RequestMetadata {
+	m.prompt = prompt
+	return m
+}
+
 // WithLastEventID returns the metadata with the id of the event after which the stream resumes.
 func (m RequestMetadata) WithLastEventID(id string) RequestMetadata {
 	m.lastEventID = id
--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -142,3 +142,31 @@
 		})
 	}
 }
+
+// Prompts may come beside the body of a request: while servers end under one prompt and no
+// request settles, requests with others on the same path are no repeats of it.
+func TestRequestsWithOtherPromptsAreServed(t *testing.T) {
+	c := qt.New(t)
+	backends := newCrashingBackends(c, 24)
+	b := newTestbedOn(c, backends...)
+	servers := make(map[string]routing.Server)
+	for i, backend := range backends {
+		id := fmt.Sprint("s", i)
+		servers[id] = routing.NewServer(id, "desk", backend.address, "a", 6)
+	}
+	b.view.Store(routing.NewView(routing.NewRevision(0, 2), testTable(), servers, nil))
+	b.server.scheduler = newLocalScheduler(b.view.Load())
+	for i := range 4 {
+		time.Sleep(crashInterval)
+		r := b.request(http.MethodPost, "/stream/", "")
+		r.Header.Set("Id", fmt.Sprint("bad-", i))
+		r.Header.Set("Parts", fmt.Sprintf("shared,bad,own-%d", i))
+		_, _, err := b.do(r)
+		c.Assert(err, qt.IsNil)
+	}
+	r := b.request(http.MethodPost, "/stream/", "")
+	r.Header.Set("Parts", "shared,other")
+	response, _, err := b.do(r)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -96,7 +96,7 @@
 	if !strings.HasPrefix(target, "/") {
 		target = q.r.URL.RequestURI()
 	}
-	q.fingerprint = quarantine.NewFingerprint(q.account.Name(), q.r.Method, hostName(q.r.Host), target, body)
+	q.fingerprint = quarantine.NewFingerprint(q.account.Name(), q.r.Method, hostName(q.r.Host), target, q.metadata.prompt, body)
 	q.outgoing = upstream.NewRequest(q.metadata.attemptID, q.r.Method, target, q.r.Host, q.r.Header, body)
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -7,15 +7,15 @@
 )
 
 // Fingerprint identifies requests that are the same to a server: those of one account
-// with the same method, host, target and body. Its zero value identifies none.
+// with the same method, host, target, prompt and body. Its zero value identifies none.
 type Fingerprint [16]byte
 
 // NewFingerprint returns the fingerprint of a request; account is empty for a request
-// without one. It is a cryptographic hash, so that no caller can make a request that is
+// without one, and prompt unless the prompt is stated beside the body. It is a cryptographic hash, so that no caller can make a request that is
 // taken for another one's.
-func NewFingerprint(account, method, host, target string, body []byte) Fingerprint {
+func NewFingerprint(account, method, host, target, prompt string, body []byte) Fingerprint {
 	var preamble []byte
-	for _, field := range []string{account, method, host, target} {
+	for _, field := range []string{account, method, host, target, prompt} {
 		preamble = binary.AppendUvarint(preamble, uint64(len(field)))
 		preamble = append(preamble, field...)
 	}
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -11,21 +11,22 @@
 func TestFingerprintTellsRequestsApart(t *testing.T) {
 	c := qt.New(t)
 	seen := make(map[Fingerprint]string)
-	for _, fields := range [][5]string{
-		{"a", "GET", "h", "/x", ""},
-		{"b", "GET", "h", "/x", ""},
-		{"a", "PUT", "h", "/x", ""},
-		{"a", "GET", "h2", "/x", ""},
-		{"a", "GET", "h", "/x?", ""},
-		{"a", "GET", "h", "/x", "body"},
-		{"a", "GET", "h", "/xb", "ody"},
-		{"", "aGET", "h", "/x", ""},
-		{"aG", "ET", "h", "/x", ""},
+	for _, fields := range [][6]string{
+		{"a", "GET", "h", "/x", "", ""},
+		{"a", "GET", "h", "/x", "prompt", ""},
+		{"b", "GET", "h", "/x", "", ""},
+		{"a", "PUT", "h", "/x", "", ""},
+		{"a", "GET", "h2", "/x", "", ""},
+		{"a", "GET", "h", "/x?", "", ""},
+		{"a", "GET", "h", "/x", "", "body"},
+		{"a", "GET", "h", "/xb", "", "ody"},
+		{"", "aGET", "h", "/x", "", ""},
+		{"aG", "ET", "h", "/x", "", ""},
 	} {
-		f := NewFingerprint(fields[0], fields[1], fields[2], fields[3], []byte(fields[4]))
+		f := NewFingerprint(fields[0], fields[1], fields[2], fields[3], fields[4], []byte(fields[5]))
 		c.Assert(f, qt.Not(qt.Equals), Fingerprint{})
 		c.Assert(seen[f], qt.Equals, "", qt.Commentf("%q", fields))
 		seen[f] = fields[3]
 	}
-	c.Assert(NewFingerprint("a", "GET", "h", "/x", nil), qt.Equals, NewFingerprint("a", "GET", "h", "/x", []byte{}))
+	c.Assert(NewFingerprint("a", "GET", "h", "/x", "", nil), qt.Equals, NewFingerprint("a", "GET", "h", "/x", "", []byte{}))
 }
--- a/quarantine/repeats_test.go
+++ b/quarantine/repeats_test.go
@@ -10,7 +10,7 @@
 )
 
 // testFingerprint returns a fingerprint for a name.
-func testFingerprint(name string) Fingerprint { return NewFingerprint("a", "GET", "h", name, nil) }
+func testFingerprint(name string) Fingerprint { return NewFingerprint("a", "GET", "h", name, "", nil) }
 
 // repeatsWorld sends requests to servers that start anew whenever they end.
 type repeatsWorld struct {
