soak: a call that ends the servers that run it

No server of the soak ended at anything but a part of a prompt. In a quarter of the runs with all faults half of the repeatable calls of some callers now are one that ends servers; after the third end and three seconds at most three may reach servers. A mutation that refuses none is caught.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -83,6 +83,9 @@
 	default:
 		r.kind, r.timeout, path, tokens = kindLongStream, 4*time.Second, "/long/stream/x", longTokens
 	}
+	if r.kind == kindIdempotent {
+		path, r.harmful = c.crashingCall(path)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), r.timeout+4*time.Second)
 	defer cancel()
 	q, err := platformtest.NewRequest(ctx, e.callerProxy.address(), method, path, r.id, tokens, r.timeout)
--- a/cmd/soak/crash.go
+++ b/cmd/soak/crash.go
@@ -6,14 +6,19 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
 const (
 	// crashingPartFault is the name of the fault that injectCrashingPart injects.
 	crashingPartFault = "crashing_part"
-	// crashingPartShare is the share of the runs with all faults that have it.
-	crashingPartShare = 0.5
+	// crashingRequestFault is the name of the same fault with plain calls.
+	crashingRequestFault = "crashing_request"
+	// crashingPartShare and crashingRequestShare are the shares of the runs with all faults
+	// that have either.
+	crashingPartShare    = 0.5
+	crashingRequestShare = 0.25
 	// maxCrashDelay is the latest time of this fault after the start of the faults.
 	maxCrashDelay = 2 * time.Second
 	// serverRestartTime is the time from the end of a server to its next incarnation, and
@@ -22,9 +27,11 @@
 	silenceTime       = 2500 * time.Millisecond
 	// popularParts is the number of parts that many prompts share.
 	popularParts = 40
-	// Of the requests with a part, maxLateSends may reach servers later than crashSettleTime
-	// after the end of the server number maxUnknownCrashes.
+	// Of the requests with a part, or of one that comes again, maxLateSends may reach servers
+	// later than crashSettleTime after the end of the server number maxUnknownCrashes or
+	// maxRepeatCrashes.
 	maxUnknownCrashes = 5
+	maxRepeatCrashes  = 3
 	crashSettleTime   = 3 * time.Second
 	maxLateSends      = 3
 	// soundTime is from that end until sound requests are served as before, at least
@@ -35,25 +42,49 @@
 )
 
 // crashingFault is that half of the requests of some callers have a part that ends
-// servers, from a time on until the end of the run.
+// servers, from a time on until the end of the run, or that half of their calls that may be
+// repeated are one that does.
 type crashingFault struct {
 	start time.Time
-	part  string
+	// part is the id of the part, or of the call if request is set.
+	part    string
+	request bool
 	// companion is the popular part of all these requests, empty if it varies.
 	companion string
 }
 
-// injectCrashingPart injects the fault at a time drawn from the seed, unless ctx ends
-// before, and returns a line about it. Its source is its own, so that the draws of the
-// other faults don't depend on it.
-func (f *fleet) injectCrashingPart(ctx context.Context, always bool) string {
+// violation names the failure to refuse what ends servers.
+func (c *crashingFault) violation() string {
+	if c.request {
+		return "crashing request not refused"
+	}
+	return "crashing part not refused"
+}
+
+// maxUnknown returns the number of ends after which entries must know what ends servers.
+func (c *crashingFault) maxUnknown() int {
+	if c.request {
+		return maxRepeatCrashes
+	}
+	return maxUnknownCrashes
+}
+
+// injectCrash injects a crashing part or request, as the names of the faults say or, without
+// names, as drawn, at a time drawn from the seed, unless ctx ends before. It returns a line
+// about it. Its source is its own, so that the draws of the other faults don't depend on it.
+func (f *fleet) injectCrash(ctx context.Context, names []string) string {
 	random := rand.New(rand.NewPCG(f.seed, 2))
-	if !always && random.Float64() >= crashingPartShare {
-		return ""
+	request := slices.Contains(names, crashingRequestFault)
+	if len(names) == 0 {
+		draw := random.Float64()
+		if draw >= crashingPartShare+crashingRequestShare {
+			return ""
+		}
+		request = draw >= crashingPartShare
 	}
 	delay := time.Duration(random.Int64N(int64(maxCrashDelay)))
-	fault := &crashingFault{part: fmt.Sprintf("c%07x", random.Uint32()>>4)}
-	if random.IntN(2) == 0 {
+	fault := &crashingFault{part: fmt.Sprintf("c%07x", random.Uint32()>>4), request: request}
+	if random.IntN(2) == 0 && !request {
 		fault.companion = popularPart(random)
 	}
 	select {
@@ -66,7 +97,11 @@
 	f.mu.Lock()
 	f.crash = fault
 	f.mu.Unlock()
-	return fmt.Sprintf("%.2fs %s %s, companion %q", delay.Seconds(), crashingPartFault, fault.part, fault.companion)
+	name := crashingPartFault
+	if request {
+		name = crashingRequestFault
+	}
+	return fmt.Sprintf("%.2fs %s %s, companion %q", delay.Seconds(), name, fault.part, fault.companion)
 }
 
 // crashFault returns the fault of a crashing part, nil before it starts.
@@ -86,7 +121,7 @@
 func (c *caller) parts() (parts []string, harmful bool) {
 	parts = append(parts, popularPart(c.random))
 	fault := c.fleet.crashFault()
-	harmful = fault != nil && c.number%3 == 0 && c.random.IntN(2) == 0
+	harmful = fault != nil && !fault.request && c.number%3 == 0 && c.random.IntN(2) == 0
 	switch {
 	case harmful && fault.companion != "":
 		parts[0] = fault.companion
@@ -99,6 +134,15 @@
 	return append(parts, strconv.FormatUint(c.random.Uint64()|1<<63, 16)), harmful
 }
 
+// crashingCall returns the path of a caller's next call, and whether it ends servers.
+func (c *caller) crashingCall(path string) (string, bool) {
+	fault := c.fleet.crashFault()
+	if fault == nil || !fault.request || c.number%3 != 0 || c.random.IntN(2) == 0 {
+		return path, false
+	}
+	return strings.TrimSuffix(path, "x") + fault.part, true
+}
+
 // serverEnded has a new incarnation follow a server that ended at a part.
 func (f *fleet) serverEnded(s *backendServer) {
 	f.mu.Lock()
@@ -160,14 +204,14 @@
 	late := make(map[time.Time]int)
 	for _, at := range sends {
 		from := f.undisturbedFrom(at)
-		if fifth := endNumber(maxUnknownCrashes, ends, from); !fifth.IsZero() && at.Sub(fifth) > crashSettleTime {
+		if known := endNumber(fault.maxUnknown(), ends, from); !known.IsZero() && at.Sub(known) > crashSettleTime {
 			late[from]++
 		}
 	}
 	for from, n := range late {
 		if n > maxLateSends {
-			f.checker.report("crashing part not refused: %d requests with %s reached servers %v after the end of %d from %.2fs on, %d ended in all",
-				n, fault.part, crashSettleTime, maxUnknownCrashes, max(0, from.Sub(fault.start).Seconds()), len(ends))
+			f.checker.report("%s: %d requests with %s reached servers %v after the end of %d from %.2fs on, %d ended in all",
+				fault.violation(), n, fault.part, crashSettleTime, fault.maxUnknown(), max(0, from.Sub(fault.start).Seconds()), len(ends))
 		}
 	}
 }
@@ -198,8 +242,8 @@
 // checkSoundRequests checks that requests with the other parts are still served: those
 // with the companion, or any. What was served before is that of all sound requests.
 func (f *fleet) checkSoundRequests(fault *crashingFault, ends []time.Time, results []result) {
-	fifth := endNumber(maxUnknownCrashes, ends, time.Time{})
-	if fifth.IsZero() {
+	known := endNumber(fault.maxUnknown(), ends, time.Time{})
+	if known.IsZero() {
 		return
 	}
 	var before, after, servedBefore, servedAfter int
@@ -216,7 +260,7 @@
 			before++
 			servedBefore += served
 		case fault.companion != "" && !slices.Contains(r.parts, fault.companion):
-		case r.start.Sub(fifth) > soundTime && f.undisturbedFrom(r.start).Before(r.start):
+		case r.start.Sub(known) > soundTime && f.undisturbedFrom(r.start).Before(r.start):
 			after++
 			servedAfter += served
 		}
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -183,7 +183,7 @@
 }
 
 // selectFaults returns the faults with the given names, or all if there are no names;
-// crashingPartFault and the statement faults, which are not drawn with the others, are none
+// the crashing faults and the statement faults, which are not drawn with the others, are none
 // of them.
 func selectFaults(names []string) ([]fault, error) {
 	if len(names) == 0 {
@@ -191,7 +191,7 @@
 	}
 	var out []fault
 	for _, name := range names {
-		if name == crashingPartFault || isStatementFault(name) {
+		if name == crashingPartFault || name == crashingRequestFault || isStatementFault(name) {
 			continue
 		}
 		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -161,8 +161,8 @@
 	faultCtx, cancelFaults := context.WithTimeout(context.Background(), o.faultDuration)
 	var crashing string
 	var injecting sync.WaitGroup
-	if len(o.faultNames) == 0 || slices.Contains(o.faultNames, crashingPartFault) {
-		injecting.Go(func() { crashing = f.injectCrashingPart(faultCtx, len(o.faultNames) > 0) })
+	if len(o.faultNames) == 0 || slices.Contains(o.faultNames, crashingPartFault) || slices.Contains(o.faultNames, crashingRequestFault) {
+		injecting.Go(func() { crashing = f.injectCrash(faultCtx, o.faultNames) })
 	}
 	var stated []string
 	injecting.Go(func() { stated = f.injectStatements(faultCtx, o.faultNames) })
--- a/cmd/soak/mutation_test.go
+++ b/cmd/soak/mutation_test.go
@@ -66,6 +66,11 @@
 		"request.parts, p.primary); refused {", "request.parts, p.primary); refused && retryAfter < 0 {",
 		[]string{crashingPartFault}, "^crashing part not refused: ",
 	},
+	{
+		"crashing requests are not refused", "dispatch/quarantine.go",
+		"request.fingerprint, p.primary); refused {", "request.fingerprint, p.primary); refused && retryAfter < 0 {",
+		[]string{crashingRequestFault}, "^crashing request not refused: ",
+	},
 	{
 		"rate limits of servers are ignored", "dispatch/ratelimit.go",
 		"func (p *pool) admitsLimited(now time.Time, s *server) bool {\n\tif s.limit.perSecond == 0 {", "func (p *pool) admitsLimited(now time.Time, s *server) bool {\n\tif s != nil {",
