--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"strconv"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -30,3 +31,17 @@
 	}
 	c.Assert(NewFingerprint("a", "GET", "h", "/x", "", nil), qt.Equals, NewFingerprint("a", "GET", "h", "/x", "", []byte{}))
 }
+
+// BenchmarkFingerprint takes the time of one fingerprint of a short call and of the longest
+// prompts.
+func BenchmarkFingerprint(b *testing.B) {
+	for _, size := range []int{800, 4 << 20} {
+		body := make([]byte, size)
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				NewFingerprint("account", "POST", "h.example", "/path/x", "", body)
+			}
+		})
+	}
+}
