--- a/entry/cutoff_test.go
+++ b/entry/cutoff_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,51 +14,13 @@
 	"greengagedock.example/standin"
 )
 
-const (
-	// From cutSettleTime after the start of a cut, callers of the entries that are cut off
-	// must be served at minCutShare of the share at the others, and these at minOtherShare.
-	cutSettleTime = 3 * time.Second
-	cutTestTime   = 3 * time.Second
-	minCutShare   = 2.0 / 3
-	minOtherShare = 0.98
-)
-
-// callAll has two callers of each entry call, one call after the other, until stop is
-// called, which returns the share of the calls at each entry that was served.
-func (f *fleet) callAll(method string) (stop func() []float64) {
-	served, sent := make([]int, len(f.entries)), make([]int, len(f.entries))
-	var mu sync.Mutex
-	var running sync.WaitGroup
-	ended := make(chan struct{})
-	for i, entry := range f.entries {
-		for n := range 2 {
-			running.Go(func() {
-				for k := 0; ; k++ {
-					select {
-					case <-time.After(20 * time.Millisecond):
-					case <-ended:
-						return
-					}
-					status, _ := f.grant(entry, method, fmt.Sprintf(`{"strip": "%d %d %d"}`, i, n, k))
-					mu.Lock()
-					sent[i]++
-					if status == http.StatusOK {
-						served[i]++
-					}
-					mu.Unlock()
-				}
-			})
-		}
-	}
-	return func() []float64 {
-		close(ended)
-		running.Wait()
-		shares := make([]float64, len(f.entries))
-		for i := range shares {
-			shares[i] = float64(served[i]) / float64(max(1, sent[i]))
-		}
-		return shares
-	}
+// press has callers of each entry call the plain service until stop is called.
+func (f *fleet) press(method string) (stop func() []float64) {
+	var calls atomic.Int64
+	return cuttest.Press(len(f.entries), func(entry int) bool {
+		status, _ := f.grant(f.entries[entry], method, fmt.Sprintf(`{"strip": "%d"}`, calls.Add(1)))
+		return status == http.StatusOK
+	})
 }
 
 // Guards against RECOVER: callers of entries that have lost the way to all servers are
@@ -74,25 +36,18 @@
 					f.publishServer(id, registry.KindService, i, f.serve(standin.NewService(id)), "licensing")
 				}
 				f.start(3)
-				warm := f.callAll(http.MethodGet)
+				warm := f.press(http.MethodGet)
 				time.Sleep(time.Second)
 				for _, network := range f.networks[:cut] {
 					network.SetMode(mode)
 				}
-				time.Sleep(cutSettleTime)
+				time.Sleep(cuttest.SettleTime)
 				warm()
 				for _, method := range []string{http.MethodGet, http.MethodPost} {
-					stop := f.callAll(method)
-					time.Sleep(cutTestTime)
+					stop := f.press(method)
+					time.Sleep(cuttest.TestTime)
 					shares := stop()
-					comment := qt.Commentf("shares of %s served %.2f, the first %d cut off", method, shares, cut)
-					for i, share := range shares {
-						if i < cut {
-							f.c.Check(share >= minCutShare*shares[len(shares)-1], qt.IsTrue, comment)
-						} else {
-							f.c.Check(share >= minOtherShare, qt.IsTrue, comment)
-						}
-					}
+					f.c.Check(cuttest.Served(shares, cut), qt.IsTrue, qt.Commentf("shares of %s served %.2f, the first %d cut off", method, shares, cut))
 				}
 			})
 		}
--- a/entry/network.go
+++ b/entry/network.go
@@ -36,10 +36,6 @@
 	}
 }
 
-// maxServedTunnels bounds the tunnels that this entry serves. Each takes two descriptors and
-// some ten kilobytes.
-const maxServedTunnels = 512
-
 // ways implements mesh.Ways for an entry.
 type ways struct{ process *Process }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -78,7 +78,7 @@
 	}
 	p.control = control
 	close(p.controlStarted)
-	control.ServeTunnels(ways.serveTunnel, maxServedTunnels)
+	control.ServeTunnels(ways.serveTunnel)
 	callers := recordingLogger{Logger: log.Named("caller"), record: p.recorder.recordCallerLine}
 	p.server = caller.NewServer(snapshotSource{control}, control, &p.client, limits(s), callers, &p.timers)
 	p.admin = operator.NewServer(p, p, &p.recorder.decisions, log.Named("operator"))
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -117,7 +117,7 @@
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
 	p.callerServer = ingress.NewServer(p.control, scheduler, reserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
 	p.peerServer = mesh.NewServer(p.control.handle)
-	p.peerServer.ServeTunnels(ways.serveTunnel, maxServedTunnels)
+	p.peerServer.ServeTunnels(ways.serveTunnel)
 	if err := p.listen(platform); err != nil {
 		for _, listener := range p.listeners {
 			listener.Close()
--- a/gateway/ways.go
+++ b/gateway/ways.go
@@ -11,10 +11,6 @@
 	"greengagedock.example/upstream"
 )
 
-// maxServedTunnels bounds the tunnels that this entry serves. Each takes two descriptors and
-// some ten kilobytes.
-const maxServedTunnels = 512
-
 // ways implements mesh.Ways for an entry.
 type ways struct {
 	process *Process
--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -36,11 +36,9 @@
 	return out
 }
 
-// Guards against BUDGET: requests that share a part of their prompt crash server after
-// server, each at two of them.
-func TestPromptPartThatCrashesServersIsRefused(t *testing.T) {
-	c := qt.New(t)
-	backends := newCrashingBackends(c, 4*crashingRequests)
+// newScheduledTestbed returns a testbed whose requests are placed by the scheduler that
+// entries use.
+func newScheduledTestbed(c *qt.C, backends ...*backend) *testbed {
 	b := newTestbedOn(c, backends...)
 	servers := make(map[string]routing.Server)
 	for i, backend := range backends {
@@ -49,6 +47,15 @@
 	}
 	b.view.Store(routing.NewView(routing.NewRevision(0, 2), testTable(), servers, nil))
 	b.server.scheduler = newLocalScheduler(b.view.Load())
+	return b
+}
+
+// Guards against BUDGET: requests that share a part of their prompt crash server after
+// server, each at two of them.
+func TestPromptPartThatCrashesServersIsRefused(t *testing.T) {
+	c := qt.New(t)
+	backends := newCrashingBackends(c, 4*crashingRequests)
+	b := newScheduledTestbed(c, backends...)
 	refused := 0
 	for i := range crashingRequests {
 		time.Sleep(crashInterval)
@@ -101,17 +108,12 @@
 				answer = streamResponse(threeEvents, true)
 			}
 			var backends []*backend
-			servers := make(map[string]routing.Server)
-			for i := range 3 * repeats {
+			for range 3 * repeats {
 				b := newBackend(c, slices.Repeat([]string{answer}, 2*repeats)...)
 				b.crashingBody = "bad"
 				backends = append(backends, b)
-				id := fmt.Sprint("s", i)
-				servers[id] = routing.NewServer(id, "desk", b.address, "a", 6)
 			}
-			b := newTestbedOn(c, backends...)
-			b.view.Store(routing.NewView(routing.NewRevision(0, 2), testTable(), servers, nil))
-			b.server.scheduler = newLocalScheduler(b.view.Load())
+			b := newScheduledTestbed(c, backends...)
 			refused := 0
 			for i := range repeats {
 				time.Sleep(crashInterval)
@@ -148,14 +150,7 @@
 func TestRequestsWithOtherPromptsAreServed(t *testing.T) {
 	c := qt.New(t)
 	backends := newCrashingBackends(c, 24)
-	b := newTestbedOn(c, backends...)
-	servers := make(map[string]routing.Server)
-	for i, backend := range backends {
-		id := fmt.Sprint("s", i)
-		servers[id] = routing.NewServer(id, "desk", backend.address, "a", 6)
-	}
-	b.view.Store(routing.NewView(routing.NewRevision(0, 2), testTable(), servers, nil))
-	b.server.scheduler = newLocalScheduler(b.view.Load())
+	b := newScheduledTestbed(c, backends...)
 	for i := range 4 {
 		time.Sleep(crashInterval)
 		r := b.request(http.MethodPost, "/stream/", "")
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -19,7 +19,6 @@
 	closed     bool
 	conns      map[net.Conn]bool
 	dialTunnel TunnelDialer
-	maxTunnels int
 	tunnels    int
 }
 
--- a/mesh/tunnel.go
+++ b/mesh/tunnel.go
@@ -28,6 +28,9 @@
 const (
 	// tunnelBufferBytes is the size of the buffer for each direction of a tunnel.
 	tunnelBufferBytes = 8 << 10
+	// maxServedTunnels bounds the tunnels of one server. Each takes two descriptors and the
+	// buffers.
+	maxServedTunnels = 512
 	// maxTunnelReplyBytes bounds the response to the call that opens a tunnel.
 	maxTunnelReplyBytes = 4 << 10
 )
@@ -48,11 +51,11 @@
 // ErrRefused if it did not try to.
 type TunnelDialer func(ctx context.Context, address string) (net.Conn, error)
 
-// ServeTunnels has the server open tunnels from now on, so many at most at the same time.
-func (s *Server) ServeTunnels(dial TunnelDialer, limit int) {
+// ServeTunnels has the server open tunnels from now on.
+func (s *Server) ServeTunnels(dial TunnelDialer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dialTunnel, s.maxTunnels = dial, limit
+	s.dialTunnel = dial
 }
 
 // Tunnels returns the number of open tunnels.
@@ -106,7 +109,7 @@
 		return nil, eris.Wrap(ErrRefused, err.Error())
 	}
 	s.mu.Lock()
-	dial, full := s.dialTunnel, s.tunnels >= s.maxTunnels
+	dial, full := s.dialTunnel, s.tunnels >= maxServedTunnels
 	if dial != nil && !full {
 		s.tunnels++
 	}
--- a/mesh/tunnel_test.go
+++ b/mesh/tunnel_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"strings"
@@ -26,7 +25,7 @@
 	other   string // another server that the entry knows
 }
 
-func newTunnelBed(t *testing.T, limit int, serve func(conn *net.TCPConn)) *tunnelBed {
+func newTunnelBed(t *testing.T, serve func(conn *net.TCPConn)) *tunnelBed {
 	c := qt.New(t)
 	b := &tunnelBed{c: c, entry: NewServer(func(string, []byte) (any, error) { return "called", nil })}
 	server := listen(c)
@@ -45,7 +44,7 @@
 			return nil, eris.Wrap(ErrRefused, "unknown address")
 		}
 		return upstream.Dialer{}.Dial(ctx, address)
-	}, limit)
+	})
 	entry := listen(c)
 	b.address = entry.Addr().String()
 	go func() { _ = b.entry.Serve(entry) }()
@@ -77,7 +76,7 @@
 // Bytes pass through both ways from the first one on, and a server that speaks first is heard.
 func TestTunnelPassesBytes(t *testing.T) {
 	long := strings.Repeat("0123456789", 100_000)
-	b := newTunnelBed(t, 4, func(conn *net.TCPConn) {
+	b := newTunnelBed(t, func(conn *net.TCPConn) {
 		defer conn.Close()
 		_, _ = io.WriteString(conn, "hello\n")
 		_, _ = io.Copy(conn, conn)
@@ -102,7 +101,7 @@
 // server closed that cleanly.
 func TestTunnelPassesEndsOn(t *testing.T) {
 	for _, reset := range []bool{false, true} {
-		b := newTunnelBed(t, 4, func(conn *net.TCPConn) {
+		b := newTunnelBed(t, func(conn *net.TCPConn) {
 			_, _ = io.WriteString(conn, "part")
 			time.Sleep(50 * time.Millisecond)
 			if reset {
@@ -122,7 +121,7 @@
 // A server learns at once that the caller of a tunnel has left.
 func TestTunnelEndsWithItsCaller(t *testing.T) {
 	ended := make(chan error, 1)
-	b := newTunnelBed(t, 4, func(conn *net.TCPConn) {
+	b := newTunnelBed(t, func(conn *net.TCPConn) {
 		defer conn.Close()
 		_, err := io.ReadAll(conn)
 		ended <- err
@@ -140,7 +139,7 @@
 
 // Which of both could not be reached is told apart: only one says something of the server.
 func TestTunnelErrors(t *testing.T) {
-	b := newTunnelBed(t, 1, func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) })
+	b := newTunnelBed(t, func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) })
 	ctx := context.Background()
 	gone := listen(b.c)
 	gone.Close()
@@ -152,8 +151,11 @@
 	_, err = OpenTunnel(ctx, upstream.Dialer{}, gone.Addr().String(), b.server)
 	b.c.Assert(err, qt.ErrorIs, ErrUnreachable)
 	b.open()
+	b.entry.mu.Lock()
+	b.entry.tunnels += maxServedTunnels - 1
+	b.entry.mu.Unlock()
 	_, err = OpenTunnel(ctx, upstream.Dialer{}, b.address, b.server)
-	b.c.Assert(errors.Is(err, ErrUnreachable), qt.IsTrue, qt.Commentf("%v", err))
+	b.c.Assert(err, qt.ErrorIs, ErrUnreachable)
 
 	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer cancel()
@@ -164,7 +166,7 @@
 
 // Calls and tunnels share a listener.
 func TestCallsBesideTunnels(t *testing.T) {
-	b := newTunnelBed(t, 4, func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) })
+	b := newTunnelBed(t, func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) })
 	b.open()
 	var reply string
 	b.c.Assert(NewClient(upstream.Dialer{}).Call(context.Background(), b.address, "x", "", &reply), qt.IsNil)
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -12,11 +12,8 @@
 // refuseCalls is the handler of the connections that are only for tunnels.
 func refuseCalls(string, []byte) (any, error) { return nil, mesh.ErrRefused }
 
-// ServeTunnels has this entry lead other entries to servers, with so many tunnels at most.
-// Until then it opens none.
-func (c *Control) ServeTunnels(dial mesh.TunnelDialer, limit int) {
-	c.acceptor.tunnels.ServeTunnels(dial, limit)
-}
+// ServeTunnels has this entry lead other entries to servers. Until then it opens no tunnels.
+func (c *Control) ServeTunnels(dial mesh.TunnelDialer) { c.acceptor.tunnels.ServeTunnels(dial) }
 
 // OpenTunnel connects to a server's IP and port through the entry that accepts its peers at an
 // IP and port. Errors are those of mesh.OpenTunnel.
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -1,6 +1,7 @@
-// Package quarantine finds parts of prompts that crash backend servers and keeps
-// requests with such a part away from them. A Registry learns from the ends of servers
-// and from answers that go well. It does no I/O and reads no clock.
+// Package quarantine finds what crashes backend servers and keeps it away from them: parts
+// of prompts, which a Registry finds, and single requests that come again, which Repeats
+// finds. Both learn from the ends of servers and from answers that go well. The package does
+// no I/O and reads no clock.
 //
 // # Evidence
 //
@@ -20,4 +21,13 @@
 // Requests with the parts of a Suspicion are refused for a time. After that one request
 // at a time is let through, over all suspicions: if it settles, the suspicion is cleared,
 // and if its server ends, the time doubles.
+//
+// # Repeats
+//
+// Sound requests share the parts of their prompts, so that it takes statistics to blame one.
+// A request that comes again is known by its Fingerprint, and one that crashes servers has
+// never settled: three ends at two moments are enough, unless another request accounts for
+// all of them. What is known of it is a set of ends, which merges in any order, so that each
+// entry may learn it from any other one. It is refused, and let through twice until it is
+// forgotten.
 package quarantine
