--- a/quarantine/repeats.go
+++ b/quarantine/repeats.go
@@ -309,16 +309,15 @@
 	}
 	repeat := r.byFingerprint[fingerprint]
 	repeat.askedAt = now
-	var wait time.Duration
-	switch repeat.retries() {
-	case 0:
-		wait = repeat.lastEnd().Add(minQuarantine).Sub(now)
-	case maxProbes - 1:
-		wait = repeat.lastEnd().Add(maxQuarantine).Sub(now)
-	default:
+	retries := repeat.retries()
+	if retries >= maxProbes {
 		return maxQuarantine, true
 	}
-	wait = max(wait, repeat.probedAt.Add(probeTime).Sub(now))
+	quarantine := minQuarantine
+	if retries > 0 {
+		quarantine = maxQuarantine
+	}
+	wait := max(repeat.lastEnd().Add(quarantine).Sub(now), repeat.probedAt.Add(probeTime).Sub(now))
 	if wait <= 0 && !probe {
 		wait = probeTime
 	}
