dispatch: refuse a request that crashes servers at every service

What was known of a request was kept by service. Once a configuration routed it to another service, it could crash three more servers there. The scheduler keeps one record for all services.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -41,7 +41,7 @@
 	if !now.Before(request.deadline) {
 		return NewRefused(request.id, ReasonPastDeadline, p.retryAfter(now))
 	}
-	if decision := p.refuseQuarantined(now, request); decision != nil {
+	if decision := sched.refuseQuarantined(now, p, request); decision != nil {
 		return decision
 	}
 	if decision := p.refuseHopeless(now, request); decision != nil {
@@ -59,7 +59,7 @@
 		return p.queueOrRefuse(now, request, ReasonBusy)
 	}
 	p.quarantine.Sent(now, request.parts)
-	p.repeats.Sent(now, request.fingerprint)
+	sched.repeats.Sent(now, request.fingerprint)
 	return NewGranted(sched.place(now, p, owner, request, choice))
 }
 
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -48,50 +48,14 @@
 	}
 }
 
-// Repeats returns what is known of requests to a service that may come again.
-func (sched *Scheduler) Repeats(service string) []quarantine.Repeat {
-	if p := sched.pools[service]; p != nil {
-		return p.repeats.Known()
-	}
-	return nil
-}
-
-// RefusedRepeats returns the requests to a service that are refused since they crash servers.
-func (sched *Scheduler) RefusedRepeats(service string) []quarantine.Repeat {
-	if p := sched.pools[service]; p != nil {
-		return p.repeats.Refused()
-	}
-	return nil
-}
-
-// RepeatChanges returns the requests to a service that are refused since the last call, and
-// those that no longer are.
-func (sched *Scheduler) RepeatChanges(service string) (refused []quarantine.Repeat, released []quarantine.Fingerprint) {
-	if p := sched.pools[service]; p != nil {
-		return p.repeats.Changes()
-	}
-	return nil, nil
-}
-
-// RepeatsDigest returns a hash of Repeats, 0 if there are none.
-func (sched *Scheduler) RepeatsDigest(service string) uint64 {
-	if p := sched.pools[service]; p != nil {
-		return p.repeats.Digest()
-	}
-	return 0
-}
-
-// MergeRepeats adds what another scheduler knows of requests to a service.
-func (sched *Scheduler) MergeRepeats(now time.Time, service string, repeats []quarantine.Repeat) {
-	if p := sched.pools[service]; p != nil {
-		p.repeats.Merge(now, repeats)
-	}
-}
+// Repeats returns what is known of requests that may come again. The caller may ask it for
+// changes and merge what other schedulers know.
+func (sched *Scheduler) Repeats() *quarantine.Repeats { return &sched.repeats }
 
 // refuseQuarantined refuses a request that crashes servers, or has parts that do. It
 // returns nil for any other.
-func (p *pool) refuseQuarantined(now time.Time, request Request) Decision {
-	if retryAfter, refused := p.repeats.Check(now, request.fingerprint, p.primary); refused {
+func (sched *Scheduler) refuseQuarantined(now time.Time, p *pool, request Request) Decision {
+	if retryAfter, refused := sched.repeats.Check(now, request.fingerprint, p.primary); refused {
 		return NewRefused(request.id, ReasonQuarantined, retryAfter)
 	}
 	if request.resumed {
@@ -106,15 +70,11 @@
 // recordRepeat records what the end of a request says about the same request. Each
 // scheduler that knows of it does so, not only the primary one.
 func (sched *Scheduler) recordRepeat(now time.Time, alloc *allocation, outcome Outcome) {
-	p := sched.pools[alloc.service]
-	if p == nil {
-		return
-	}
 	switch {
 	case outcome == OutcomeComplete, outcome == OutcomeServerError, alloc.hasSettled(now):
-		p.repeats.Settled(now, alloc.fingerprint)
+		sched.repeats.Settled(now, alloc.fingerprint)
 	case outcome == OutcomeBroken:
-		p.repeats.Crashed(now, alloc.assigned.info.Incarnation().String(), alloc.granted, alloc.fingerprint)
+		sched.repeats.Crashed(now, alloc.assigned.info.Incarnation().String(), alloc.granted, alloc.fingerprint)
 	}
 }
 
@@ -149,7 +109,6 @@
 		p.settling = nil // frees the array
 	}
 	p.quarantine.Evaluate(now)
-	p.repeats.Expire(now)
 }
 
 // recordEvidence records what the end of a request says about the parts of its prompt.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -32,6 +32,8 @@
 	running map[string]*allocation
 	// cutOff holds the entries that have lost the way to all servers.
 	cutOff map[string]bool
+	// repeats holds what is known of requests that come again, also to another service.
+	repeats quarantine.Repeats
 }
 
 // pool holds the servers of one service and the requests queued for them.
@@ -64,8 +66,6 @@
 	// observedFrom is when this scheduler began to place the requests of all entries.
 	observedFrom time.Time
 	quarantine   quarantine.Registry
-	// repeats holds what is known of requests that come again.
-	repeats quarantine.Repeats
 	// limitedReturn is when the last caller may return that was refused because all
 	// servers have a rate limit.
 	limitedReturn time.Time
@@ -120,7 +120,7 @@
 	if slices.ContainsFunc(p.queue, func(q *queuedRequest) bool { return q.request.id == request.id }) {
 		return Queued{}
 	}
-	if decision := p.refuseQuarantined(now, request); decision != nil {
+	if decision := sched.refuseQuarantined(now, p, request); decision != nil {
 		return decision
 	}
 	if p.service.Engine() != nil {
@@ -152,6 +152,7 @@
 // Tick returns the decisions on queued requests that can be made now.
 func (sched *Scheduler) Tick(now time.Time) []Decision {
 	var out []Decision
+	sched.repeats.Expire(now)
 	for _, p := range sched.pools {
 		sched.settle(now, p)
 		if len(p.queue) == 0 {
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -82,7 +82,7 @@
 	// Baseline is the packed storeCache.baseline of the sender.
 	Baseline int64
 	Kept     []keptMessage
-	// RepeatsDigest is control.repeatsDigest of the sender. A response lists Repeats if the
+	// RepeatsDigest is the digest of what the sender knows of repeats. A response lists Repeats if the
 	// digests differ.
 	RepeatsDigest uint64
 	Repeats       []repeatMessage
@@ -124,9 +124,8 @@
 	ProbeAge   time.Duration
 }
 
-// repeatMessage is what the sender knows of a request to a service that may come again.
+// repeatMessage is what the sender knows of a request that may come again.
 type repeatMessage struct {
-	Service     string
 	Fingerprint quarantine.Fingerprint
 	Ends        []repeatEndMessage
 	Probes      int
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -122,7 +122,7 @@
 // newHeartbeat returns this entry's heartbeat for a target, or its response to one if
 // the target has no address.
 func (c *control) newHeartbeat(now time.Time, to heartbeatTarget) heartbeatMessage {
-	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision.Packed(), StoreAge: c.storeAge(now), Digest: c.members.digest(), SuspicionsDigest: c.suspicionsDigest(), RepeatsDigest: c.repeatsDigest(),
+	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision.Packed(), StoreAge: c.storeAge(now), Digest: c.members.digest(), SuspicionsDigest: c.suspicionsDigest(), RepeatsDigest: c.repeats().Digest(),
 		NoticesDigest: c.notices.Digest(now), Notices: encodeNotices(now, c.notices.News(now))}
 	if to.address == "" {
 		return heartbeat
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -192,7 +192,7 @@
 		values["store_restores"] = p.control.cache.restores
 		values["store_kept"] = p.control.cache.keptCounts()
 		values["quarantined"] = p.control.quarantined()
-		values["refused_repeats"] = p.control.refusedRepeats()
+		values["refused_repeats"] = len(p.control.repeats().Refused())
 		values["servers_leaving"], values["servers_refusing"] = p.control.notices.Count(now)
 		values["servers_limited"] = p.control.notices.CountLimited()
 		if table := p.control.cache.table; table != nil {
--- a/gateway/repeats_test.go
+++ b/gateway/repeats_test.go
@@ -66,8 +66,8 @@
 		entry.scheduler.Adopt(now, entry.owner, dispatch.NewRunningRequest(request, fmt.Sprint("s", i), nil))
 		entry.scheduler.Ended(now, request.ID(), dispatch.OutcomeBroken)
 	}
-	c.Assert(entry.refusedRepeats(), qt.Equals, 1)
-	c.Assert(scheduler.refusedRepeats(), qt.Equals, 0)
+	c.Assert(entry.repeats().Refused(), qt.HasLen, 1)
+	c.Assert(scheduler.repeats().Refused(), qt.HasLen, 0)
 	exchange(now, scheduler, entry)
 	c.Assert(crashRepeat(scheduler, now, nil), qt.HasLen, 0)
 
@@ -81,7 +81,7 @@
 	c.Assert(ok, qt.IsTrue)
 	scheduler.scheduler.Ended(now, granted.Grant().ID(), dispatch.OutcomeComplete)
 	exchange(now, entry, scheduler)
-	c.Assert(entry.refusedRepeats(), qt.Equals, 0)
+	c.Assert(entry.repeats().Refused(), qt.HasLen, 0)
 }
 
 // What a scheduler must know of a request that comes again reaches it with each message.
@@ -95,7 +95,7 @@
 
 	repeat := quarantine.NewRepeat(crashingRepeat, quarantine.NewEnd("s1/5", now.Add(-3*time.Second), now.Add(-2*time.Second)), quarantine.NewEnd("s2/6", now.Add(-2*time.Second), now.Add(-time.Second))).
 		WithProbes(1, now.Add(-time.Second)).WithAsked(now.Add(-3 * time.Second)).WithSettled(now.Add(-time.Minute))
-	entry.scheduler.MergeRepeats(now, "llm", []quarantine.Repeat{repeat})
+	entry.repeats().Merge(now, []quarantine.Repeat{repeat})
 	got := entry.encodeRepeats(now)[0].decode(now)
 	c.Assert(got.Fingerprint(), qt.Equals, repeat.Fingerprint())
 	c.Assert(got.Ends(), qt.CmpEquals(cmp.AllowUnexported(quarantine.End{})), repeat.Ends())
