--- a/gateway/members.go
+++ b/gateway/members.go
@@ -331,10 +331,10 @@
 	return out
 }
 
-// addresses returns the caller addresses of ready entries in weighted random
-// order. Entries that are cut off from the servers are left out while the others have
-// most of the CPU: requests through other entries cost both of them. Callers that can't use all of them take the first ones, where entries
-// with more CPU appear more often.
+// addresses returns the caller addresses of ready entries in weighted random order. Callers
+// that can't use all of them take the first ones, where entries with more CPU appear more
+// often. Entries that are cut off from the servers are left out while the others have most of
+// the CPU: requests through other entries cost both of them.
 func (m *members) addresses(now time.Time) []string {
 	var ready, cutOff []weightedAddress
 	readyCores, cutOffCores := 0.0, 0.0
