--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -154,7 +154,7 @@
 	c := qt.New(t)
 	seeds, err := loadSeeds("regressions.txt", 0, 0)
 	c.Assert(err, qt.IsNil)
-	c.Assert(seeds, qt.DeepEquals, []uint64{119, 121, 125, 1001})
+	c.Assert(seeds, qt.DeepEquals, []uint64{119, 121, 125, 1001, 7101, 7207})
 	seeds, err = loadSeeds("", 7, 2)
 	c.Assert(err, qt.IsNil)
 	c.Assert(seeds, qt.DeepEquals, []uint64{7, 8})
