gateway: ask all entries what they run before scheduling in place of another

A scheduler that takes over has seen only its own placements, and learned the others' with their next heartbeats.

It now asks all live entries in one round trip, and queues prompts until they have answered, 80 ms at most. An entry that others ask beside the scheduler asks again with each interval of heartbeats, without queueing.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -66,6 +66,8 @@
 	// observedFrom is when this scheduler began to place the requests of all entries.
 	observedFrom time.Time
 	quarantine   quarantine.Registry
+	// heldUntil is until when prompts are queued without a decision.
+	heldUntil time.Time
 	// limitedReturn is when the last caller may return that was refused because all
 	// servers have a rate limit.
 	limitedReturn time.Time
@@ -127,7 +129,7 @@
 		p.statsOf(request).countRequest(now, request.prompt)
 		p.countDemand(now, request)
 	}
-	if p.mayOvertake(now, request) {
+	if !p.held(now) && p.mayOvertake(now, request) {
 		if decision := sched.decide(now, p, owner, request, len(p.queue) > 0); decision != nil {
 			return decision
 		}
@@ -155,7 +157,7 @@
 	sched.repeats.Expire(now)
 	for _, p := range sched.pools {
 		sched.settle(now, p)
-		if len(p.queue) == 0 {
+		if len(p.queue) == 0 || p.held(now) {
 			continue
 		}
 		p.sortQueue(now)
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -90,3 +90,23 @@
 		}
 	}
 }
+
+// Hold has prompts for a service queued without a decision until a time, while the scheduler
+// learns what runs on the servers.
+func (sched *Scheduler) Hold(service string, until time.Time) {
+	if p := sched.pools[service]; p != nil {
+		p.heldUntil = until
+	}
+}
+
+// held reports whether prompts are queued without a decision. Calls of plain services are
+// not: they are short, and what runs of them soon ends.
+func (p *pool) held(now time.Time) bool {
+	return p.service.Engine() != nil && now.Before(p.heldUntil)
+}
+
+// Primary reports whether this scheduler places a service's requests of all entries.
+func (sched *Scheduler) Primary(service string) bool {
+	p := sched.pools[service]
+	return p != nil && p.primary
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -49,6 +49,11 @@
 	// markReachable records that the entry at a peer address was heard, so that it is
 	// dialed again at once; nil in tests without connections.
 	markReachable func(address string)
+	// askRunning asks an entry at a peer address what it runs on the servers of a service;
+	// nil in tests without connections.
+	askRunning func(entry, address, service string)
+	// takeovers holds this entry's last takeover of each service.
+	takeovers map[string]*takeover
 	// pendingEvents holds the events to send to schedulers, by peer address.
 	pendingEvents map[string]*eventsMessage
 
@@ -88,6 +93,7 @@
 		scheduler:     dispatch.NewScheduler(settings.ID()),
 		waiters:       make(map[string]chan dispatch.Decision),
 		schedulers:    make(map[string]string),
+		takeovers:     make(map[string]*takeover),
 		pendingEvents: make(map[string]*eventsMessage),
 		newerPeers:    make(chan string, 1),
 		stateChanged:  make(chan struct{}, 1),
@@ -186,6 +192,9 @@
 		}
 		c.scheduler.SetColdShare(service, share)
 		c.scheduler.SetRateLimitShare(service, rateLimitShare)
+		if primary && !c.scheduler.Primary(service) {
+			c.takeOver(now, service)
+		}
 		c.scheduler.SetPrimary(now, service, primary)
 	}
 }
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -86,6 +86,9 @@
 	// digests differ.
 	RepeatsDigest uint64
 	Repeats       []repeatMessage
+	// Takeover lists services that the sender begins to schedule. The response lists them as
+	// Schedules, and in Running what its sender runs on their servers.
+	Takeover []string
 }
 
 // noticeMessage is what a backend server stated about itself.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,7 +8,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"greengagedock.example/dispatch"
 	"greengagedock.example/mesh"
 	"greengagedock.example/routing"
 )
@@ -56,15 +55,9 @@
 // answerHeartbeat applies a heartbeat and returns the response to it.
 func (c *control) answerHeartbeat(now time.Time, heartbeat heartbeatMessage) heartbeatMessage {
 	c.applyHeartbeat(now, heartbeat)
-	owner := dispatch.NewOwner(heartbeat.From.ID, heartbeat.From.Incarnation)
-	if len(heartbeat.Schedules) > 0 {
-		running := make([]dispatch.RunningRequest, 0, len(heartbeat.Running))
-		for _, message := range heartbeat.Running {
-			running = append(running, message.decode())
-		}
-		c.scheduler.Reconcile(now, owner, heartbeat.Schedules, running)
-	}
+	c.reconcile(now, heartbeat)
 	reply := c.newHeartbeat(now, heartbeatTarget{})
+	c.answerTakeover(heartbeat, &reply)
 	if len(heartbeat.Counters) > 0 {
 		reply.Counters = c.members.encodeCounters(now)
 	}
@@ -140,12 +133,19 @@
 		}
 		return heartbeat
 	}
+	heartbeat.Running = c.runningOn(heartbeat.Schedules)
+	return heartbeat
+}
+
+// runningOn returns what this entry runs on the servers of services.
+func (c *control) runningOn(services []string) []runningMessage {
+	var out []runningMessage
 	for _, request := range c.scheduler.Running(c.owner) {
-		if slices.Contains(heartbeat.Schedules, request.Service()) {
-			heartbeat.Running = append(heartbeat.Running, encodeRunning(request))
+		if slices.Contains(services, request.Service()) {
+			out = append(out, encodeRunning(request))
 		}
 	}
-	return heartbeat
+	return out
 }
 
 // storeAge returns the time since the store last responded, negative if never.
@@ -199,9 +199,10 @@
 
 func (c *control) handlePlacement(call placementMessage) (placementReply, error) {
 	owner, request := call.decode(c.timers.Now())
-	if len(call.Notices) > 0 {
-		c.do(func(now time.Time) { c.mergeNotices(now, call.Entry, call.Notices) })
-	}
+	c.do(func(now time.Time) {
+		c.mergeNotices(now, call.Entry, call.Notices)
+		c.placesFor(now, call.Service)
+	})
 	decision, err := c.schedule(context.Background(), owner, request)
 	if err != nil {
 		return placementReply{}, eris.Wrap(errCall, err.Error())
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -112,6 +112,9 @@
 		reserver = platform.KVReserver(p.paths)
 	}
 	p.control.markReachable = p.peerClient.MarkReachable
+	p.control.askRunning = func(entry, address, service string) {
+		go p.control.askEntry(p.peerClient, entry, address, service)
+	}
 	retries := ingress.NewRetryBudget(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
 	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold())
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
