--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -39,12 +39,38 @@
 type rateLimit struct {
 	perSecond float64 // 0 for no limit
 	bucket    leakyBucket
+	// guessed is set while the bucket is filled because nothing is known of what the server
+	// got before.
+	guessed bool
+	// predecessor is what another scheduler told of its bucket, which bucket includes.
+	predecessor leakyBucket
+}
+
+// fill has the server get nothing until a request has drained.
+func (l *rateLimit) fill(now time.Time) {
+	l.bucket.fill(now)
+	l.guessed = true
+}
+
+// merge adds what another scheduler counted by a time. Of what it told before, only the
+// difference is added.
+func (l *rateLimit) merge(now time.Time, level float64, at time.Time, share float64) {
+	if !at.After(l.predecessor.updated) {
+		return
+	}
+	if l.guessed {
+		l.bucket, l.guessed = leakyBucket{updated: now}, false
+	}
+	added := max(0, level-l.predecessor.levelAt(at, l.perSecond))
+	l.bucket.level = l.bucket.levelAt(now, l.perSecond*share) + max(0, added-l.perSecond*now.Sub(at).Seconds())
+	l.bucket.updated = now
+	l.predecessor = leakyBucket{level: level, updated: at}
 }
 
 // set sets the limit in requests a second, 0 for none.
 func (l *rateLimit) set(now time.Time, perSecond float64) {
 	if l.perSecond == 0 && perSecond > 0 {
-		l.bucket.fill(now)
+		l.fill(now)
 	}
 	l.perSecond = perSecond
 }
@@ -53,6 +79,7 @@
 func (l *rateLimit) countSend() {
 	if l.perSecond > 0 {
 		l.bucket.add()
+		l.guessed = false
 	}
 }
 
@@ -67,11 +94,11 @@
 }
 
 // fillLimits has the servers with a rate limit get nothing until a request has drained,
-// since another scheduler has counted what they got.
+// since another scheduler has counted what they got, unless it has told of that.
 func (p *pool) fillLimits(now time.Time) {
 	for _, s := range p.order {
-		if s.limit.perSecond > 0 {
-			s.limit.bucket.fill(now)
+		if s.limit.perSecond > 0 && now.Sub(s.limit.predecessor.updated) > maxLearnedAge {
+			s.limit.fill(now)
 		}
 	}
 }
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -74,6 +74,8 @@
 	// may be asked again.
 	refusedUntil time.Time
 	failureRate  float64
+	// outcomeAt is when the last outcome was recorded that says something about the server.
+	outcomeAt time.Time
 	// blamers holds the entries that reported the consecutive failures.
 	blamers map[string]bool
 }
@@ -235,6 +237,7 @@
 	switch outcome {
 	case OutcomeCancelled, OutcomeWithdrawn, OutcomePathLost, OutcomeRejected:
 		if outcome == OutcomeRejected {
+			s.outcomeAt = now
 			s.refusedUntil = later(s.refusedUntil, now.Add(minSuspension/4))
 		}
 		return
@@ -248,6 +251,7 @@
 		s.blamers = nil
 		cost = serverErrorCost
 	case OutcomeReplaced:
+		s.outcomeAt = now
 		s.refusedUntil = later(s.refusedUntil, now.Add(maxSuspension))
 		return
 	case OutcomeUnreachable, OutcomeBroken, OutcomeStalled:
@@ -264,6 +268,7 @@
 		}
 		s.suspend(now, duration)
 	}
+	s.outcomeAt = now
 	s.failureRate += failureWeight * (cost - s.failureRate)
 	if s.failureRate > maxFailureRate {
 		s.failureRate = maxFailureRate / 2
