gateway: hand learned state over to the next scheduler

A scheduler that stops as planned left its successor without the evidence below the threshold, the failures of servers and the levels of rate limits; it learned anew for 3 to 4 s. The call learned tells the next scheduler of each service before the entry leaves and at the end of the lame-duck period. A scheduler whose place an entry takes that started later tells that one. Who does not follow passes it on.

go test ./dispatch ./quarantine ./gateway passes.

--- a/dispatch/learned.go
+++ b/dispatch/learned.go
@@ -24,6 +24,8 @@
 	evidence quarantine.Evidence
 	repeats  []quarantine.Repeat
 	servers  []LearnedServer
+	// unsettled holds the requests that run and whose parts may yet crash their servers.
+	unsettled []UnsettledRequest
 }
 
 // NewLearned returns an empty value for a service.
@@ -47,6 +49,13 @@
 	return l
 }
 
+// WithUnsettled returns the value with running requests whose parts may yet crash their
+// servers.
+func (l Learned) WithUnsettled(requests []UnsettledRequest) Learned {
+	l.unsettled = requests
+	return l
+}
+
 // Service returns the name of the service.
 func (l Learned) Service() string { return l.service }
 
@@ -59,9 +68,13 @@
 // Servers returns what is known of servers, ordered by id.
 func (l Learned) Servers() []LearnedServer { return l.servers }
 
+// Unsettled returns the running requests whose parts may yet crash their servers, ordered
+// by id.
+func (l Learned) Unsettled() []UnsettledRequest { return l.unsettled }
+
 // IsEmpty reports whether the value says nothing.
 func (l Learned) IsEmpty() bool {
-	return l.evidence.IsEmpty() && len(l.repeats) == 0 && len(l.servers) == 0
+	return l.evidence.IsEmpty() && len(l.repeats)+len(l.servers)+len(l.unsettled) == 0
 }
 
 // LearnedServer is what is known of one incarnation of a backend server.
@@ -109,17 +122,26 @@
 	return NewLearned(service).
 		WithEvidence(p.quarantine.Evidence(now)).
 		WithRepeats(sched.repeats.Known()).
-		WithServers(p.learnedServers(now))
+		WithServers(p.learnedServers(now)).
+		WithUnsettled(sched.unsettledRequests(now, p))
 }
 
-// MergeLearned adds what another scheduler of a service has learned.
+// MergeLearned adds what another scheduler of a service has learned. Evidence below the
+// threshold is taken over only from a scheduler that this one follows or is about to follow:
+// one that worked beside it for long has not seen what speaks for the parts of prompts.
 func (sched *Scheduler) MergeLearned(now time.Time, learned Learned) {
 	p := sched.pools[learned.service]
 	if p == nil {
 		return
 	}
-	p.quarantine.MergeEvidence(now, learned.evidence)
 	sched.repeats.Merge(now, learned.repeats)
+	if p.primary && now.Sub(p.observedFrom) > maxLearnedAge {
+		p.quarantine.Merge(now, learned.evidence.Suspicions())
+	} else {
+		p.inheritedAt = now
+		p.quarantine.MergeEvidence(now, learned.evidence)
+		sched.mergeUnsettled(now, p, learned.unsettled)
+	}
 	sched.mergeServers(now, p, learned.servers)
 }
 
@@ -128,8 +150,9 @@
 	var out []LearnedServer
 	for _, s := range p.order {
 		learned := NewLearnedServer(s.info.Incarnation()).WithFailures(s.failures())
-		if s.limit.perSecond > 0 {
-			learned = learned.WithLimitLevel(s.limit.bucket.levelAt(now, s.limit.perSecond*p.rateLimitShare), now)
+		// A scheduler that was succeeded counts little of what the server gets.
+		if l := &s.limit; l.perSecond > 0 && p.lostAt.IsZero() && (p.primary && !l.guessed || l.inherited(now)) {
+			learned = learned.WithLimitLevel(l.bucket.levelAt(now, l.perSecond), now)
 		}
 		if !learned.failures.at.IsZero() || !learned.limitAt.IsZero() {
 			out = append(out, learned)
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -16,13 +16,48 @@
 	}
 	p.primary = primary
 	p.fillLimits(now)
-	if primary {
-		p.observedFrom = now
-	}
 	if !primary {
-		p.quarantine.Forget()
-		p.settling = nil
+		p.lostAt = now
+		return
+	}
+	p.observedFrom = now
+	if !p.inheritedAt.After(p.lostAt) {
+		p.forgetEvidence()
 	}
+	p.lostAt, p.inheritedAt = time.Time{}, time.Time{}
+}
+
+// Primary reports whether this scheduler places a service's requests of all entries.
+func (sched *Scheduler) Primary(service string) bool {
+	p := sched.pools[service]
+	return p != nil && p.primary
+}
+
+// HoldsLearned reports whether this scheduler holds what is to be told to the next one of a
+// service: as the primary one, or because it was that or was told by another one a short
+// time ago.
+func (sched *Scheduler) HoldsLearned(service string) bool {
+	p := sched.pools[service]
+	return p != nil && (p.learns() || !p.inheritedAt.IsZero())
+}
+
+// learns reports whether this scheduler sees the evidence about prompts: as the primary one,
+// and for a while afterwards, when the other entries have not all turned to the next one.
+func (p *pool) learns() bool { return p.primary || !p.lostAt.IsZero() }
+
+// expireEvidence forgets the evidence about prompts that is of no more use to this scheduler.
+func (p *pool) expireEvidence(now time.Time) {
+	if p.primary || p.lostAt.IsZero() && p.inheritedAt.IsZero() || now.Sub(later(p.lostAt, p.inheritedAt)) <= maxLearnedAge {
+		return
+	}
+	p.forgetEvidence()
+}
+
+// forgetEvidence forgets the evidence about prompts.
+func (p *pool) forgetEvidence() {
+	p.quarantine.Forget()
+	p.settling = nil
+	p.lostAt, p.inheritedAt = time.Time{}, time.Time{}
 }
 
 // Suspicions returns the suspicions against parts of the prompts of a service.
@@ -91,7 +126,7 @@
 
 // addSettling has a request settle once its answer has gone on for long enough.
 func (sched *Scheduler) addSettling(alloc *allocation) {
-	if p := sched.pools[alloc.service]; p != nil && p.primary && p.learnsFrom(alloc) {
+	if p := sched.pools[alloc.service]; p != nil && p.learns() && p.learnsFrom(alloc) {
 		p.settling = append(p.settling, alloc)
 	}
 }
@@ -108,13 +143,17 @@
 	if len(p.settling) == 0 {
 		p.settling = nil // frees the array
 	}
-	p.quarantine.Evaluate(now)
+	if p.primary {
+		p.quarantine.Evaluate(now)
+	} else {
+		p.quarantine.Expire(now)
+	}
 }
 
 // recordEvidence records what the end of a request says about the parts of its prompt.
 func (sched *Scheduler) recordEvidence(now time.Time, alloc *allocation, outcome Outcome) {
 	p := sched.pools[alloc.service]
-	if p == nil || !p.primary || !p.learnsFrom(alloc) {
+	if p == nil || !p.learns() || !p.learnsFrom(alloc) {
 		return
 	}
 	settled := alloc.started && outcome == OutcomeComplete || alloc.hasSettled(now)
--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -52,6 +52,11 @@
 	l.guessed = true
 }
 
+// inherited reports whether another scheduler has told a short time ago what it counted.
+func (l *rateLimit) inherited(now time.Time) bool {
+	return !l.guessed && now.Sub(l.predecessor.updated) <= maxLearnedAge
+}
+
 // merge adds what another scheduler counted by a time. Of what it told before, only the
 // difference is added.
 func (l *rateLimit) merge(now time.Time, level float64, at time.Time, share float64) {
@@ -97,7 +102,7 @@
 // since another scheduler has counted what they got, unless it has told of that.
 func (p *pool) fillLimits(now time.Time) {
 	for _, s := range p.order {
-		if s.limit.perSecond > 0 && now.Sub(s.limit.predecessor.updated) > maxLearnedAge {
+		if s.limit.perSecond > 0 && !(p.primary && s.limit.inherited(now)) {
 			s.limit.fill(now)
 		}
 	}
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -38,6 +38,7 @@
 	request.started = false
 	s := p.servers[request.server]
 	alloc := &allocation{RunningRequest: request, owner: owner, granted: now, assigned: s, memory: request.prompt + request.answer}
+	sched.adoptUnsettled(alloc)
 	if s.engine != nil && alloc.memory > s.engine.Memory() {
 		p.adoptSpread(alloc)
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -34,6 +34,9 @@
 	cutOff map[string]bool
 	// repeats holds what is known of requests that come again, also to another service.
 	repeats quarantine.Repeats
+	// unsettled holds requests of which another scheduler has told, until their owners
+	// report them.
+	unsettled map[string]inheritedRequest
 }
 
 // pool holds the servers of one service and the requests queued for them.
@@ -65,7 +68,12 @@
 	primary bool
 	// observedFrom is when this scheduler began to place the requests of all entries.
 	observedFrom time.Time
-	quarantine   quarantine.Registry
+	// lostAt is when this scheduler ceased to place them, zero once it has forgotten the
+	// evidence that it saw. inheritedAt is when it last got that of another one, zero once
+	// it has forgotten it or places the requests of all entries.
+	lostAt      time.Time
+	inheritedAt time.Time
+	quarantine  quarantine.Registry
 	// limitedReturn is when the last caller may return that was refused because all
 	// servers have a rate limit.
 	limitedReturn time.Time
@@ -153,7 +161,9 @@
 func (sched *Scheduler) Tick(now time.Time) []Decision {
 	var out []Decision
 	sched.repeats.Expire(now)
+	sched.expireUnsettled(now)
 	for _, p := range sched.pools {
+		p.expireEvidence(now)
 		sched.settle(now, p)
 		if len(p.queue) == 0 {
 			continue
@@ -231,6 +241,7 @@
 func (sched *Scheduler) Ended(now time.Time, id string, outcome Outcome) {
 	alloc := sched.running[id]
 	if alloc == nil {
+		sched.endUnsettled(now, id, outcome)
 		return
 	}
 	if s := sched.serverOf(alloc); s != nil {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -49,6 +49,13 @@
 	// markReachable records that the entry at a peer address was heard, so that it is
 	// dialed again at once; nil in tests without connections.
 	markReachable func(address string)
+	// caller calls other entries; nil in tests without connections.
+	caller entryCaller
+	// handovers counts the calls that tell other entries what this one has learned.
+	handovers handoverCounts
+	// handedOverAt is when this entry last told another one of a service that it ceased to
+	// schedule, although it does not stop.
+	handedOverAt map[string]time.Time
 	// pendingEvents holds the events to send to schedulers, by peer address.
 	pendingEvents map[string]*eventsMessage
 
@@ -89,6 +96,7 @@
 		waiters:       make(map[string]chan dispatch.Decision),
 		schedulers:    make(map[string]string),
 		pendingEvents: make(map[string]*eventsMessage),
+		handedOverAt:  make(map[string]time.Time),
 		newerPeers:    make(chan string, 1),
 		stateChanged:  make(chan struct{}, 1),
 	}
@@ -178,7 +186,11 @@
 // scheduler, else an equal part of the former per entry.
 func (c *control) updateShares(now time.Time) {
 	for _, service := range c.cache.services() {
-		primary := c.members.scheduler(now, service) == nil
+		scheduler := c.members.scheduler(now, service)
+		primary := scheduler == nil
+		if !primary && c.scheduler.Primary(service) && c.members.self.State != memberLeaving {
+			c.handOverTo(now, service, scheduler)
+		}
 		share, rateLimitShare := 1.0, 1.0
 		if !primary {
 			share = 1 / float64(c.entries.Load())
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -200,6 +201,18 @@
 	return best
 }
 
+// schedulerWithout returns the entry that schedules a service's requests once those with the
+// given ids don't, nil if it is this one or there is none.
+func (m *members) schedulerWithout(now time.Time, service string, gone map[string]bool) *member {
+	rest := *m
+	if gone[m.self.ID] {
+		rest.self.State = memberLeaving
+	}
+	rest.byID = maps.Clone(m.byID)
+	maps.DeleteFunc(rest.byID, func(id string, _ *member) bool { return gone[id] })
+	return rest.scheduler(now, service)
+}
+
 // fitToSchedule returns whether an entry has enough CPU to be a scheduler and has run for
 // long enough, compared with the others.
 func (m *members) fitToSchedule(now time.Time) func(memberMessage) bool {
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -21,6 +21,7 @@
 	callItems     = "items"
 	callPlacement = "place"
 	callEvents    = "events"
+	callLearned   = "learned"
 )
 
 // memberMessage describes an entry, as reported by itself or by another one.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -28,6 +28,8 @@
 		return answerCall(body, c.handlePlacement)
 	case callEvents:
 		return answerCall(body, c.handleEvents)
+	case callLearned:
+		return answerCall(body, c.handleLearned)
 	default:
 		return nil, eris.Wrapf(errCall, "unknown kind %q", kind)
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -112,6 +112,7 @@
 		reserver = platform.KVReserver(p.paths)
 	}
 	p.control.markReachable = p.peerClient.MarkReachable
+	p.control.caller = p.peerClient
 	retries := ingress.NewRetryBudget(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
 	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold())
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
@@ -193,6 +194,7 @@
 		values["store_kept"] = p.control.cache.keptCounts()
 		values["quarantined"] = p.control.quarantined()
 		values["refused_repeats"] = len(p.control.repeats().Refused())
+		values["handovers"] = p.control.handovers.values()
 		values["servers_leaving"], values["servers_refusing"] = p.control.notices.Count(now)
 		values["servers_limited"] = p.control.notices.CountLimited()
 		if table := p.control.cache.table; table != nil {
@@ -259,17 +261,19 @@
 	p.log.Info("settings reloaded", "seeds", len(settings.Seeds()), "processor", settings.CPUCores())
 }
 
-// Shutdown leaves the directory, keeps serving for a lame-duck period while callers
-// move to other entries, waits for open requests, and stops the entry within the
-// grace period of the settings.
+// Shutdown tells the next schedulers what this entry has learned, leaves the directory,
+// keeps serving for a lame-duck period while callers move to other entries, waits for open
+// requests, and stops the entry within the grace period of the settings.
 func (p *Process) Shutdown() {
 	started := p.timers.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(p.settings.ShutdownGrace()-shutdownMargin))
 	defer cancel()
 	p.log.Info("stopping", "open", p.callerServer.OpenRequests())
+	p.control.handOver(ctx)
 	p.control.leave()
 	p.callerServer.DisableKeepAlives()
 	sleep(ctx, min(lameDuckPeriod, p.settings.ShutdownGrace()/3))
+	p.control.handOver(ctx)
 	err := p.callerServer.Shutdown(ctx)
 	p.awaitTunnels(ctx)
 	p.cancel()
--- a/gateway/suspicions.go
+++ b/gateway/suspicions.go
@@ -41,12 +41,18 @@
 func (c *control) encodeSuspicions(now time.Time) []suspicionMessage {
 	var out []suspicionMessage
 	for _, service := range c.cache.services() {
-		for _, s := range c.scheduler.Suspicions(service) {
-			out = append(out, suspicionMessage{
-				Service: service, Parts: s.Parts(), Crashes: s.Crashes(), FailedProbes: s.FailedProbes(),
-				CrashAge: ageOf(now, s.LastCrash()), ClearedAge: ageOf(now, s.ClearedAt()), ProbeAge: ageOf(now, s.ProbedAt()),
-			})
-		}
+		out = append(out, suspicionMessages(now, service, c.scheduler.Suspicions(service))...)
+	}
+	return out
+}
+
+func suspicionMessages(now time.Time, service string, suspicions []quarantine.Suspicion) []suspicionMessage {
+	var out []suspicionMessage
+	for _, s := range suspicions {
+		out = append(out, suspicionMessage{
+			Service: service, Parts: s.Parts(), Crashes: s.Crashes(), FailedProbes: s.FailedProbes(),
+			CrashAge: ageOf(now, s.LastCrash()), ClearedAge: ageOf(now, s.ClearedAt()), ProbeAge: ageOf(now, s.ProbedAt()),
+		})
 	}
 	return out
 }
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -49,10 +49,11 @@
 }
 
 // clearSuspicions withdraws the suspicions against the parts of a settled request; of
-// parts that were suspect only together, the others remain so.
-func (r *Registry) clearSuspicions(now time.Time, parts []Part) {
+// parts that were suspect only together, the others remain so. A request that settled before
+// the last crash says nothing.
+func (r *Registry) clearSuspicions(settledAt time.Time, parts []Part) {
 	for _, s := range r.suspicions {
-		if !s.Active() {
+		if !s.Active() || s.lastCrash.After(settledAt) {
 			continue
 		}
 		rest := without(s.parts, parts)
@@ -63,7 +64,7 @@
 			kept := r.suspect(rest, s.crashes)
 			kept.lastCrash, kept.probedAt, kept.failedProbes = s.lastCrash, s.probedAt, s.failedProbes
 		}
-		r.withdraw(s, now)
+		r.withdraw(s, settledAt)
 	}
 }
 
@@ -92,8 +93,8 @@
 	}
 }
 
-// expire drops evidence and suspicions that are too old.
-func (r *Registry) expire(now time.Time) {
+// Expire drops evidence and suspicions that are too old.
+func (r *Registry) Expire(now time.Time) {
 	for len(r.moments) > 0 && now.Sub(r.moments[0].at) > maxAge {
 		r.dropMoment(0)
 	}
@@ -109,9 +110,10 @@
 func (s *Suspicion) expired(now time.Time) bool { return now.Sub(s.lastCrash) > 2*maxAge }
 
 // Evaluate derives the suspicions from the evidence, the strongest one first, and
-// withdraws those that no longer follow from it. It is to be called often.
+// withdraws those that no longer follow from it. It is to be called often, and only while
+// the registry sees all requests: what it misses may speak for a part.
 func (r *Registry) Evaluate(now time.Time) {
-	r.expire(now)
+	r.Expire(now)
 	if !r.changed {
 		return
 	}
--- a/quarantine/moment.go
+++ b/quarantine/moment.go
@@ -33,12 +33,18 @@
 			return m
 		}
 	}
+	return r.addMoment(now, server)
+}
+
+// addMoment adds a moment at which a server ended, in order of time.
+func (r *Registry) addMoment(at time.Time, server string) *moment {
 	if len(r.moments) >= maxMoments {
 		// One that a suspicion accounts for says nothing new.
 		r.dropMoment(max(0, slices.IndexFunc(r.moments, func(m *moment) bool { return len(m.matched) > 0 })))
 	}
-	m := &moment{at: now, servers: []string{server}, suspects: make(map[Part]bool), matched: make(map[uint64]bool)}
-	r.moments = append(r.moments, m)
+	m := &moment{at: at, servers: []string{server}, suspects: make(map[Part]bool), matched: make(map[uint64]bool)}
+	i, _ := slices.BinarySearchFunc(r.moments, at.Add(1), func(m *moment, t time.Time) int { return m.at.Compare(t) })
+	r.moments = slices.Insert(r.moments, i, m)
 	return m
 }
 
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -45,7 +45,7 @@
 	counts  map[Part]int
 	settled map[Part]time.Time
 	// recent holds the last settled requests, the next one at recentNext.
-	recent     []settledRequest
+	recent     []SettledRequest
 	recentNext int
 	// changed is set if the evidence changed since it was last evaluated.
 	changed    bool
@@ -53,15 +53,26 @@
 	digest     uint64
 }
 
-// settledRequest is when a request settled, with the parts of its prompt.
-type settledRequest struct {
+// SettledRequest is when a request settled, with the parts of its prompt.
+type SettledRequest struct {
 	at    time.Time
 	parts []Part
 }
 
+// NewSettledRequest returns a request with the parts that settled at a time.
+func NewSettledRequest(at time.Time, parts []Part) SettledRequest {
+	return SettledRequest{at: at, parts: parts}
+}
+
+// At returns when the request settled.
+func (s SettledRequest) At() time.Time { return s.at }
+
+// Parts returns the parts of the request's prompt.
+func (s SettledRequest) Parts() []Part { return s.parts }
+
 // Settled records that a request with the parts has settled.
 func (r *Registry) Settled(now time.Time, parts []Part) {
-	r.remember(settledRequest{now, parts})
+	r.remember(SettledRequest{now, parts})
 	if len(parts) == 0 {
 		return
 	}
@@ -92,7 +103,7 @@
 }
 
 // remember adds a settled request to the recent ones.
-func (r *Registry) remember(settled settledRequest) {
+func (r *Registry) remember(settled SettledRequest) {
 	if len(r.recent) < maxRecent {
 		r.recent = append(r.recent, settled)
 		return
@@ -108,26 +119,34 @@
 	if len(parts) == 0 {
 		return
 	}
-	if r.counts == nil {
-		r.counts = make(map[Part]int)
-	}
 	m := r.momentOf(now, server)
+	if r.addPrompt(m, now, parts) {
+		r.countCrash(now, m, parts)
+		r.changed = true
+	}
+}
+
+// addPrompt adds the parts of a prompt that was unsettled as a server ended at a moment, and
+// reports whether it is a further one.
+func (r *Registry) addPrompt(m *moment, endedAt time.Time, parts []Part) bool {
 	if len(m.prompts) >= maxPrompts || slices.ContainsFunc(m.prompts, func(p []Part) bool { return slices.Equal(p, parts) }) {
-		return
+		return false
 	}
 	m.prompts = append(m.prompts, parts)
-	r.countCrash(now, m, parts)
-	r.changed = true
 	for _, part := range parts {
 		if _, known := m.suspects[part]; known {
 			continue
 		}
 		settledAt, settled := r.settled[part]
-		m.suspects[part] = !settled || now.Sub(settledAt) > trustTime
+		m.suspects[part] = !settled || endedAt.Sub(settledAt) > trustTime
 		if m.suspects[part] {
+			if r.counts == nil {
+				r.counts = make(map[Part]int)
+			}
 			r.counts[part]++
 		}
 	}
+	return true
 }
 
 // Check reports whether a request with the parts must be refused, and after which time
