porttest: hold reserved ports from the tests of other packages

TestSeedThatStartsLaterIsKnownAtOnce failed once with "address already in use": it gives a port up and binds it again 1.7 s later, while the tests of other packages reserve ports of the same range. A reserved port is now held, by a socket of another kind, until the process ends.

--- a/gateway/process_test.go
+++ b/gateway/process_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"greengagedock.example/porttest"
 	"greengagedock.example/routing"
 )
 
@@ -33,10 +34,8 @@
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer taken.Close()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	callers, err := porttest.Address()
 	c.Assert(err, qt.IsNil)
-	callers := free.Addr().String()
-	free.Close()
 
 	settings := NewSettings("entry-1", "a", "r").WithAddresses(callers, taken.Addr().String(), "", "", "").WithMemoryBytes(1 << 20)
 	logs := NewAsyncLogWriter(io.Discard)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengagedock.example/porttest"
 )
 
 func serve(c *qt.C, handler Handler) (address string, server *Server) {
@@ -95,10 +97,9 @@
 // unusedAddress returns a loopback address on which nobody listens.
 func unusedAddress(c *qt.C) string {
 	c.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := porttest.Address()
 	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func TestUnreachableEntryIsNotRedialedAtOnce(t *testing.T) {
--- a/porttest/porttest.go
+++ b/porttest/porttest.go
@@ -1,6 +1,7 @@
 package porttest
 
 import (
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -20,12 +21,16 @@
 )
 
 var (
-	mu   sync.Mutex
+	mu sync.Mutex
+	// held holds, for each reserved port, a socket that tells other processes so.
+	held = make(map[int]io.Closer)
 	next = firstPort + os.Getpid()*97%(lastPort-firstPort) // processes start at different ports
 )
 
-// Reserve returns the first of n consecutive loopback ports that are free. This process
-// does not get them again until it has had all others. Errors wrap ErrNoPorts.
+// Reserve returns the first of n consecutive loopback ports that are free. No other process
+// gets them until this one ends, and this one not again until it has had all others: a test
+// may leave a port unused for seconds before it listens there again, or has a child process
+// do so. Errors wrap ErrNoPorts.
 func Reserve(n int) (int, error) {
 	mu.Lock()
 	defer mu.Unlock()
@@ -35,7 +40,7 @@
 		}
 		first := next
 		free := 0
-		for free < n && isFree(first+free) {
+		for free < n && hold(first+free) {
 			free++
 		}
 		if free == n {
@@ -53,6 +58,19 @@
 	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)), err
 }
 
+// hold reserves a port, and reports false if another process has it or listens there.
+func hold(port int) bool {
+	if held[port] == nil {
+		// The name is that of no file, and free again once the process ends.
+		socket, err := net.ListenPacket("unixgram", "@greengagedock-porttest-"+strconv.Itoa(port))
+		if err != nil {
+			return false
+		}
+		held[port] = socket
+	}
+	return isFree(port)
+}
+
 func isFree(port int) bool {
 	listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 	if err != nil {
