--- a/dispatch/learned.go
+++ b/dispatch/learned.go
@@ -151,8 +151,10 @@
 	for _, s := range p.order {
 		learned := NewLearnedServer(s.info.Incarnation()).WithFailures(s.failures())
 		// A scheduler that was succeeded counts little of what the server gets.
-		if l := &s.limit; l.perSecond > 0 && p.lostAt.IsZero() && (p.primary && !l.guessed || l.inherited(now)) {
-			learned = learned.WithLimitLevel(l.bucket.levelAt(now, l.perSecond), now)
+		if l := &s.limit; l.perSecond > 0 && p.lostAt.IsZero() && (p.primary || l.inherited(now)) {
+			if level := l.bucket.levelAt(now, l.perSecond); level == 0 || !l.guessed {
+				learned = learned.WithLimitLevel(level, now)
+			}
 		}
 		if !learned.failures.at.IsZero() || !learned.limitAt.IsZero() {
 			out = append(out, learned)
