--- a/gateway/control.go
+++ b/gateway/control.go
@@ -49,8 +49,10 @@
 	// markReachable records that the entry at a peer address was heard, so that it is
 	// dialed again at once; nil in tests without connections.
 	markReachable func(address string)
-	// caller calls other entries; nil in tests without connections.
+	// caller calls other entries, nil in tests without connections. tell sends a handover
+	// and does not wait for the response.
 	caller entryCaller
+	tell   func(handover)
 	// handovers counts the calls that tell other entries what this one has learned.
 	handovers handoverCounts
 	// handedOverAt is when this entry last told another one of a service that it ceased to
@@ -112,6 +114,7 @@
 		seeds:    settings.Seeds(),
 		random:   rand.New(rand.NewPCG(incarnation, 0)),
 	}
+	c.tell = func(handover) {}
 	c.state.Store(memberStarting)
 	c.view.Store(c.newView())
 	c.entries.Store(startupEntries)
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -281,15 +281,20 @@
 
 // handleLearned takes over what another entry has learned.
 func (c *control) handleLearned(call learnedMessage) (emptyReply, error) {
-	if !c.do(func(now time.Time) {
-		c.mergeLearned(now, call)
-		c.passOn(now, call)
-	}) {
+	if !c.do(func(now time.Time) { c.applyLearned(now, call) }) {
 		return emptyReply{}, eris.Wrap(errCall, "stopping")
 	}
 	return emptyReply{}, nil
 }
 
+// applyLearned takes over what another entry has learned, and passes on what others need.
+func (c *control) applyLearned(now time.Time, message learnedMessage) {
+	c.mergeLearned(now, message)
+	for _, h := range c.handoversToPassOn(now, message) {
+		c.tell(h)
+	}
+}
+
 // mergeLearned adds what another entry has learned.
 func (c *control) mergeLearned(now time.Time, message learnedMessage) {
 	c.mergeNotices(now, message.From, message.Notices) // before the levels of the limits
@@ -302,30 +307,24 @@
 	}
 }
 
-// passOn sends what another entry has learned of services that this one does not schedule
-// after it to the entries that do.
-func (c *control) passOn(now time.Time, message learnedMessage) {
+// handoversToPassOn returns what another entry has learned of services that this one does
+// not schedule after it, for the entries that do.
+func (c *control) handoversToPassOn(now time.Time, message learnedMessage) []handover {
 	if message.Hops >= maxHandoverHops {
-		return
+		return nil
 	}
-	byID := make(map[string]*handover)
+	var out []handover
 	for _, m := range message.Services {
 		next := c.members.schedulerWithout(now, m.Service, map[string]bool{message.From: true})
 		if next == nil {
 			continue
 		}
-		h := byID[next.ID]
-		if h == nil {
-			h = &handover{to: next.memberMessage, message: message}
-			h.message.Hops++
-			h.message.Services = nil
-			byID[next.ID] = h
-		}
-		h.message.Services = append(h.message.Services, m)
-	}
-	for _, h := range byID {
-		go c.sendHandover(context.Background(), *h)
+		h := handover{to: next.memberMessage, message: message}
+		h.message.Hops++
+		h.message.Services = []learnedServiceMessage{m}
+		out = append(out, h)
 	}
+	return out
 }
 
 // handover is what an entry is told.
@@ -394,15 +393,12 @@
 		return
 	}
 	c.handedOverAt[service] = now
-	go c.sendHandover(context.Background(), handover{to: to.memberMessage, message: message})
+	c.tell(handover{to: to.memberMessage, message: message})
 }
 
 // sendHandover tells an entry what was learned. An entry of a version that does not know
 // the call refuses it, and learns anew.
 func (c *control) sendHandover(ctx context.Context, h handover) error {
-	if c.caller == nil {
-		return nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	started := c.timers.Now()
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -113,6 +113,7 @@
 	}
 	p.control.markReachable = p.peerClient.MarkReachable
 	p.control.caller = p.peerClient
+	p.control.tell = func(h handover) { go p.control.sendHandover(context.Background(), h) }
 	retries := ingress.NewRetryBudget(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
 	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold())
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
