--- a/dispatch/unsettled.go
+++ b/dispatch/unsettled.go
@@ -8,8 +8,13 @@
 	"greengagedock.example/quarantine"
 )
 
-// maxUnsettled bounds the unsettled requests that a scheduler takes over from another one.
-const maxUnsettled = 4096
+const (
+	// maxUnsettled bounds the unsettled requests that a scheduler takes over from another one.
+	maxUnsettled = 4096
+	// maxUnsettledParts bounds the parts of those that it tells another one, so that they fit
+	// into a message between entries.
+	maxUnsettledParts = 1 << 16
+)
 
 // UnsettledRequest is a request that runs on a server and whose parts may yet crash it. The
 // reports of owners leave out the parts.
@@ -67,7 +72,13 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b UnsettledRequest) int { return cmp.Compare(a.id, b.id) })
-	return out[:min(len(out), maxUnsettled)]
+	parts := 0
+	for i, request := range out {
+		if parts += len(request.parts); i >= maxUnsettled || parts > maxUnsettledParts {
+			return out[:i]
+		}
+	}
+	return out
 }
 
 // mergeUnsettled adds requests of which another scheduler tells. Those that are not yet
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// maxEvidenceParts bounds the settled parts that evidence holds; the oldest are left out.
-const maxEvidenceParts = 4096
+const (
+	// maxEvidenceParts bounds the settled parts that evidence holds, and maxMomentParts the
+	// parts of prompts at all its moments, so that it fits into a message between entries.
+	// The oldest are left out.
+	maxEvidenceParts = 4096
+	maxMomentParts   = 1 << 16
+)
 
 // Evidence is what a Registry has learned, for another one that goes on in its place. Its
 // zero value is empty.
@@ -97,7 +102,7 @@
 // Evidence returns what the registry has learned.
 func (r *Registry) Evidence(now time.Time) Evidence {
 	var moments []Moment
-	for _, m := range r.moments {
+	for _, m := range r.latestMoments() {
 		var sound []Part
 		for part, suspect := range m.suspects {
 			if !suspect {
@@ -112,6 +117,20 @@
 	return NewEvidence(r.Suspicions()...).WithMoments(moments...).WithSettled(r.settledInOrder(), r.settledParts(now))
 }
 
+// latestMoments returns the latest moments, in order of time, as far as maxMomentParts allows.
+func (r *Registry) latestMoments() []*moment {
+	parts := 0
+	for i := len(r.moments) - 1; i >= 0; i-- {
+		for _, prompt := range r.moments[i].prompts {
+			parts += len(prompt)
+		}
+		if parts > maxMomentParts {
+			return r.moments[i+1:]
+		}
+	}
+	return r.moments
+}
+
 // settledInOrder returns the recent settled requests in order of time.
 func (r *Registry) settledInOrder() []SettledRequest {
 	return append(slices.Clone(r.recent[r.recentNext:]), r.recent[:r.recentNext]...)
