mesh: ask several entries whether a server is reached, and ask again

Three of four entries lost their ways at once. Each checked a way through one other entry, which as a rule had lost it too, and took the servers to be down. All six were suspended for 5 s by the failures of the three, and without requests nothing was checked again: the log of a failed run has refusals with no_server until the next way was found to be lost, 5.0 s after the first. A check now asks up to three entries at once, and is repeated up to three times, a second apart, while none reaches the server. Both new tests fail without that.

TestLostWaysLeadThroughOtherEntries assumed that the checks of a first dial take longer than the next dial (it failed 2 of 60 runs with -race before this change): a dial must fail only if it was direct. TestRefusingRelayIsAskedLast waits for the checks, which ask all entries.

--- a/mesh/paths.go
+++ b/mesh/paths.go
@@ -33,6 +33,10 @@
 	checkInterval = time.Second
 	// maxChecks bounds the checks at the same time.
 	maxChecks = 3
+	// rechecks is how often a server that no entry was found to reach is checked again. Other
+	// entries may have lost the way as well and not know it, and a server that is suspended
+	// gets no requests that would show it.
+	rechecks = 3
 	// minLostForCutOff is the number of ways that are lost, with none that is not, from which
 	// all ways count as lost, if there are as many servers.
 	minLostForCutOff = 2
@@ -147,7 +151,7 @@
 	relays := p.relays()
 	lastErr := eris.New("no other entry reaches servers")
 	for _, relay := range relays[:min(maxRelays, len(relays))] {
-		conn, err := p.ways.Open(ctx, relay, address)
+		conn, err := p.openTunnel(ctx, relay, address)
 		switch {
 		case err == nil:
 			return relayedConn{conn.(*net.TCPConn), relay}, nil
@@ -155,11 +159,19 @@
 			return nil, err
 		}
 		lastErr = err
+	}
+	return nil, eris.Wrapf(upstream.ErrNoPath, "%v", lastErr)
+}
+
+// openTunnel opens a tunnel through an entry, and notes it if the entry opens none.
+func (p *Paths) openTunnel(ctx context.Context, relay, address string) (net.Conn, error) {
+	conn, err := p.ways.Open(ctx, relay, address)
+	if err != nil && !errors.Is(err, ErrServerUnreachable) && ctx.Err() == nil {
 		p.mu.Lock()
 		p.refusedAt[relay] = p.timers.Now()
 		p.mu.Unlock()
 	}
-	return nil, eris.Wrapf(upstream.ErrNoPath, "%v", lastErr)
+	return conn, err
 }
 
 // relays returns the entries that may lead to servers; those that lately opened no tunnel
@@ -175,7 +187,11 @@
 
 // check finds out, aside from any request, whether the direct way to a server is lost. With
 // dial set it dials the server first.
-func (p *Paths) check(address string, dial bool) {
+func (p *Paths) check(address string, dial bool) { p.checkAgain(address, dial, rechecks) }
+
+// checkAgain makes a check, and up to a number of further ones while no entry is found to
+// reach the server.
+func (p *Paths) checkAgain(address string, dial bool, again int) {
 	now := p.timers.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -188,30 +204,65 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 		defer cancel()
-		lost := p.wayLost(ctx, address, dial)
+		state, rest := p.stateOfWay(ctx, address, dial)
+		switch {
+		case state == wayLost:
+			p.lose(address, now)
+		case state == wayUnknown && again > 0:
+			time.AfterFunc(checkInterval, func() {
+				if slices.Contains(p.ways.Servers(), address) && !p.isLost(address) {
+					p.checkAgain(address, true, again-1)
+				}
+			})
+		}
+		rest.Wait()
 		p.mu.Lock()
 		p.checks--
 		p.mu.Unlock()
-		if lost {
-			p.lose(address, now)
-		}
 	}()
 }
 
-// wayLost reports whether another entry reaches a server that this one doesn't.
-func (p *Paths) wayLost(ctx context.Context, address string, dial bool) bool {
+// wayState is what a check shows of the direct way to a server.
+type wayState string
+
+// States of ways.
+const (
+	wayWhole wayState = "whole"
+	// wayLost: another entry reaches the server.
+	wayLost wayState = "lost"
+	// wayUnknown: the server is down, or those that were asked don't reach it either.
+	wayUnknown wayState = "unknown"
+)
+
+// stateOfWay checks the direct way to a server. It asks several entries at once: one that has
+// lost the way as well, and does not know it yet, does not reach the server. It returns as
+// soon as one reaches the server, and what waits for the answers of the others.
+func (p *Paths) stateOfWay(ctx context.Context, address string, dial bool) (wayState, *sync.WaitGroup) {
+	var asking sync.WaitGroup
 	if dial {
 		if conn, err := p.DialDirect(ctx, address); err == nil {
 			conn.Close()
-			return false
+			return wayWhole, &asking
 		}
 	}
-	conn, err := p.dialRelayed(ctx, address)
-	if err != nil {
-		return false
+	relays := p.relays()
+	relays = relays[:min(maxRelays, len(relays))]
+	reached := make(chan bool, len(relays))
+	for _, relay := range relays {
+		asking.Go(func() {
+			conn, err := p.openTunnel(ctx, relay, address)
+			if err == nil {
+				conn.Close()
+			}
+			reached <- err == nil
+		})
+	}
+	for range relays {
+		if <-reached {
+			return wayLost, &asking
+		}
 	}
-	conn.Close()
-	return true
+	return wayUnknown, &asking
 }
 
 // lose records that the direct way to a server is lost, as found at a time.
