--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"greengagedock.example/porttest"
 )
 
 const (
@@ -65,8 +67,13 @@
 			var mu sync.Mutex
 			var running sync.WaitGroup
 			freeRanges := make(chan int, parallel)
-			for i := range parallel {
-				freeRanges <- i
+			for i := 0; i < portRanges && len(freeRanges) < parallel; i++ {
+				if porttest.Hold(firstPort + portsPerRun*i) { // else another soak has them
+					freeRanges <- i
+				}
+			}
+			if len(freeRanges) < parallel {
+				return fmt.Errorf("%d of %d ranges of ports are free, %d needed", len(freeRanges), portRanges, parallel)
 			}
 			for _, seed := range all {
 				portRange := <-freeRanges
@@ -141,7 +148,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return "", []string{err.Error()}
 	}
-	f, err := startFleet(dir, o.daemon, seed, o.entries, o.servers, firstPort+portsPerRun*(portRange%portRanges))
+	f, err := startFleet(dir, o.daemon, seed, o.entries, o.servers, firstPort+portsPerRun*portRange)
 	if err != nil {
 		return "", []string{err.Error()}
 	}
--- a/porttest/porttest.go
+++ b/porttest/porttest.go
@@ -58,7 +58,14 @@
 	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)), err
 }
 
-// hold reserves a port, and reports false if another process has it or listens there.
+// Hold reserves a loopback port until this process ends, and reports false if another
+// process has it or listens there.
+func Hold(port int) bool {
+	mu.Lock()
+	defer mu.Unlock()
+	return hold(port)
+}
+
 func hold(port int) bool {
 	if held[port] == nil {
 		// The name is that of no file, and free again once the process ends.
