--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -104,9 +104,3 @@
 func (p *pool) held(now time.Time) bool {
 	return p.service.Engine() != nil && now.Before(p.heldUntil)
 }
-
-// Primary reports whether this scheduler places a service's requests of all entries.
-func (sched *Scheduler) Primary(service string) bool {
-	p := sched.pools[service]
-	return p != nil && p.primary
-}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -54,6 +54,15 @@
 	askRunning func(entry, address, service string)
 	// takeovers holds this entry's last takeover of each service.
 	takeovers map[string]*takeover
+	// caller calls other entries, nil in tests without connections. tell sends a handover
+	// and does not wait for the response.
+	caller entryCaller
+	tell   func(handover)
+	// handovers counts the calls that tell other entries what this one has learned.
+	handovers handoverCounts
+	// handedOverAt is when this entry last told another one of a service that it ceased to
+	// schedule, although it does not stop.
+	handedOverAt map[string]time.Time
 	// pendingEvents holds the events to send to schedulers, by peer address.
 	pendingEvents map[string]*eventsMessage
 
@@ -95,6 +104,7 @@
 		schedulers:    make(map[string]string),
 		takeovers:     make(map[string]*takeover),
 		pendingEvents: make(map[string]*eventsMessage),
+		handedOverAt:  make(map[string]time.Time),
 		newerPeers:    make(chan string, 1),
 		stateChanged:  make(chan struct{}, 1),
 	}
@@ -110,6 +120,7 @@
 		seeds:    settings.Seeds(),
 		random:   rand.New(rand.NewPCG(incarnation, 0)),
 	}
+	c.tell = func(handover) {}
 	c.state.Store(memberStarting)
 	c.view.Store(c.newView())
 	c.entries.Store(startupEntries)
@@ -184,7 +195,11 @@
 // scheduler, else an equal part of the former per entry.
 func (c *control) updateShares(now time.Time) {
 	for _, service := range c.cache.services() {
-		primary := c.members.scheduler(now, service) == nil
+		scheduler := c.members.scheduler(now, service)
+		primary := scheduler == nil
+		if !primary && c.scheduler.Primary(service) && c.members.self.State != memberLeaving {
+			c.handOverTo(now, service, scheduler)
+		}
 		share, rateLimitShare := 1.0, 1.0
 		if !primary {
 			share = 1 / float64(c.entries.Load())
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -113,8 +113,10 @@
 	}
 	p.control.markReachable = p.peerClient.MarkReachable
 	p.control.askRunning = func(entry, address, service string) {
-		go p.control.askEntry(p.peerClient, entry, address, service)
+		go p.control.askEntry(entry, address, service)
 	}
+	p.control.caller = p.peerClient
+	p.control.tell = func(h handover) { go p.control.sendHandover(context.Background(), h) }
 	retries := ingress.NewRetryBudget(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
 	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold())
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
@@ -196,6 +198,7 @@
 		values["store_kept"] = p.control.cache.keptCounts()
 		values["quarantined"] = p.control.quarantined()
 		values["refused_repeats"] = len(p.control.repeats().Refused())
+		values["handovers"] = p.control.handovers.values()
 		values["servers_leaving"], values["servers_refusing"] = p.control.notices.Count(now)
 		values["servers_limited"] = p.control.notices.CountLimited()
 		if table := p.control.cache.table; table != nil {
@@ -262,17 +265,19 @@
 	p.log.Info("settings reloaded", "seeds", len(settings.Seeds()), "processor", settings.CPUCores())
 }
 
-// Shutdown leaves the directory, keeps serving for a lame-duck period while callers
-// move to other entries, waits for open requests, and stops the entry within the
-// grace period of the settings.
+// Shutdown tells the next schedulers what this entry has learned, leaves the directory,
+// keeps serving for a lame-duck period while callers move to other entries, waits for open
+// requests, and stops the entry within the grace period of the settings.
 func (p *Process) Shutdown() {
 	started := p.timers.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(p.settings.ShutdownGrace()-shutdownMargin))
 	defer cancel()
 	p.log.Info("stopping", "open", p.callerServer.OpenRequests())
+	p.control.handOver(ctx)
 	p.control.leave()
 	p.callerServer.DisableKeepAlives()
 	sleep(ctx, min(lameDuckPeriod, p.settings.ShutdownGrace()/3))
+	p.control.handOver(ctx)
 	err := p.callerServer.Shutdown(ctx)
 	p.awaitTunnels(ctx)
 	p.cancel()
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"greengagedock.example/dispatch"
-	"greengagedock.example/mesh"
 )
 
 // An entry that begins to schedule a service has seen only its own placements. It asks the
@@ -127,7 +126,7 @@
 }
 
 // askEntry asks an entry what it runs on the servers of a service.
-func (c *control) askEntry(client *mesh.Client, id, address, service string) {
+func (c *control) askEntry(id, address, service string) {
 	var heartbeat, reply heartbeatMessage
 	if !c.do(func(now time.Time) { heartbeat = c.withKeptDigest(c.takeoverHeartbeat(now, service)) }) {
 		return
@@ -135,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
 	answered := &reply
-	if err := client.Call(ctx, address, callHeartbeat, heartbeat, &reply); err != nil {
+	if err := c.caller.Call(ctx, address, callHeartbeat, heartbeat, &reply); err != nil {
 		c.log.Debug("entry not asked what it runs", "entry", id, "error", err)
 		answered = nil
 	}
