dispatch: share scarce capacity by client account

A large account took capacity in proportion to what it asked for, and small accounts were refused as often. Requests now carry their account. While requests wait, those of accounts beyond their max-min share of the recent usage yield to the others, and are displaced first from a full queue. Running requests carry the account in heartbeats.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -30,6 +30,8 @@
 	id         string
 	reason     Reason
 	retryAfter time.Duration
+	// explanation is what the decision depended on, empty if there is nothing to tell.
+	explanation string
 }
 
 // NewRefused returns the decision that refuses a request; the caller may retry after the given delay.
@@ -37,6 +39,15 @@
 	return Refused{id: id, reason: reason, retryAfter: retryAfter}
 }
 
+// WithExplanation returns the refusal with what it depended on.
+func (r Refused) WithExplanation(explanation string) Refused {
+	r.explanation = explanation
+	return r
+}
+
+// Explanation returns what the refusal depended on, empty if there is nothing to tell.
+func (r Refused) Explanation() string { return r.explanation }
+
 // ID returns the id of the request.
 func (r Refused) ID() string { return r.id }
 
@@ -187,13 +198,14 @@
 	started          bool
 	parts            []quarantine.Part
 	fingerprint      quarantine.Fingerprint
+	account          string
 }
 
 // NewRunningRequest returns the running request of a request on a server and its
 // prefill workers, before its first event.
 func NewRunningRequest(request Request, server string, prefillWorkers []string) RunningRequest {
 	running := RestoreRunningRequest(request.id, request.service, server, prefillWorkers, request.prompt, request.answer, request.maxTokenInterval, false)
-	running.parts, running.fingerprint = request.parts, request.fingerprint
+	running.parts, running.fingerprint, running.account = request.parts, request.fingerprint, request.account
 	return running
 }
 
@@ -202,6 +214,15 @@
 	return RunningRequest{id: id, service: service, server: server, prefillWorkers: prefillWorkers, prompt: prompt, answer: answer, maxTokenInterval: maxTokenInterval, started: started}
 }
 
+// WithAccount returns the running request with the name of its client account.
+func (r RunningRequest) WithAccount(account string) RunningRequest {
+	r.account = account
+	return r
+}
+
+// Account returns the name of the client account, empty for none.
+func (r RunningRequest) Account() string { return r.account }
+
 // Parts returns the parts of the prompt that others may share.
 func (r RunningRequest) Parts() []quarantine.Part { return r.parts }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -345,6 +345,7 @@
 	}
 	sched.running[request.id] = alloc
 	s.add(alloc)
+	p.charge(now, alloc, p.accountCost(request))
 	explanation := fmt.Sprintf("%s of %d, writers %d, backlog %dms", choice.explanation, len(p.order), s.decoding, s.backlog(now).Milliseconds())
 	return NewGrant(request.id, s.info.ID(), s.info.Address(), prefillWorkers, choice.timeToFirstToken).WithExplanation(now.Sub(request.arrived), explanation)
 }
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -112,17 +112,18 @@
 }
 
 // sortQueue sorts the queue. Requests that can still meet their objectives come
-// first, then late requests that are underserved, then the other late ones; within
-// each group they are sorted by priority and then by response ratio. Requests to
-// plain services are sorted by priority and then by arrival.
+// first, then late requests that are underserved, then the other late ones. Within
+// each group those within their account's share come first; they are sorted by priority
+// and then by response ratio. Requests to plain services are sorted by share, by priority
+// and then by arrival.
 func (p *pool) sortQueue(now time.Time) {
 	engine := p.service.Engine()
 	for _, q := range p.queue {
-		q.underserved = p.underserved(q.request)
+		q.underserved, q.standing.over = p.underserved(q.request), false
 	}
-	slices.SortStableFunc(p.queue, func(a, b *queuedRequest) int {
+	compare := func(a, b *queuedRequest) int {
 		if engine == nil {
-			return cmp.Or(a.request.priority-b.request.priority, a.request.arrived.Compare(b.request.arrived))
+			return cmp.Or(compareStanding(a, b), a.request.priority-b.request.priority, a.request.arrived.Compare(b.request.arrived))
 		}
 		if aLate, bLate := p.missesObjective(now, a.request), p.missesObjective(now, b.request); aLate != bLate {
 			if aLate {
@@ -135,8 +136,12 @@
 			}
 			return 1
 		}
-		return cmp.Or(a.request.priority-b.request.priority, cmp.Compare(b.request.responseRatio(now, engine), a.request.responseRatio(now, engine)))
-	})
+		return cmp.Or(compareStanding(a, b), a.request.priority-b.request.priority, cmp.Compare(b.request.responseRatio(now, engine), a.request.responseRatio(now, engine)))
+	}
+	slices.SortStableFunc(p.queue, compare)
+	if p.markShares(now) {
+		slices.SortStableFunc(p.queue, compare)
+	}
 }
 
 // retryAfter returns the time until a server is likely to have capacity.
--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -160,14 +160,16 @@
 // rate limits of all servers leave room for few, and others wait for it.
 func (p *pool) mayOvertake(now time.Time, request Request) bool {
 	_, limited := p.limitedCapacity(now)
-	return !limited || p.queuedAhead(request) == 0
+	return !limited || p.queuedAhead(now, request) == 0
 }
 
-// queuedAhead returns the number of queued requests of the same or a higher priority.
-func (p *pool) queuedAhead(request Request) int {
+// queuedAhead returns the number of queued requests of the same or a higher priority,
+// without those beyond their account's share for a request that is within.
+func (p *pool) queuedAhead(now time.Time, request Request) int {
 	n := 0
+	over := p.standingOf(now, request).over
 	for _, q := range p.queue {
-		if q.request.priority <= request.priority {
+		if q.request.priority <= request.priority && (over || !q.standing.over) {
 			n++
 		}
 	}
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -43,6 +43,7 @@
 	}
 	sched.running[request.id] = alloc
 	s.add(alloc)
+	p.chargeAdopted(now, alloc, started)
 	if started {
 		sched.start(now, alloc)
 		return
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -40,6 +40,7 @@
 	parts              []quarantine.Part
 	fingerprint        quarantine.Fingerprint
 	resumed            bool
+	account            string
 }
 
 // NewRequest returns a request to a service; id identifies one attempt of one caller's request.
@@ -110,6 +111,12 @@
 	return r
 }
 
+// WithAccount returns the request with the name of the client account that it counts for, empty for none.
+func (r Request) WithAccount(account string) Request {
+	r.account = account
+	return r
+}
+
 // ID returns the id of the attempt.
 func (r Request) ID() string { return r.id }
 
@@ -155,3 +162,6 @@
 
 // Fingerprint returns what identifies the request if its caller repeats it.
 func (r Request) Fingerprint() quarantine.Fingerprint { return r.fingerprint }
+
+// Account returns the name of the client account that the request counts for, empty for none.
+func (r Request) Account() string { return r.account }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -71,6 +71,7 @@
 	limitedReturn time.Time
 	// settling holds the started requests that have not settled, in the order of their start.
 	settling []*allocation
+	shares   shares
 }
 
 // usable returns the number of usable servers and their total prefill backlog.
@@ -89,6 +90,7 @@
 	request Request
 	// underserved is set if too few requests of this size class were placed.
 	underserved bool
+	standing    standing
 }
 
 // NewScheduler returns an empty scheduler of the entry with the given id. The
@@ -111,6 +113,7 @@
 		if grant, ok := sched.grantOf(now, alloc); ok {
 			return NewGranted(grant)
 		}
+		sched.correctCharge(now, alloc, OutcomeWithdrawn)
 		sched.release(now, alloc)
 	}
 	p := sched.pools[request.service]
@@ -127,19 +130,15 @@
 		p.statsOf(request).countRequest(now, request.prompt)
 		p.countDemand(now, request)
 	}
-	if p.mayOvertake(now, request) {
+	if p.mayOvertake(now, request) && !p.yields(now, request) {
 		if decision := sched.decide(now, p, owner, request, len(p.queue) > 0); decision != nil {
-			return decision
+			return p.decided(now, &queuedRequest{request: request}, decision)
 		}
 	}
-	if decision := p.refuseLimited(now, request, p.queuedAhead(request)); decision != nil {
-		return decision
-	}
-	if len(p.queue) >= maxQueue {
-		return NewRefused(request.id, ReasonBusy, p.retryAfter(now))
+	if decision := p.refuseLimited(now, request, p.queuedAhead(now, request)); decision != nil {
+		return p.decided(now, &queuedRequest{request: request}, decision)
 	}
-	p.queue = append(p.queue, &queuedRequest{owner: owner, request: request})
-	return Queued{}
+	return p.enqueue(now, owner, request)
 }
 
 // Withdraw removes a request from the queue.
@@ -155,6 +154,7 @@
 	sched.repeats.Expire(now)
 	for _, p := range sched.pools {
 		sched.settle(now, p)
+		out = append(out, p.takeDisplaced()...)
 		if len(p.queue) == 0 {
 			continue
 		}
@@ -162,7 +162,7 @@
 		p.ticking = true
 		queue := p.queue
 		p.queue = nil
-		ahead := time.Duration(0)
+		var ahead aheadWork
 		misses := 0
 		for _, q := range queue {
 			var decision Decision
@@ -171,17 +171,17 @@
 			}
 			if decision == nil {
 				misses++
-				decision = p.shedLate(now, q, ahead)
+				decision = p.shedLate(now, q, ahead.of(q))
 			}
 			if decision == nil {
 				decision = p.refuseLimited(now, q.request, len(p.queue))
 			}
 			if decision == nil {
 				p.queue = append(p.queue, q)
-				ahead += p.prefillTime(q.request)
+				ahead.add(q, p.prefillTime(q.request))
 				continue
 			}
-			out = append(out, decision)
+			out = append(out, p.decided(now, q, decision))
 		}
 		p.ticking, p.cachedCandidates = false, nil
 	}
@@ -238,6 +238,7 @@
 	}
 	sched.recordEvidence(now, alloc, outcome)
 	sched.recordRepeat(now, alloc, outcome)
+	sched.correctCharge(now, alloc, outcome)
 	sched.release(now, alloc)
 }
 
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -93,6 +93,8 @@
 	// startedAt is when the first event is known to have arrived, zero before.
 	startedAt    time.Time
 	prefillParts []prefillPart
+	// charged is the cost for which the account was charged.
+	charged time.Duration
 }
 
 // reservation is memory that a request takes on a prefill worker until it ends.
--- a/gateway/encoding.go
+++ b/gateway/encoding.go
@@ -92,6 +92,7 @@
 	originalPlacementFields = 14
 	originalEventsFields    = 6
 	originalNoticeFields    = 6
+	originalRunningFields   = 8
 )
 
 // EncodeMsgpack encodes the heartbeat; see encodeFields.
@@ -133,3 +134,13 @@
 func (m *noticeMessage) DecodeMsgpack(decoder *msgpack.Decoder) error {
 	return decodeFields(decoder, m)
 }
+
+// EncodeMsgpack encodes the running request; see encodeFields.
+func (m runningMessage) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	return encodeFields(encoder, m, originalRunningFields)
+}
+
+// DecodeMsgpack decodes the running request; see decodeFields.
+func (m *runningMessage) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeFields(decoder, m)
+}
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -47,6 +47,7 @@
 	AnswerTokens   int
 	TokenInterval  time.Duration
 	Started        bool
+	Account        string
 }
 
 // heartbeatMessage is a heartbeat or the response to one.
@@ -211,6 +212,7 @@
 	Resumed       bool
 	Notices       []noticeMessage
 	Fingerprint   quarantine.Fingerprint
+	Account       string
 }
 
 // placementReply is the response to a placementMessage. The request is queued if
@@ -265,7 +267,7 @@
 		ID: r.ID(), Service: r.Service(), Domain: r.Domain(), PromptTokens: r.Prompt(), AnswerTokens: r.Answer(), Priority: r.Priority(),
 		Age: now.Sub(r.Arrived()), ToObjective: r.Objective().Sub(now), ToDeadline: r.Deadline().Sub(now),
 		ToFirstToken: r.FirstTokenDeadline().Sub(now), TokenInterval: r.MaxTokenInterval(), Exclude: r.Exclude(),
-		Parts: r.Parts(), Resumed: r.Resumed(), Fingerprint: r.Fingerprint(),
+		Parts: r.Parts(), Resumed: r.Resumed(), Fingerprint: r.Fingerprint(), Account: r.Account(),
 	}
 }
 
@@ -280,7 +282,8 @@
 		WithExclude(m.Exclude...).
 		WithParts(m.Parts...).
 		WithResumed(m.Resumed).
-		WithFingerprint(m.Fingerprint)
+		WithFingerprint(m.Fingerprint).
+		WithAccount(m.Account)
 }
 
 func encodeDecision(d dispatch.Decision) placementReply {
@@ -296,7 +299,7 @@
 		}
 		return reply
 	case dispatch.Refused:
-		return placementReply{Reason: string(d.Reason()), RetryAfter: d.RetryAfter()}
+		return placementReply{Reason: string(d.Reason()), RetryAfter: d.RetryAfter(), Why: d.Explanation()}
 	default:
 		return placementReply{}
 	}
@@ -311,16 +314,16 @@
 		}
 		return dispatch.NewGranted(dispatch.NewGrant(id, m.Server, m.Address, workers, m.TimeToFirstToken).WithExplanation(m.Waited, m.Why))
 	case m.Reason != "":
-		return dispatch.NewRefused(id, dispatch.Reason(m.Reason), m.RetryAfter)
+		return dispatch.NewRefused(id, dispatch.Reason(m.Reason), m.RetryAfter).WithExplanation(m.Why)
 	default:
 		return dispatch.Queued{}
 	}
 }
 
 func encodeRunning(r dispatch.RunningRequest) runningMessage {
-	return runningMessage{ID: r.ID(), Service: r.Service(), Server: r.Server(), PrefillWorkers: r.PrefillWorkers(), PromptTokens: r.Prompt(), AnswerTokens: r.Answer(), TokenInterval: r.MaxTokenInterval(), Started: r.Started()}
+	return runningMessage{ID: r.ID(), Service: r.Service(), Server: r.Server(), PrefillWorkers: r.PrefillWorkers(), PromptTokens: r.Prompt(), AnswerTokens: r.Answer(), TokenInterval: r.MaxTokenInterval(), Started: r.Started(), Account: r.Account()}
 }
 
 func (m runningMessage) decode() dispatch.RunningRequest {
-	return dispatch.RestoreRunningRequest(m.ID, m.Service, m.Server, m.PrefillWorkers, m.PromptTokens, m.AnswerTokens, m.TokenInterval, m.Started)
+	return dispatch.RestoreRunningRequest(m.ID, m.Service, m.Server, m.PrefillWorkers, m.PromptTokens, m.AnswerTokens, m.TokenInterval, m.Started).WithAccount(m.Account)
 }
--- a/ingress/interfaces.go
+++ b/ingress/interfaces.go
@@ -48,6 +48,8 @@
 type Refusal struct {
 	reason     dispatch.Reason
 	retryAfter time.Duration
+	// explanation is what the refusal depended on, empty if there is nothing to tell.
+	explanation string
 }
 
 // NewRefusal returns a refusal with the time after which to retry.
@@ -55,6 +57,13 @@
 	return &Refusal{reason: reason, retryAfter: retryAfter}
 }
 
+// WithExplanation returns the refusal with what it depended on.
+func (r *Refusal) WithExplanation(explanation string) *Refusal {
+	out := *r
+	out.explanation = explanation
+	return &out
+}
+
 // Error returns a message with the reason.
 func (r *Refusal) Error() string { return "ingress: refused: " + string(r.reason) }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -340,6 +340,7 @@
 		WithExclude(slices.Clone(q.exclude)...).
 		WithParts(q.parts...).
 		WithFingerprint(q.fingerprint).
+		WithAccount(q.account.Name()).
 		WithResumed(q.stream.count > 0)
 }
 
@@ -389,20 +390,25 @@
 		return
 	}
 	retryAfter := defaultRetryAfter
-	reason := reasonNotTaken
+	reason, why := reasonNotTaken, ""
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
-		retryAfter, reason = refusal.retryAfter, string(refusal.reason)
+		retryAfter, reason, why = refusal.retryAfter, string(refusal.reason), refusal.explanation
 	} else if until, ok := q.server.views.View().AllRefuseUntil(q.service.Name(), q.server.timers.Now()); ok {
 		retryAfter, reason = dispatch.ReturnAfter(q.id, q.server.timers.Now(), until), string(dispatch.ReasonServersRefuse)
 	}
-	q.refuse(reason, retryAfter)
+	var pairs []any
+	if why != "" {
+		pairs = append(pairs, "why", why)
+	}
+	q.refuse(reason, retryAfter, pairs...)
 }
 
-// refuse answers that the request has not run, with the time after which to retry.
-func (q *request) refuse(reason string, retryAfter time.Duration) {
+// refuse answers that the request has not run, with the time after which to retry; pairs
+// are added to the log line.
+func (q *request) refuse(reason string, retryAfter time.Duration, pairs ...any) {
 	q.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
-	q.logEnd("refused", "reason", reason, "come_back", retryAfter)
+	q.logEnd("refused", append([]any{"reason", reason, "come_back", retryAfter}, pairs...)...)
 	q.recordResult(ResultRefused)
 	q.writeError(http.StatusServiceUnavailable, "not run: "+reason)
 }
