experiment, dispatch: loads with competing accounts; decide on the queue before a request over its share

A load file may list accounts with sizes and factors by kind, and kinds may have a priority. Reports print the results by account. The policies unshared and fifo are baselines. A request over its account's share that arrives while queued ones within theirs can be placed has the queue decided on first, so that no server is idle until the next tick.

--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -59,7 +59,7 @@
 			for _, name := range policies {
 				policy, ok := experiment.ParsePolicy(name)
 				if !ok {
-					return eris.Errorf("--placing is %q, want shared, alone or blind", name)
+					return eris.Errorf("--placing is %q, want shared, alone, unshared, fifo or blind", name)
 				}
 				var reports []*experiment.Report
 				for s := seed; s < seed+seeds; s++ {
@@ -88,7 +88,7 @@
 		},
 	}
 	flags := cmd.Flags()
-	flags.StringSliceVar(&policies, "placing", []string{"shared"}, "scheduling policy: shared, alone or blind, or a list of them")
+	flags.StringSliceVar(&policies, "placing", []string{"shared"}, "scheduling policy: shared, alone, unshared, fifo or blind, or a list of them")
 	flags.Uint64Var(&seed, "seed", 1, "first seed")
 	flags.Uint64Var(&seeds, "seeds", 1, "number of seeds")
 	flags.StringSliceVar(&onlyKinds, "only", nil, "simulate these kinds of prompts only")
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -130,7 +130,10 @@
 		p.statsOf(request).countRequest(now, request.prompt)
 		p.countDemand(now, request)
 	}
-	if p.mayOvertake(now, request) && !p.yields(now, request) {
+	if p.yields(now, request) {
+		p.shares.undelivered = sched.tickPool(now, p)
+	}
+	if p.mayOvertake(now, request) {
 		if decision := sched.decide(now, p, owner, request, len(p.queue) > 0); decision != nil {
 			return p.decided(now, &queuedRequest{request: request}, decision)
 		}
@@ -153,38 +156,44 @@
 	var out []Decision
 	sched.repeats.Expire(now)
 	for _, p := range sched.pools {
-		sched.settle(now, p)
-		out = append(out, p.takeDisplaced()...)
-		if len(p.queue) == 0 {
-			continue
+		out = append(out, sched.tickPool(now, p)...)
+	}
+	return out
+}
+
+// tickPool returns the decisions on one service's queued requests that can be made now.
+func (sched *Scheduler) tickPool(now time.Time, p *pool) []Decision {
+	sched.settle(now, p)
+	out := p.takeUndelivered()
+	if len(p.queue) == 0 {
+		return out
+	}
+	p.sortQueue(now)
+	p.ticking = true
+	queue := p.queue
+	p.queue = nil
+	var ahead aheadWork
+	misses := 0
+	for _, q := range queue {
+		var decision Decision
+		if misses < maxFailedPlacements || !now.Before(p.queueDeadline(q.request)) {
+			decision = sched.decide(now, p, q.owner, q.request, false)
+		}
+		if decision == nil {
+			misses++
+			decision = p.shedLate(now, q, ahead.of(q))
 		}
-		p.sortQueue(now)
-		p.ticking = true
-		queue := p.queue
-		p.queue = nil
-		var ahead aheadWork
-		misses := 0
-		for _, q := range queue {
-			var decision Decision
-			if misses < maxFailedPlacements || !now.Before(p.queueDeadline(q.request)) {
-				decision = sched.decide(now, p, q.owner, q.request, false)
-			}
-			if decision == nil {
-				misses++
-				decision = p.shedLate(now, q, ahead.of(q))
-			}
-			if decision == nil {
-				decision = p.refuseLimited(now, q.request, len(p.queue))
-			}
-			if decision == nil {
-				p.queue = append(p.queue, q)
-				ahead.add(q, p.prefillTime(q.request))
-				continue
-			}
-			out = append(out, p.decided(now, q, decision))
+		if decision == nil {
+			decision = p.refuseLimited(now, q.request, len(p.queue))
+		}
+		if decision == nil {
+			p.queue = append(p.queue, q)
+			ahead.add(q, p.prefillTime(q.request))
+			continue
 		}
-		p.ticking, p.cachedCandidates = false, nil
+		out = append(out, p.decided(now, q, decision))
 	}
+	p.ticking, p.cachedCandidates = false, nil
 	return out
 }
 
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -25,6 +25,9 @@
 	droppedAccounts = maxAccounts / 8
 	// maxReportedAccounts bounds what AccountUsages returns for a service.
 	maxReportedAccounts = 32
+	// maxYieldTrials is for how many of the first queued requests yields tries whether they can be
+	// placed; those further back are unlikely to fit.
+	maxYieldTrials = 4
 	// minDemand is the demand below which an account does not count as asking.
 	minDemand = time.Microsecond
 	// initialServiceTime is the expected service time of a plain service before a response
@@ -44,9 +47,8 @@
 	// math.MaxInt64 while there is enough for all or only one account asks.
 	level   time.Duration
 	levelAt time.Time
-	// displaced holds the refusals of queued requests that gave their place to others, until
-	// the next tick delivers them.
-	displaced []Decision
+	// undelivered holds decisions on queued requests that were made when another was submitted.
+	undelivered []Decision
 	// serviceTime is the mean service time of a plain service, zero if unknown.
 	serviceTime time.Duration
 }
@@ -227,8 +229,9 @@
 	}
 }
 
-// updateShares updates what accounts wait for and the share of those that ask for more.
-func (p *pool) updateShares(now time.Time) {
+// updateShares updates what accounts wait for and the share of those that ask for more, with
+// requests that are about to be queued.
+func (p *pool) updateShares(now time.Time, next ...Request) {
 	s := &p.shares
 	for _, a := range s.accounts {
 		a.waiting = 0
@@ -236,6 +239,9 @@
 	for _, q := range p.queue {
 		s.account(now, q.request.account).waiting += p.accountCost(q.request)
 	}
+	for _, request := range next {
+		s.account(now, request.account).waiting += p.accountCost(request)
+	}
 	s.levelAt, s.level = now, math.MaxInt64
 	var demands []time.Duration
 	capacity := time.Duration(0)
@@ -338,11 +344,30 @@
 	return out
 }
 
-// yields reports whether a new request has to wait until the next tick, since it is beyond
-// its account's share and queued ones are not. Servers that those can't use are idle no
-// longer than that.
+// yields reports whether queued requests have to be placed before a new one: it is beyond its
+// account's share, and one that is not and would go before it can be placed now.
 func (p *pool) yields(now time.Time, request Request) bool {
-	return p.standingOf(now, request).over && slices.ContainsFunc(p.queue, func(q *queuedRequest) bool { return !q.standing.over })
+	if !p.standingOf(now, request).over {
+		return false
+	}
+	late, tried := p.late(now, request), 0
+	for _, q := range p.queue {
+		if q.standing.over || !late && p.late(now, q.request) {
+			continue
+		}
+		if p.choose(now, p.candidates(now, q.request), q.request, false).server != nil {
+			return true
+		}
+		if tried++; tried == maxYieldTrials {
+			break
+		}
+	}
+	return false
+}
+
+// late reports whether a request to model engines can't meet its objective any more.
+func (p *pool) late(now time.Time, request Request) bool {
+	return p.service.Engine() != nil && p.missesObjective(now, request)
 }
 
 // aheadWork is the prefill of the queued requests that go before another one.
@@ -378,18 +403,20 @@
 			return p.decided(now, q, NewRefused(request.id, ReasonBusy, p.retryAfter(now)))
 		}
 		displaced := p.queue[i]
-		displaced.standing.behind = cmp.Or(request.account, commonAccount)
-		p.shares.displaced = append(p.shares.displaced, p.decided(now, displaced, NewRefused(displaced.request.id, ReasonBusy, p.retryAfter(now))))
+		a := p.shares.account(now, displaced.request.account)
+		displaced.standing = standing{over: true, usage: a.used + a.waiting, share: p.shares.level, behind: cmp.Or(request.account, commonAccount)}
+		p.shares.undelivered = append(p.shares.undelivered, p.decided(now, displaced, NewRefused(displaced.request.id, ReasonBusy, p.retryAfter(now))))
 		p.queue = slices.Delete(p.queue, i, i+1)
 	}
 	p.queue = append(p.queue, q)
+	p.shares.account(now, request.account).waiting += p.accountCost(request)
 	return Queued{}
 }
 
 // mostOver returns the index of the last queued request of the account that is the most over
 // its share, and -1 if that is the account of the new request or there is none.
 func (p *pool) mostOver(now time.Time, request Request) int {
-	p.updateShares(now)
+	p.updateShares(now, request)
 	if p.shares.level == math.MaxInt64 {
 		return -1
 	}
@@ -398,7 +425,7 @@
 		a := s.account(now, name)
 		return a.used + a.waiting
 	}
-	most, index := max(s.level, usage(request.account)+p.accountCost(request)), -1
+	most, index := max(s.level, usage(request.account)), -1
 	for i, q := range p.queue {
 		if q.request.account == request.account {
 			continue
@@ -410,10 +437,20 @@
 	return index
 }
 
-// takeDisplaced returns the refusals that are not delivered yet.
-func (p *pool) takeDisplaced() []Decision {
-	out := p.shares.displaced
-	p.shares.displaced = nil
+// Undelivered returns the decisions on queued requests that were made since the last tick
+// because others were submitted. Tick returns them too.
+func (sched *Scheduler) Undelivered() []Decision {
+	var out []Decision
+	for _, p := range sched.pools {
+		out = append(out, p.takeUndelivered()...)
+	}
+	return out
+}
+
+// takeUndelivered returns the decisions that are not delivered yet.
+func (p *pool) takeUndelivered() []Decision {
+	out := p.shares.undelivered
+	p.shares.undelivered = nil
 	return out
 }
 
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -9,7 +9,7 @@
 	"greengagedock.example/routing"
 )
 
-// Policy states which scheduler decides where prompts go: Shared, PerEntry or Random.
+// Policy states which scheduler decides where prompts go: Shared, PerEntry, Unshared, FIFO or Random.
 type Policy interface {
 	policy()
 	// String returns the name that ParsePolicy accepts.
@@ -23,21 +23,27 @@
 // PerEntry uses a scheduler for each entry, which knows only that entry's requests.
 type PerEntry struct{}
 
+// Unshared uses one scheduler for all entries that does not know the accounts of requests.
+type Unshared struct{}
+
 // Random assigns each prompt to a random engine, without prefill workers or
 // queueing. It is the baseline that the other policies are compared with.
 type Random struct{}
 
 func (Shared) policy()   {}
 func (PerEntry) policy() {}
+func (Unshared) policy() {}
 func (Random) policy()   {}
 
 func (Shared) String() string   { return "shared" }
 func (PerEntry) String() string { return "alone" }
+func (Unshared) String() string { return "unshared" }
+func (FIFO) String() string     { return "fifo" }
 func (Random) String() string   { return "blind" }
 
 // ParsePolicy returns the policy with the given name, and false if there is none.
 func ParsePolicy(name string) (Policy, bool) {
-	for _, p := range []Policy{Shared{}, PerEntry{}, Random{}} {
+	for _, p := range []Policy{Shared{}, PerEntry{}, Unshared{}, FIFO{}, Random{}} {
 		if p.String() == name {
 			return p, true
 		}
@@ -49,6 +55,7 @@
 type scheduler interface {
 	Submit(now time.Time, owner dispatch.Owner, req dispatch.Request) dispatch.Decision
 	Tick(now time.Time) []dispatch.Decision
+	Undelivered() []dispatch.Decision
 	Started(now time.Time, id string)
 	Ended(now time.Time, id string, outcome dispatch.Outcome)
 	Withdraw(id string)
@@ -66,6 +73,10 @@
 			out = append(out, newScheduler(fmt.Sprint("entry-", i), w))
 		}
 		return out
+	case Unshared:
+		return []scheduler{unsharedScheduler{newScheduler("entry-0", w)}}
+	case FIFO:
+		return []scheduler{newFIFOScheduler(w)}
 	case Random:
 		return []scheduler{&randomScheduler{servers: w.servers, random: random}}
 	default:
@@ -89,6 +100,16 @@
 	return s
 }
 
+// unsharedScheduler implements the policy Unshared.
+type unsharedScheduler struct {
+	*dispatch.Scheduler
+}
+
+// Submit submits a request without its account.
+func (s unsharedScheduler) Submit(now time.Time, owner dispatch.Owner, req dispatch.Request) dispatch.Decision {
+	return s.Scheduler.Submit(now, owner, req.WithAccount(""))
+}
+
 // randomScheduler implements the policy Random.
 type randomScheduler struct {
 	servers int
@@ -104,6 +125,9 @@
 // Tick returns no decisions, since no request is queued.
 func (s *randomScheduler) Tick(time.Time) []dispatch.Decision { return nil }
 
+// Undelivered returns no decisions.
+func (s *randomScheduler) Undelivered() []dispatch.Decision { return nil }
+
 // Started does nothing.
 func (s *randomScheduler) Started(time.Time, string) {}
 
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -62,6 +63,15 @@
 // Requests returns the number of requests.
 func (s Summary) Requests() int { return s.requests }
 
+// Refused returns the number of requests that were refused, also when they came again.
+func (s Summary) Refused() int {
+	refused := 0
+	for _, n := range s.refused {
+		refused += n
+	}
+	return refused
+}
+
 // OnTime returns the number of requests that were answered within their objectives.
 func (s Summary) OnTime() int { return s.onTime }
 
@@ -141,6 +151,24 @@
 	return out
 }
 
+// Accounts returns the names of the accounts with requests, those with the most requests first.
+func (r *Report) Accounts() []string {
+	counts := make(map[string]int)
+	for _, q := range r.requests {
+		if q.account != "" {
+			counts[q.account]++
+		}
+	}
+	return slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+}
+
+// SummarizeAccount returns the summary of an account's requests.
+func (r *Report) SummarizeAccount(account string) Summary {
+	return r.summarizeIf(func(q *request) bool { return q.account == account })
+}
+
 func (r *Report) summarizeIf(belongs func(*request) bool) Summary {
 	s := Summary{refused: make(map[string]int)}
 	for _, q := range r.requests {
@@ -193,15 +221,14 @@
 		r.row(table, k.name, r.Summarize(k.name))
 		r.row(table, "largest tenth", r.Largest(k.name, 0.1))
 	}
+	for _, account := range r.Accounts() {
+		r.row(table, "account "+account, r.SummarizeAccount(account))
+	}
 	return table.Flush()
 }
 
 func (r *Report) row(out io.Writer, name string, s Summary) {
-	refused := 0
-	for _, n := range s.refused {
-		refused += n
-	}
-	fmt.Fprintf(out, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%v\t%v\t%v\t\n", name, s.requests, s.onTime, s.lateFirstToken, s.lateInterval, refused, s.disconnected, s.deadline,
+	fmt.Fprintf(out, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%v\t%v\t%v\t\n", name, s.requests, s.onTime, s.lateFirstToken, s.lateInterval, s.Refused(), s.disconnected, s.deadline,
 		s.Worth(), s.TimeToFirstToken(0.5).Round(time.Millisecond), s.TimeToFirstToken(0.95).Round(time.Millisecond), s.MaxTokenInterval(0.95).Round(time.Millisecond))
 }
 
@@ -229,6 +256,15 @@
 			return err
 		}
 	}
+	for _, account := range reports[0].Accounts() {
+		worth := 0.0
+		for _, r := range reports {
+			worth += r.SummarizeAccount(account).Worth() / float64(len(reports))
+		}
+		if _, err := fmt.Fprintf(out, ", account %s %.3f", account, worth); err != nil {
+			return err
+		}
+	}
 	_, err = fmt.Fprintln(out)
 	return err
 }
--- a/experiment/request.go
+++ b/experiment/request.go
@@ -25,6 +25,7 @@
 	simulation *simulation
 	kind       Kind
 	name       string
+	account    string
 	entry      int
 	prompt     int
 	answer     int
@@ -32,6 +33,8 @@
 
 	arrived time.Duration
 	retries int
+	// maxRetries is how often the caller retries.
+	maxRetries int
 	// id, server and prefillWorkers belong to the current attempt.
 	id             string
 	attempts       int
@@ -58,13 +61,15 @@
 	arrived := epoch.Add(r.arrived)
 	req := dispatch.NewRequest(r.id, service).WithTokens(r.prompt, r.answerHint).
 		WithTimes(arrived, arrived.Add(r.kind.objective), arrived.Add(r.kind.timeout)).
-		WithFirstTokenDeadline(arrived.Add(r.kind.callerTimeout())).WithMaxTokenInterval(r.kind.maxTokenInterval)
+		WithFirstTokenDeadline(arrived.Add(r.kind.callerTimeout())).WithMaxTokenInterval(r.kind.maxTokenInterval).
+		WithPriority(r.kind.priority).WithAccount(r.account)
 	id := r.id
 	sim.AfterFunc(2*networkDelay, func() {
 		if r.finished {
 			return
 		}
 		decision := sim.scheduler(r.entry).Submit(sim.time(), r.owner(), req)
+		sim.deliver(sim.scheduler(r.entry).Undelivered())
 		sim.AfterFunc(networkDelay, func() { r.decided(id, decision) })
 	})
 	sim.AfterFunc(r.kind.callerTimeout()-(sim.Now()-r.arrived), func() {
@@ -136,7 +141,7 @@
 	delete(sim.requests, r.id)
 	left := r.arrived + r.kind.timeout - sim.Now()
 	r.reason = reason
-	if r.retries >= r.kind.retries || retryAfter > left/3 {
+	if r.retries >= r.maxRetries || retryAfter > left/3 {
 		r.finish(resultRefused)
 		return
 	}
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -31,19 +31,21 @@
 // simulation is the state of a running experiment.
 type simulation struct {
 	timer.VirtualClock
-	workload   Workload
-	random     *rand.Rand
-	schedulers []scheduler
-	engines    map[string]*engine.Engine
-	nextPass   map[string]time.Duration
-	requests   map[string]*request
-	report     *Report
+	workload Workload
+	random   *rand.Rand
+	// accountRandom draws accounts, so that a workload has the same requests with and without them.
+	accountRandom *rand.Rand
+	schedulers    []scheduler
+	engines       map[string]*engine.Engine
+	nextPass      map[string]time.Duration
+	requests      map[string]*request
+	report        *Report
 }
 
 // Run simulates a workload; the same seed yields the same report.
 func Run(w Workload, p Policy, seed uint64) *Report {
 	sim := &simulation{
-		workload: w, random: rand.New(rand.NewPCG(seed, 1)),
+		workload: w, random: rand.New(rand.NewPCG(seed, 1)), accountRandom: rand.New(rand.NewPCG(seed, 3)),
 		engines: make(map[string]*engine.Engine), nextPass: make(map[string]time.Duration),
 		requests: make(map[string]*request), report: newReport(w, p, seed),
 	}
@@ -101,6 +103,12 @@
 		simulation: sim, kind: k, prompt: k.prompt.draw(sim.random), answer: answer, answerHint: answerHint.draw(sim.random),
 		entry: sim.random.IntN(sim.workload.entries), arrived: sim.Now(), name: fmt.Sprintf("%s-%d", k.name, number),
 	}
+	r.maxRetries = k.retries
+	account, group := sim.workload.drawAccount(sim.accountRandom, k.name)
+	r.account = account
+	if group.retries >= 0 {
+		r.maxRetries = group.retries
+	}
 	sim.report.add(r)
 	r.attempt()
 	sim.AfterFunc(k.timeout, func() { r.finish(resultDeadline) })
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -31,6 +31,8 @@
 	engine  routing.EngineProfile
 	kinds   []Kind
 	windows []Window
+	// accounts are the client accounts that the requests belong to, none if it is empty.
+	accounts []AccountGroup
 }
 
 // Kind describes a class of prompts: their rate, lengths and objectives.
@@ -45,6 +47,7 @@
 	maxTokenInterval time.Duration
 	timeout          time.Duration
 	retries          int
+	priority         int
 	worth            float64
 	lateWorth        float64
 }
@@ -153,6 +156,7 @@
 	for _, value := range root.Optional("windows").Array() {
 		w.windows = append(w.windows, parseWindow(value.Object(), names))
 	}
+	w.accounts = parseAccounts(root.Optional("accounts"), names)
 	if err := reader.Err(); err != nil {
 		return Workload{}, eris.Wrap(err, "experiment: invalid load")
 	}
@@ -189,6 +193,9 @@
 	k.timeout, _ = o.Required("timeout").Duration(time.Millisecond, time.Hour)
 	retries, _ := o.Required("retries").Int(0, 100)
 	k.retries = int(retries)
+	if priority, ok := o.Optional("priority").Int(0, 100); ok {
+		k.priority = int(priority)
+	}
 	k.worth, _ = o.Required("worth").Number(0, maxWorth)
 	k.lateWorth, _ = o.Required("late_worth").Number(0, maxWorth)
 	return k
@@ -206,14 +213,19 @@
 	var w Window
 	w.from, _ = o.Required("from").Duration(0, maxLength)
 	w.length, _ = o.Required("for").Duration(time.Millisecond, maxLength)
-	w.factors = make(map[string]float64)
-	factors := o.Required("factors").Object()
-	for _, kind := range factors.Keys() {
-		value := factors.Required(kind)
+	w.factors = parseFactors(o.Required("factors").Object(), kinds)
+	return w
+}
+
+// parseFactors parses factors by kind.
+func parseFactors(o *jsonc.Object, kinds map[string]bool) map[string]float64 {
+	out := make(map[string]float64)
+	for _, kind := range o.Keys() {
+		value := o.Required(kind)
 		if !kinds[kind] {
 			value.Report("is not a kind of this load")
 		}
-		w.factors[kind], _ = value.Number(0, maxFactor)
+		out[kind], _ = value.Number(0, maxFactor)
 	}
-	return w
+	return out
 }
--- a/gateway/encoding_test.go
+++ b/gateway/encoding_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"greengagedock.example/dispatch"
 	"greengagedock.example/quarantine"
 )
 
@@ -123,3 +124,53 @@
 	c.Assert(msgpack.Unmarshal(byName, &decoded), qt.IsNil)
 	c.Assert(decoded.Started, qt.DeepEquals, later.Started)
 }
+
+// originalRunning is a running request of a version without its account.
+type originalRunning struct {
+	ID             string
+	Service        string
+	Server         string
+	PrefillWorkers []string
+	PromptTokens   int
+	AnswerTokens   int
+	TokenInterval  time.Duration
+	Started        bool
+}
+
+// Heartbeats with running requests must be understood by versions with and without
+// accounts, or a successor would not know what runs while a fleet is updated.
+func TestRunningRequestsOfBothVersions(t *testing.T) {
+	c := qt.New(t)
+	old := originalRunning{ID: "r", Service: "llm", Server: "s1", PrefillWorkers: []string{"s2"}, PromptTokens: 900, Started: true}
+	plain := runningMessage{ID: "r", Service: "llm", Server: "s1", PrefillWorkers: []string{"s2"}, PromptTokens: 900, Started: true}
+	c.Assert(encode(c, plain), qt.DeepEquals, encode(c, old))
+	extended := plain
+	extended.Account = "a"
+	for _, message := range []runningMessage{plain, extended} {
+		var byOld struct {
+			From      memberMessage
+			Revision  int64
+			StoreAge  time.Duration
+			Schedules []string
+			Running   []originalRunning
+		}
+		heartbeat := heartbeatMessage{Running: []runningMessage{message, message}, SuspicionsDigest: 1}
+		c.Assert(msgpack.Unmarshal(encode(c, heartbeat), &byOld), qt.IsNil)
+		c.Assert(byOld.Running, qt.DeepEquals, []originalRunning{old, old})
+		var decoded heartbeatMessage
+		c.Assert(msgpack.Unmarshal(encode(c, heartbeat), &decoded), qt.IsNil)
+		c.Assert(decoded, qt.DeepEquals, heartbeat)
+		c.Assert(encodeRunning(message.decode()), qt.DeepEquals, message)
+	}
+}
+
+// The account of a request and the standing of a refused one must reach the other entry.
+func TestAccountsAreEncoded(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	request := dispatch.NewRequest("r", "llm").WithAccount("a")
+	_, decoded := encodeRequest(dispatch.NewOwner("e1", 1), request, now).decode(now)
+	c.Assert(decoded.Account(), qt.Equals, "a")
+	refused := dispatch.NewRefused("r", dispatch.ReasonBusy, time.Second).WithExplanation("usage 5ms, share 3ms, yields to b")
+	c.Assert(encodeDecision(refused).decode("r"), qt.Equals, refused)
+}
--- a/gateway/schedulerclient.go
+++ b/gateway/schedulerclient.go
@@ -223,6 +223,9 @@
 	var waiter chan dispatch.Decision
 	if !c.do(func(now time.Time) {
 		decision = c.scheduler.Submit(now, owner, request)
+		for _, other := range c.scheduler.Undelivered() {
+			c.deliver(other)
+		}
 		if _, queued := decision.(dispatch.Queued); queued {
 			waiter = make(chan dispatch.Decision, 1)
 			c.waiters[request.ID()] = waiter
