soak: a mix of competing accounts with a check by account

The check reports an account that is served less than a quarter as often as all, and small accounts served less often than the large one; a mutation shows that it fails without accounts.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -29,6 +29,10 @@
 	client http.Client
 	random *rand.Rand
 	number int
+	// account is the number of the caller's client account. If floods is set, the caller sends
+	// only short prompts.
+	account int
+	floods  bool
 
 	addresses  []string
 	resolvedAt time.Time
@@ -42,7 +46,7 @@
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		select {
-		case <-time.After(time.Duration(c.random.ExpFloat64() * float64(meanRequestInterval))):
+		case <-time.After(time.Duration(c.random.ExpFloat64() * float64(c.meanInterval()))):
 		case <-ctx.Done():
 			return
 		}
@@ -52,6 +56,14 @@
 	}
 }
 
+// meanInterval returns the mean time between two requests of the caller.
+func (c *caller) meanInterval() time.Duration {
+	if c.floods {
+		return floodInterval
+	}
+	return meanRequestInterval
+}
+
 // pickEntry returns a random entry that the directory lists, or nil if it lists none.
 func (c *caller) pickEntry(ctx context.Context) *entry {
 	if time.Since(c.resolvedAt) > addressTTL || len(c.addresses) == 0 {
@@ -70,10 +82,12 @@
 
 // send sends one request and adds its result to the checker.
 func (c *caller) send(e *entry) {
-	r := result{entry: e.name, start: time.Now(), timeout: 1500 * time.Millisecond}
+	r := result{entry: e.name, account: c.account, start: time.Now(), timeout: 1500 * time.Millisecond}
 	r.id = fmt.Sprintf("a%d-%d", c.number, requestCount.Add(1))
 	method, path, tokens := http.MethodPost, "/stream/x", shortTokens
 	switch draw := c.random.IntN(1000); {
+	case c.floods:
+		r.kind, r.timeout, tokens = kindStream, 4*time.Second, shortTokens
 	case draw < 300:
 		r.kind, path, tokens = kindNonIdempotent, "/once/x", 0
 	case draw < 600:
@@ -93,6 +107,7 @@
 		c.fleet.checker.report("creating request: %v", err)
 		return
 	}
+	platformtest.SetAccount(q, c.account)
 	if tokens > 0 {
 		r.parts, r.harmful = c.parts()
 		platformtest.SetParts(q, tokens, r.parts...)
--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -34,6 +34,7 @@
 	parts    []string
 	harmful  bool
 	entry    string
+	account  int
 	start    time.Time
 	duration time.Duration
 	timeout  time.Duration
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -191,7 +191,7 @@
 	}
 	var out []fault
 	for _, name := range names {
-		if name == crashingPartFault || name == crashingRequestFault || isStatementFault(name) {
+		if name == crashingPartFault || name == crashingRequestFault || name == competingAccountsFault || isStatementFault(name) {
 			continue
 		}
 		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -59,6 +59,7 @@
 	storeDisturbed intervals
 	crash          *crashingFault
 	statements     []statement
+	floods         intervals
 	stopped        bool
 
 	// statementRandom is the source of the statement faults.
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"greengagedock.example/platform/platformtest"
 )
 
 const (
@@ -154,7 +156,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for i := range o.callers {
-		c := &caller{fleet: f, number: i, random: rand.New(rand.NewPCG(seed, uint64(100+i)))}
+		c := &caller{fleet: f, number: i, account: 1 + i%(platformtest.Accounts-1), random: rand.New(rand.NewPCG(seed, uint64(100+i)))}
 		running.Go(func() { c.run(ctx) })
 	}
 	running.Go(func() { f.watchVersions(ctx) })
@@ -166,11 +168,17 @@
 	}
 	var stated []string
 	injecting.Go(func() { stated = f.injectStatements(faultCtx, o.faultNames) })
+	var competing string
+	if slices.Contains(o.faultNames, competingAccountsFault) {
+		injecting.Go(func() { competing = f.injectCompetition(faultCtx) })
+	}
 	injected := f.injectFaults(faultCtx, selected)
 	injecting.Wait()
 	injected = append(injected, stated...)
-	if crashing != "" {
-		injected = append(injected, crashing)
+	for _, line := range []string{crashing, competing} {
+		if line != "" {
+			injected = append(injected, line)
+		}
 	}
 	cancelFaults()
 	recovery := recoveryTime
@@ -182,8 +190,9 @@
 	cancel()
 	running.Wait()
 	f.checkRecovered(context.Background())
+	accounts := f.checkAccounts(f.checker.all())
 	violations := f.checker.violations(recoveredBy)
-	summary := fmt.Sprintf("seed %d: %d faults, %s, %d servers ended, %d violations", seed, len(injected), f.checker.summary(), len(f.serverEnds()), len(violations))
+	summary := fmt.Sprintf("seed %d: %d faults, %s, %d servers ended%s, %d violations", seed, len(injected), f.checker.summary(), len(f.serverEnds()), accounts, len(violations))
 	if len(violations) > 0 {
 		violations = append(violations, "faults:")
 		violations = append(violations, injected...)
--- a/cmd/soak/mutation_test.go
+++ b/cmd/soak/mutation_test.go
@@ -71,6 +71,11 @@
 		"request.fingerprint, p.primary); refused {", "request.fingerprint, p.primary); refused && retryAfter < 0 {",
 		[]string{crashingRequestFault}, "^crashing request not refused: ",
 	},
+	{
+		"accounts are not told apart", "ingress/request.go",
+		"WithAccount(q.account.Name())", "WithAccount(\"\")",
+		[]string{competingAccountsFault}, "^small accounts served less often than the large one: ",
+	},
 	{
 		"rate limits of servers are ignored", "dispatch/ratelimit.go",
 		"func (p *pool) admitsLimited(now time.Time, s *server) bool {\n\tif s.limit.perSecond == 0 {", "func (p *pool) admitsLimited(now time.Time, s *server) bool {\n\tif s != nil {",
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -262,3 +262,36 @@
 	conn.Close()
 	c.Assert(<-sent < maxEndlessBytes, qt.IsTrue)
 }
+
+// Accounts that are served much less often than others, or less often than one that asks
+// for more than all servers, are reported; requests before the flood and through disturbed
+// entries don't count.
+func TestCheckerReportsAccounts(t *testing.T) {
+	c := qt.New(t)
+	start := time.Now()
+	for _, test := range []struct {
+		name                 string
+		large, first, second int
+		want                 []string
+	}{
+		{"shared", 10, 40, 38, nil},
+		{"one account is starved", 10, 40, 2, []string{"account served too seldom: account 2 2 of 40, all 52 of 120"}},
+		{"large account goes first", 30, 20, 20, []string{"small accounts served less often than the large one: 40 of 80, large 30 of 40"}},
+	} {
+		f := &fleet{floods: intervals{{start, start.Add(time.Minute)}}}
+		var results []result
+		for account, served := range []int{test.large, test.first, test.second} {
+			for i := range 40 {
+				r := result{kind: kindStream, account: account, start: start.Add(time.Second), undisturbed: true, served: i < served}
+				disturbed, early := r, r
+				disturbed.served, disturbed.undisturbed = false, false
+				early.served, early.start = false, start.Add(-time.Second)
+				results = append(results, r, disturbed, early)
+			}
+		}
+		f.checkAccounts(results)
+		c.Check(f.checker.reported, qt.DeepEquals, test.want, qt.Commentf(test.name))
+	}
+	f := &fleet{}
+	c.Assert(f.checkAccounts([]result{{kind: kindStream}}), qt.Equals, "")
+}
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -88,16 +88,19 @@
 
 // standing is where a request stands in relation to its account's share.
 type standing struct {
-	over  bool
-	usage time.Duration
-	share time.Duration
+	over bool
+	// usage is what the account has used, and waiting the cost of its requests in the queue
+	// that go before this one.
+	usage   time.Duration
+	waiting time.Duration
+	share   time.Duration
 	// behind is the account of the first request that goes before it for that reason.
 	behind string
 }
 
 // String returns the standing for the log.
 func (s standing) String() string {
-	text := fmt.Sprintf("usage %dms, share %dms", s.usage.Milliseconds(), s.share.Milliseconds())
+	text := fmt.Sprintf("usage %dms, waiting %dms, share %dms", s.usage.Milliseconds(), s.waiting.Milliseconds(), s.share.Milliseconds())
 	if s.behind != "" {
 		text += ", yields to " + s.behind
 	}
@@ -283,10 +286,9 @@
 	anyWithin, anyOver := false, false
 	for _, q := range p.queue {
 		name := q.request.account
-		usage := p.shares.byName[name].used + earlier[name]
+		q.standing.usage, q.standing.waiting, q.standing.share = p.shares.byName[name].used, earlier[name], p.shares.level
 		earlier[name] += p.accountCost(q.request)
-		q.standing.usage, q.standing.share = usage, p.shares.level
-		if usage < p.shares.level {
+		if q.standing.usage+q.standing.waiting < p.shares.level {
 			if !anyWithin {
 				anyWithin, within = true, name
 			}
@@ -337,10 +339,10 @@
 	out := standing{usage: p.shares.account(now, request.account).used, share: p.shares.level}
 	for _, q := range p.queue {
 		if q.request.account == request.account {
-			out.usage += p.accountCost(q.request)
+			out.waiting += p.accountCost(q.request)
 		}
 	}
-	out.over = out.usage >= out.share
+	out.over = out.usage+out.waiting >= out.share
 	return out
 }
 
@@ -404,7 +406,7 @@
 		}
 		displaced := p.queue[i]
 		a := p.shares.account(now, displaced.request.account)
-		displaced.standing = standing{over: true, usage: a.used + a.waiting, share: p.shares.level, behind: cmp.Or(request.account, commonAccount)}
+		displaced.standing = standing{over: true, usage: a.used, waiting: a.waiting, share: p.shares.level, behind: cmp.Or(request.account, commonAccount)}
 		p.shares.undelivered = append(p.shares.undelivered, p.decided(now, displaced, NewRefused(displaced.request.id, ReasonBusy, p.retryAfter(now))))
 		p.queue = slices.Delete(p.queue, i, i+1)
 	}
--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -58,7 +58,7 @@
 	}
 	decisions := f.scheduler.Tick(f.now)
 	c.Assert(grantsByAccount(f, decisions), qt.DeepEquals, map[string]int{"small": 3, "large": 1})
-	c.Assert(decisions[3].(Granted).Grant().Explanation(), qt.Matches, ".*usage .*ms, share .*ms, yields to small")
+	c.Assert(decisions[3].(Granted).Grant().Explanation(), qt.Matches, ".*usage .*ms, waiting .*ms, share .*ms, yields to small")
 }
 
 // Guards against changes for those who don't compete: with one account, and with as many
