--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -81,6 +81,7 @@
 	limitedReturn time.Time
 	// settling holds the started requests that have not settled, in the order of their start.
 	settling []*allocation
+	shares   shares
 }
 
 // usable returns the number of usable servers and their total prefill backlog.
@@ -99,6 +100,7 @@
 	request Request
 	// underserved is set if too few requests of this size class were placed.
 	underserved bool
+	standing    standing
 }
 
 // NewScheduler returns an empty scheduler of the entry with the given id. The
@@ -121,6 +123,7 @@
 		if grant, ok := sched.grantOf(now, alloc); ok {
 			return NewGranted(grant)
 		}
+		sched.correctCharge(now, alloc, OutcomeWithdrawn)
 		sched.release(now, alloc)
 	}
 	p := sched.pools[request.service]
@@ -137,19 +140,18 @@
 		p.statsOf(request).countRequest(now, request.prompt)
 		p.countDemand(now, request)
 	}
+	if p.yields(now, request) {
+		p.shares.undelivered = sched.tickPool(now, p)
+	}
 	if !p.held(now) && p.mayOvertake(now, request) {
 		if decision := sched.decide(now, p, owner, request, len(p.queue) > 0); decision != nil {
-			return decision
+			return p.decided(now, &queuedRequest{request: request}, decision)
 		}
 	}
-	if decision := p.refuseLimited(now, request, p.queuedAhead(request)); decision != nil {
-		return decision
-	}
-	if len(p.queue) >= maxQueue {
-		return NewRefused(request.id, ReasonBusy, p.retryAfter(now))
+	if decision := p.refuseLimited(now, request, p.queuedAhead(now, request)); decision != nil {
+		return p.decided(now, &queuedRequest{request: request}, decision)
 	}
-	p.queue = append(p.queue, &queuedRequest{owner: owner, request: request})
-	return Queued{}
+	return p.enqueue(now, owner, request)
 }
 
 // Withdraw removes a request from the queue.
@@ -165,38 +167,45 @@
 	sched.repeats.Expire(now)
 	sched.expireUnsettled(now)
 	for _, p := range sched.pools {
-		p.expireEvidence(now)
-		sched.settle(now, p)
-		if len(p.queue) == 0 || p.held(now) {
-			continue
+		out = append(out, sched.tickPool(now, p)...)
+	}
+	return out
+}
+
+// tickPool returns the decisions on one service's queued requests that can be made now.
+func (sched *Scheduler) tickPool(now time.Time, p *pool) []Decision {
+	p.expireEvidence(now)
+	sched.settle(now, p)
+	out := p.takeUndelivered()
+	if len(p.queue) == 0 || p.held(now) {
+		return out
+	}
+	p.sortQueue(now)
+	p.ticking = true
+	queue := p.queue
+	p.queue = nil
+	var ahead aheadWork
+	misses := 0
+	for _, q := range queue {
+		var decision Decision
+		if misses < maxFailedPlacements || !now.Before(p.queueDeadline(q.request)) {
+			decision = sched.decide(now, p, q.owner, q.request, false)
+		}
+		if decision == nil {
+			misses++
+			decision = p.shedLate(now, q, ahead.of(q))
 		}
-		p.sortQueue(now)
-		p.ticking = true
-		queue := p.queue
-		p.queue = nil
-		ahead := time.Duration(0)
-		misses := 0
-		for _, q := range queue {
-			var decision Decision
-			if misses < maxFailedPlacements || !now.Before(p.queueDeadline(q.request)) {
-				decision = sched.decide(now, p, q.owner, q.request, false)
-			}
-			if decision == nil {
-				misses++
-				decision = p.shedLate(now, q, ahead)
-			}
-			if decision == nil {
-				decision = p.refuseLimited(now, q.request, len(p.queue))
-			}
-			if decision == nil {
-				p.queue = append(p.queue, q)
-				ahead += p.prefillTime(q.request)
-				continue
-			}
-			out = append(out, decision)
+		if decision == nil {
+			decision = p.refuseLimited(now, q.request, len(p.queue))
+		}
+		if decision == nil {
+			p.queue = append(p.queue, q)
+			ahead.add(q, p.prefillTime(q.request))
+			continue
 		}
-		p.ticking, p.cachedCandidates = false, nil
+		out = append(out, p.decided(now, q, decision))
 	}
+	p.ticking, p.cachedCandidates = false, nil
 	return out
 }
 
@@ -251,6 +260,7 @@
 	}
 	sched.recordEvidence(now, alloc, outcome)
 	sched.recordRepeat(now, alloc, outcome)
+	sched.correctCharge(now, alloc, outcome)
 	sched.release(now, alloc)
 }
 
