dispatch: count the load that servers state beyond the known requests

Servers state their running and waiting requests and slots in each response; the gateway path ignored it, so a scheduler placed requests on servers full of requests of entries that are gone. Entries pass the load on with their events (eventsMessage.Loads), and the scheduler counts what it does not know against the server's slots; it fades within about a second. A scheduler that is told that it sees a part of the load sends a server few requests until it answers.

--- /dev/null
+++ b/dispatch/observed_test.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// observe has a server state its load now.
+func (f *fleet) observe(server string, running, waiting int) {
+	f.scheduler.ObserveLoad(f.now, "llm", NewObservedLoad(server, running, waiting, f.now))
+}
+
+// Guards against placing on servers that are full of requests whose entries are gone: what
+// servers state beyond the known requests takes their slots, fades in a second or so, and
+// is never negative.
+func TestUnseenLoadTakesSlots(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(2, 0)
+	f.granted(c, f.short("0", 2000))
+	full := f.scheduler.running["0"].server
+	f.observe(full, 16, 4)
+	c.Assert(f.scheduler.UnseenLoad(f.now, "llm"), qt.DeepEquals, map[string]int{full: 19})
+	for i := 1; i < 6; i++ {
+		c.Assert(f.granted(c, f.short(fmt.Sprint(i), 2000)).Server(), qt.Not(qt.Equals), full)
+	}
+	f.now = f.now.Add(2 * time.Second)
+	c.Assert(f.scheduler.UnseenLoad(f.now, "llm"), qt.HasLen, 0)
+	f.observe(full, 0, 0) // the answering request is done
+	c.Assert(f.scheduler.pools["llm"].servers[full].observed.unseen, qt.Equals, 0)
+}
+
+// Guards against counting a request twice: neither one that has just ended or is on its way,
+// nor one that another scheduler placed and its entry reported, is unseen load. An older
+// report, or one that was delayed for long, has no effect.
+func TestKnownRequestsAreNotUnseen(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1, 0)
+	for i := range 4 {
+		f.granted(c, f.short(fmt.Sprint(i), 2000))
+	}
+	stated := f.now
+	f.now = f.now.Add(50 * time.Millisecond)
+	f.scheduler.Ended(f.now, "0", OutcomeComplete)
+	f.scheduler.Ended(f.now, "1", OutcomeCancelled)
+	f.scheduler.Reconcile(f.now, NewOwner("entry-2", 1), []string{"llm"}, []RunningRequest{RestoreRunningRequest("other", "llm", "e00", nil, 900, 900, 0, true)})
+	f.scheduler.ObserveLoad(f.now, "llm", NewObservedLoad("e00", 5, 0, stated))
+	c.Assert(f.scheduler.UnseenLoad(f.now, "llm"), qt.HasLen, 0)
+	f.observe("e00", 7, 0)
+	c.Assert(f.scheduler.UnseenLoad(f.now, "llm"), qt.DeepEquals, map[string]int{"e00": 2})
+	f.scheduler.ObserveLoad(f.now, "llm", NewObservedLoad("e00", 16, 0, stated))
+	f.now = f.now.Add(700 * time.Millisecond)
+	f.scheduler.ObserveLoad(f.now, "llm", NewObservedLoad("e00", 16, 0, f.now.Add(-600*time.Millisecond)))
+	c.Assert(f.scheduler.UnseenLoad(f.now, "llm"), qt.DeepEquals, map[string]int{"e00": 1})
+}
+
+// Guards against gathering on a server after a start of all entries: a scheduler that sees
+// a part of the load sends each server few requests until it answers, and then more.
+func TestPartialViewSpreadsRequests(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(8, 0)
+	f.scheduler.SetSeenShare(f.now, "llm", 0.1)
+	used := make(map[string]int)
+	for i := range 20 {
+		request := f.short(fmt.Sprint(i), 1000)
+		if granted, ok := f.scheduler.Submit(f.now, f.owner, request).(Granted); ok {
+			used[granted.Grant().Server()]++
+		}
+	}
+	c.Assert(used, qt.HasLen, 8)
+	for server, n := range used {
+		c.Assert(n, qt.Equals, 1, qt.Commentf("%s", server))
+	}
+	c.Assert(f.scheduler.Waiting(), qt.Equals, 12)
+	f.now = f.now.Add(50 * time.Millisecond)
+	first := f.scheduler.running["0"].server
+	f.scheduler.Started(f.now, "0")
+	f.observe(first, 1, 0)
+	placed := len(f.scheduler.Tick(f.now))
+	c.Assert(placed > 1, qt.IsTrue, qt.Commentf("%d placed", placed))
+	f.scheduler.SetSeenShare(f.now, "llm", 1)
+	f.scheduler.Tick(f.now)
+	c.Assert(f.scheduler.Waiting(), qt.Equals, 0)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -71,7 +71,7 @@
 // choose returns a placement on one of the servers, with no server if there is none.
 func (p *pool) choose(now time.Time, available []*server, request Request, withoutWorkers bool) placement {
 	if p.service.Engine() == nil {
-		return choosePlain(available, request)
+		return choosePlain(now, available, request)
 	}
 	return p.chooseEngine(now, available, request, withoutWorkers)
 }
@@ -154,14 +154,15 @@
 
 // choosePlain returns the least loaded server of a plain service, preferring the
 // failure domain of the entry that submits the request.
-func choosePlain(available []*server, request Request) placement {
+func choosePlain(now time.Time, available []*server, request Request) placement {
 	var best *server
 	var bestScore float64
 	for _, s := range available {
-		if len(s.running) >= s.slots() {
+		occupied := s.occupied(now)
+		if occupied >= s.slots() {
 			continue
 		}
-		score := float64(len(s.running))/float64(s.slots()) + s.failureRate
+		score := float64(occupied)/float64(s.slots()) + s.failureRate
 		if s.info.Domain() != request.domain {
 			score += 0.3
 		}
@@ -183,7 +184,7 @@
 	prefill := p.prefillTime(request)
 	minPrefill := time.Duration(float64(prefill) / (1 + maxPrefillWorkers))
 	candidates := slices.DeleteFunc(slices.Clone(available), func(s *server) bool {
-		if len(s.running) >= s.slots() || s.memory+request.prompt+request.answer > s.engine.Memory() {
+		if s.occupied(now) >= s.slots() || s.memory+request.prompt+request.answer > s.engine.Memory() {
 			return true
 		}
 		// Skip servers that can't meet the targets or keep the token intervals even with all prefill workers.
--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -95,7 +95,7 @@
 
 // admits reports whether the limits of a server allow another request of this scheduler.
 func (p *pool) admits(now time.Time, s *server) bool {
-	return s.admitsCold(now, p.coldShare) && p.admitsLimited(now, s)
+	return s.admitsCold(now, p.coldShare) && p.admitsLimited(now, s) && p.admitsUnseen(now, s)
 }
 
 // limitedCapacity is what the rate limits of a service's servers leave for requests.
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -37,7 +37,7 @@
 	started := request.started
 	request.started = false
 	s := p.servers[request.server]
-	alloc := &allocation{RunningRequest: request, owner: owner, granted: now, assigned: s, memory: request.prompt + request.answer}
+	alloc := &allocation{RunningRequest: request, owner: owner, granted: now, adopted: true, assigned: s, memory: request.prompt + request.answer}
 	if s.engine != nil && alloc.memory > s.engine.Memory() {
 		p.adoptSpread(alloc)
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -69,6 +69,10 @@
 	// limitedReturn is when the last caller may return that was refused because all
 	// servers have a rate limit.
 	limitedReturn time.Time
+	// unseenShare is the fraction of the servers' load that this scheduler does not see, and
+	// partialFrom the time since when there is one.
+	unseenShare float64
+	partialFrom time.Time
 	// settling holds the started requests that have not settled, in the order of their start.
 	settling []*allocation
 }
@@ -205,6 +209,7 @@
 		return
 	}
 	s.decoding++
+	s.observed.answers++
 	s.contextTokens += alloc.prompt
 	for _, part := range alloc.prefillParts {
 		// Prefill that ends earlier or later than expected moves the prefill queued behind it;
@@ -235,6 +240,7 @@
 	}
 	if s := sched.serverOf(alloc); s != nil {
 		s.recordOutcome(now, alloc.owner.entry, outcome)
+		s.observed.recordOutcome(alloc, outcome)
 	}
 	sched.recordEvidence(now, alloc, outcome)
 	sched.recordRepeat(now, alloc, outcome)
@@ -291,6 +297,7 @@
 		return
 	}
 	s.remove(alloc)
+	s.recordEnd(now)
 	if alloc.started {
 		s.decoding--
 		s.contextTokens -= alloc.prompt
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -76,6 +76,8 @@
 	failureRate  float64
 	// blamers holds the entries that reported the consecutive failures.
 	blamers map[string]bool
+	// observed is what the loads that the server states show.
+	observed observation
 }
 
 // allocation is a running request with what it takes on its servers.
@@ -84,6 +86,8 @@
 	owner    Owner
 	assigned *server
 	granted  time.Time
+	// adopted is set if another scheduler placed the request, at an unknown time before granted.
+	adopted bool
 	// memory is the number of tokens that the request takes on its server, and
 	// reservations what it takes on others.
 	memory       int
@@ -111,7 +115,7 @@
 // by which events are overdue counts as well: a server that answers nothing would
 // otherwise seem idle and get all the requests that are packed on one server.
 func (s *server) backlog(now time.Time) time.Duration {
-	backlog := max(0, s.prefillDoneAt.Sub(now))
+	backlog := max(0, s.prefillDoneAt.Sub(now)) + s.unseenBacklog(now)
 	if s.firstExpected.IsZero() {
 		return backlog
 	}
--- a/gateway/encoding_test.go
+++ b/gateway/encoding_test.go
@@ -112,11 +112,13 @@
 		Faults      []faultMessage
 		Withdrawn   []string
 		Notices     []noticeMessage
+		Loads       []loadMessage
 		More        map[string]int
-	}{Entry: "e1", Started: []string{"r"}, More: map[string]int{"x": 1}}
+	}{Entry: "e1", Started: []string{"r"}, Loads: []loadMessage{{Service: "llm", Server: "s1", Running: 3}}, More: map[string]int{"x": 1}}
 	var decoded eventsMessage
 	c.Assert(msgpack.Unmarshal(encode(c, later), &decoded), qt.IsNil)
 	c.Assert(decoded.Started, qt.DeepEquals, later.Started)
+	c.Assert(decoded.Loads, qt.DeepEquals, later.Loads)
 	byName, err := msgpack.Marshal(later)
 	c.Assert(err, qt.IsNil)
 	decoded = eventsMessage{}
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -242,6 +242,26 @@
 	Faults      []faultMessage
 	Withdrawn   []string
 	Notices     []noticeMessage
+	// Loads holds the last load that each server has stated since the previous events.
+	Loads []loadMessage
+}
+
+// loadMessage is the load that a backend server stated in a response.
+type loadMessage struct {
+	Service string
+	Server  string
+	Running int
+	Waiting int
+	// Age is the time since the response arrived.
+	Age time.Duration
+}
+
+func encodeLoad(now time.Time, service string, load dispatch.ObservedLoad) loadMessage {
+	return loadMessage{Service: service, Server: load.Server(), Running: load.Running(), Waiting: load.Waiting(), Age: now.Sub(load.At())}
+}
+
+func (m loadMessage) decode(now time.Time) dispatch.ObservedLoad {
+	return dispatch.NewObservedLoad(m.Server, m.Running, m.Waiting, now.Add(-max(0, m.Age)))
 }
 
 type endMessage struct {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -221,6 +221,9 @@
 		for _, fault := range call.Faults {
 			c.scheduler.ReportFault(now, call.Entry, fault.Service, fault.Address, fault.Outcome)
 		}
+		for _, load := range call.Loads {
+			c.scheduler.ObserveLoad(now, load.Service, load.decode(now))
+		}
 		for _, id := range call.Withdrawn {
 			c.scheduler.Withdraw(id)
 		}
--- a/gateway/schedulerclient.go
+++ b/gateway/schedulerclient.go
@@ -178,6 +178,25 @@
 	})
 }
 
+// Load reports the load that a server stated in a response.
+func (s *schedulerClient) Load(service string, load dispatch.ObservedLoad) {
+	s.notify(service, func(now time.Time, events *eventsMessage) {
+		s.control.scheduler.ObserveLoad(now, service, load)
+		events.addLoad(encodeLoad(now, service, load))
+	})
+}
+
+// addLoad adds a load, in place of an earlier one of the same server.
+func (m *eventsMessage) addLoad(load loadMessage) {
+	for i, other := range m.Loads {
+		if other.Service == load.Service && other.Server == load.Server {
+			m.Loads[i] = load
+			return
+		}
+	}
+	m.Loads = append(m.Loads, load)
+}
+
 // notify applies an event to this entry's own scheduler and batches it for the
 // scheduler of the service.
 func (s *schedulerClient) notify(service string, f func(now time.Time, events *eventsMessage)) {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -109,6 +109,7 @@
 		return sendOutcome(a.ctx, err), err
 	}
 	q.server.noteResponse(q.id, q.service.Name(), a.server, a.response.Metadata())
+	q.server.noteLoad(q.service.Name(), a.server, a.response.Metadata())
 	q.server.noteUnlimited(q.id, q.service.Name(), a.server, now, a.response.Metadata())
 	if a.response.Metadata().NotRun() {
 		return a.notRun()
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -191,6 +191,7 @@
 	outcomes    []dispatch.Outcome
 	faults      []string // the addresses of servers reported as stalled
 	notices     routing.Notices
+	loads       []dispatch.ObservedLoad
 	excluded    []string // by the last request
 	// ids are the server ids of the grants, in turn; s1, s2 and so on without them.
 	ids []string
@@ -221,6 +222,12 @@
 
 func (s *fakeScheduler) Notice(_ string, notice routing.Notice) { s.notices.Add(time.Now(), notice) }
 
+func (s *fakeScheduler) Load(_ string, load dispatch.ObservedLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads = append(s.loads, load)
+}
+
 func (s *fakeScheduler) Started(string, string) {}
 
 func (s *fakeScheduler) Ended(_, _ string, outcome dispatch.Outcome) {
@@ -296,6 +303,12 @@
 	s.scheduler.Refuse(notice.Server(), notice.RefusesUntil())
 }
 
+func (s *localScheduler) Load(service string, load dispatch.ObservedLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.ObserveLoad(time.Now(), service, load)
+}
+
 // fakeReserver records what is reserved, by address and reservation id.
 type fakeReserver struct {
 	mu          sync.Mutex
--- a/ingress/interfaces.go
+++ b/ingress/interfaces.go
@@ -32,6 +32,8 @@
 	// Notice reports what a server of the service stated about itself. When it returns,
 	// the views take it into account.
 	Notice(service string, notice routing.Notice)
+	// Load reports the load that a server of the service stated in a response.
+	Load(service string, load dispatch.ObservedLoad)
 }
 
 // KVReserver reserves KV memory on model engines. The metadata are those of the engine's
--- a/ingress/notice.go
+++ b/ingress/notice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"greengagedock.example/dispatch"
 	"greengagedock.example/routing"
 	"greengagedock.example/upstream"
 )
@@ -38,6 +39,15 @@
 	}
 }
 
+// noteLoad reports the load that a server states in a response.
+func (s *Server) noteLoad(service string, server routing.Incarnation, metadata upstream.ResponseMetadata) {
+	load, ok := metadata.Load()
+	if !ok || metadata.Misdirected() || server.ID() == "" {
+		return
+	}
+	s.scheduler.Load(service, dispatch.NewObservedLoad(server.ID(), load.Running(), load.Waiting(), s.timers.Now()))
+}
+
 // noteRateLimit reports the rate limit that a server states in the response to a request
 // with an id, if it is new or was not reported for a while.
 func (s *Server) noteRateLimit(id, service string, server routing.Incarnation, limit routing.RateLimit) {
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -100,8 +100,31 @@
 	hasRateLimit bool
 	// rateLimitProblem is why the stated limit can't be used.
 	rateLimitProblem string
+	load             ServerLoad
+	hasLoad          bool
 }
 
+// ServerLoad is how many requests a backend server has, as it states in a response.
+type ServerLoad struct {
+	running int
+	waiting int
+	slots   int
+}
+
+// NewServerLoad returns a load of running and waiting requests at a server with so many slots.
+func NewServerLoad(running, waiting, slots int) ServerLoad {
+	return ServerLoad{running: running, waiting: waiting, slots: slots}
+}
+
+// Running returns the number of requests that have a slot.
+func (l ServerLoad) Running() int { return l.running }
+
+// Waiting returns the number of requests that wait for a slot.
+func (l ServerLoad) Waiting() int { return l.waiting }
+
+// Slots returns the number of slots.
+func (l ServerLoad) Slots() int { return l.slots }
+
 // NewResponseMetadata returns the metadata of a response to the attempt.
 func NewResponseMetadata(attemptID string) ResponseMetadata {
 	return ResponseMetadata{attemptID: attemptID}
@@ -148,6 +171,15 @@
 	return m
 }
 
+// WithLoad returns the metadata with the load that the server states.
+func (m ResponseMetadata) WithLoad(load ServerLoad) ResponseMetadata {
+	m.load, m.hasLoad = load, true
+	return m
+}
+
+// Load returns the load that the server states, and false if it states none.
+func (m ResponseMetadata) Load() (ServerLoad, bool) { return m.load, m.hasLoad }
+
 // NotRun reports whether the server states that the request did not run.
 func (m ResponseMetadata) NotRun() bool { return m.notRun }
 
