gateway: place with care while a scheduler sees a part of the load

After a start of all entries, and in an entry that schedules alone, the scheduler knows its own placements only, and gathered prompts on servers that were full of the requests of entries that are gone. It now knows what it does not see: a server without a report of its load gets requests up to a quarter of its slots until it answers. It sees everything once the live entries have reported. A placement that an entry reports at another server is moved there.

--- a/dispatch/observed.go
+++ b/dispatch/observed.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -172,3 +173,11 @@
 	}
 	return out
 }
+
+// explainObserved returns what the server's stated loads add to the explanation of a grant.
+func (s *server) explainObserved(now time.Time) string {
+	if n := s.unseen(now); n > 0 {
+		return fmt.Sprintf(", unseen %d", n)
+	}
+	return ""
+}
--- a/dispatch/partial.go
+++ b/dispatch/partial.go
@@ -28,6 +28,11 @@
 	p.unseenShare = unseen
 }
 
+// unansweredFraction is the fraction of a server's slots that requests without an answer may
+// take while the load is seen only in part. In simulated losses of power, one request per
+// server built a queue in the first 100 ms that lasted, and half of the slots were too many.
+const unansweredFraction = 0.25
+
 // admitsUnseen reports whether a server may get a request although the scheduler sees only
 // a part of its load.
 func (p *pool) admitsUnseen(now time.Time, s *server) bool {
@@ -35,18 +40,15 @@
 		return true
 	}
 	if s.observed.at.After(p.partialFrom) && now.Sub(s.observed.at) <= unseenFadeTime {
-		return s.placedSince(s.observed.at) < p.part(s.observed.free, p.primary)
+		// The unseen load that the server has stated is known; other schedulers place as well
+		// unless this one places for all.
+		return p.primary || s.placedSince(s.observed.at) < max(1, int((1-p.unseenShare)*float64(s.observed.free)))
 	}
-	return s.unanswered() < p.part(s.slots()-len(s.running), false)+s.observed.answers
-}
-
-// part returns how many of a server's free slots this scheduler may use: all of them if it
-// places the requests of all entries and the server has stated them.
-func (p *pool) part(free int, all bool) int {
-	if all {
-		return free
+	fraction := unansweredFraction
+	if !p.primary {
+		fraction = min(fraction, 1-p.unseenShare)
 	}
-	return max(1, int((1-p.unseenShare)*float64(free)))
+	return s.unanswered() < max(1, int(fraction*float64(s.slots())))+s.observed.answers
 }
 
 // placedSince returns the number of requests that were placed on the server after a time.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -346,6 +346,6 @@
 	}
 	sched.running[request.id] = alloc
 	s.add(alloc)
-	explanation := fmt.Sprintf("%s of %d, writers %d, backlog %dms", choice.explanation, len(p.order), s.decoding, s.backlog(now).Milliseconds())
+	explanation := fmt.Sprintf("%s of %d, writers %d, backlog %dms", choice.explanation, len(p.order), s.decoding, s.backlog(now).Milliseconds()) + s.explainObserved(now)
 	return NewGrant(request.id, s.info.ID(), s.info.Address(), prefillWorkers, choice.timeToFirstToken).WithExplanation(now.Sub(request.arrived), explanation)
 }
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -12,7 +12,7 @@
 	reported := make(map[string]bool, len(requests))
 	for _, request := range requests {
 		reported[request.id] = true
-		if alloc := sched.running[request.id]; alloc == nil {
+		if alloc := sched.running[request.id]; alloc == nil || alloc.server != request.server {
 			sched.Adopt(now, owner, request)
 		} else if request.started && !alloc.started {
 			sched.start(now, alloc)
@@ -25,10 +25,14 @@
 	}
 }
 
-// Adopt adds a request that another scheduler placed.
+// Adopt adds a request that another scheduler placed. It replaces a placement of this
+// scheduler on another server: the entry asked another scheduler before it had the answer.
 func (sched *Scheduler) Adopt(now time.Time, owner Owner, request RunningRequest) {
-	if sched.running[request.id] != nil {
-		return
+	if alloc := sched.running[request.id]; alloc != nil {
+		if alloc.server == request.server {
+			return
+		}
+		sched.release(now, alloc)
 	}
 	p := sched.pools[request.service]
 	if p == nil || p.servers[request.server] == nil {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -49,6 +49,8 @@
 	// markReachable records that the entry at a peer address was heard, so that it is
 	// dialed again at once; nil in tests without connections.
 	markReachable func(address string)
+	// reports holds, by service, which entries have reported to this scheduler.
+	reports map[string]*reports
 	// pendingEvents holds the events to send to schedulers, by peer address.
 	pendingEvents map[string]*eventsMessage
 
@@ -88,6 +90,7 @@
 		scheduler:     dispatch.NewScheduler(settings.ID()),
 		waiters:       make(map[string]chan dispatch.Decision),
 		schedulers:    make(map[string]string),
+		reports:       make(map[string]*reports),
 		pendingEvents: make(map[string]*eventsMessage),
 		newerPeers:    make(chan string, 1),
 		stateChanged:  make(chan struct{}, 1),
@@ -187,6 +190,7 @@
 		c.scheduler.SetColdShare(service, share)
 		c.scheduler.SetRateLimitShare(service, rateLimitShare)
 		c.scheduler.SetPrimary(now, service, primary)
+		c.setSeenShare(now, service, primary)
 	}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -63,6 +63,7 @@
 			running = append(running, message.decode())
 		}
 		c.scheduler.Reconcile(now, owner, heartbeat.Schedules, running)
+		c.noteReport(now, owner, heartbeat.Schedules)
 	}
 	reply := c.newHeartbeat(now, heartbeatTarget{})
 	if len(heartbeat.Counters) > 0 {
