dispatch: learn how fast servers are

A server that became slow was known only by its failures. Its factor is now learned from the times to first events that the passes, the other prefill and the batching of events can't explain, by two samples in a row from two entries; it is forgotten within 15 s or so, after which the server is tried again. Plain services prefer servers with shorter service times.

--- a/dispatch/observed.go
+++ b/dispatch/observed.go
@@ -174,10 +174,14 @@
 	return out
 }
 
-// explainObserved returns what the server's stated loads add to the explanation of a grant.
-func (s *server) explainObserved(now time.Time) string {
+// explainObserved returns what the server's unseen load and its speed add to the explanation
+// of a grant.
+func (s *server) explainObserved(now time.Time) (out string) {
 	if n := s.unseen(now); n > 0 {
-		return fmt.Sprintf(", unseen %d", n)
+		out = fmt.Sprintf(", unseen %d", n)
 	}
-	return ""
+	if s.speed.slowdown > 0 {
+		out += fmt.Sprintf(", speed %.2f", s.speedFactor())
+	}
+	return out
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -157,12 +157,13 @@
 func choosePlain(now time.Time, available []*server, request Request) placement {
 	var best *server
 	var bestScore float64
+	penalty := servicePenalties(now, available)
 	for _, s := range available {
 		occupied := s.occupied(now)
 		if occupied >= s.slots() {
 			continue
 		}
-		score := float64(occupied)/float64(s.slots()) + s.failureRate
+		score := float64(occupied)/float64(s.slots()) + s.failureRate + penalty(s)
 		if s.info.Domain() != request.domain {
 			score += 0.3
 		}
@@ -192,6 +193,7 @@
 		if withoutWorkers || s.backlog(now) > maxSplitBacklog {
 			cost = prefill
 		}
+		cost = s.scaled(cost)
 		return s.backlog(now)+cost+s.decodePassTime() > max(target, acceptable) || !s.canPrefill(now, cost)
 	})
 	if len(candidates) == 0 {
@@ -328,6 +330,7 @@
 		reservations: reservations,
 	}
 	if s.engine != nil {
+		alloc.speedBasis = p.speedBasisOf(now, request, choice)
 		alloc.expected = now.Add(choice.timeToFirstToken)
 		p.statsOf(request).countPlacement(now, request.prompt)
 		p.recentPrefill = p.recentPrefillTime(now) + p.prefillTime(request)
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -95,6 +95,7 @@
 // assignPrefill adds a part of a request's prefill to the server's backlog.
 func (s *server) assignPrefill(now time.Time, alloc *allocation, cost time.Duration) {
 	s.prefillDoneAt = later(now, s.prefillDoneAt).Add(cost)
+	s.speed.prefill += s.unscaled(cost)
 	alloc.prefillParts = append(alloc.prefillParts, prefillPart{server: s, cost: cost})
 	if s != alloc.assigned {
 		s.workerFor++
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -159,6 +159,7 @@
 	sched.repeats.Expire(now)
 	for _, p := range sched.pools {
 		sched.settle(now, p)
+		p.decaySpeeds(now)
 		if len(p.queue) == 0 {
 			continue
 		}
@@ -210,6 +211,7 @@
 	}
 	s.decoding++
 	s.observed.answers++
+	s.learnSpeed(now, alloc)
 	s.contextTokens += alloc.prompt
 	for _, part := range alloc.prefillParts {
 		// Prefill that ends earlier or later than expected moves the prefill queued behind it;
@@ -241,6 +243,7 @@
 	if s := sched.serverOf(alloc); s != nil {
 		s.recordOutcome(now, alloc.owner.entry, outcome)
 		s.observed.recordOutcome(alloc, outcome)
+		s.learnServiceTime(now, alloc, outcome)
 	}
 	sched.recordEvidence(now, alloc, outcome)
 	sched.recordRepeat(now, alloc, outcome)
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -78,6 +78,7 @@
 	blamers map[string]bool
 	// observed is what the loads that the server states show.
 	observed observation
+	speed    speed
 }
 
 // allocation is a running request with what it takes on its servers.
@@ -97,6 +98,7 @@
 	// startedAt is when the first event is known to have arrived, zero before.
 	startedAt    time.Time
 	prefillParts []prefillPart
+	speedBasis   speedBasis
 }
 
 // reservation is memory that a request takes on a prefill worker until it ends.
@@ -149,7 +151,7 @@
 
 // prefillTime returns the time in which the server prefills a share of a prompt.
 func (s *server) prefillTime(prompt int, share float64) time.Duration {
-	return s.engine.PrefillTime(prompt, share)
+	return s.scaled(s.engine.PrefillTime(prompt, share))
 }
 
 // decodePassTime returns the time that the decode steps of a pass take in addition to its prefill.
@@ -157,7 +159,7 @@
 	if s.decoding == 0 {
 		return 0
 	}
-	return s.engine.DecodePassTime(s.decoding, s.contextTokens)
+	return s.scaled(s.engine.DecodePassTime(s.decoding, s.contextTokens))
 }
 
 // add adds a request to the server.
@@ -191,7 +193,7 @@
 	if s.tokenInterval == 0 {
 		return true
 	}
-	pass := s.backlog(now) + cost + s.engine.DecodePassTime(len(s.running), s.memory)
+	pass := s.backlog(now) + cost + s.scaled(s.engine.DecodePassTime(len(s.running), s.memory))
 	return pass <= time.Duration(maxPassFraction*float64(s.tokenInterval))
 }
 
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -53,6 +53,7 @@
 	Ended(now time.Time, id string, outcome dispatch.Outcome)
 	Withdraw(id string)
 	Waiting() int
+	ObserveLoad(now time.Time, service string, load dispatch.ObservedLoad)
 }
 
 var _ scheduler = (*dispatch.Scheduler)(nil)
@@ -107,6 +108,9 @@
 // Started does nothing.
 func (s *randomScheduler) Started(time.Time, string) {}
 
+// ObserveLoad does nothing.
+func (s *randomScheduler) ObserveLoad(time.Time, string, dispatch.ObservedLoad) {}
+
 // Withdraw does nothing.
 func (s *randomScheduler) Withdraw(string) {}
 
--- a/experiment/request.go
+++ b/experiment/request.go
@@ -157,8 +157,12 @@
 	}
 	if r.firstTokenAt == 0 {
 		r.firstTokenAt = sim.Now()
-		scheduler := sim.scheduler(r.entry)
-		sim.AfterFunc(eventDelay, func() { scheduler.Started(sim.time(), id) })
+		scheduler, load := sim.scheduler(r.entry), sim.engines[r.server].Load()
+		observed := dispatch.NewObservedLoad(r.server, load.Running(), load.Waiting(), sim.time())
+		sim.AfterFunc(eventDelay, func() {
+			scheduler.Started(sim.time(), id)
+			scheduler.ObserveLoad(sim.time(), service, observed)
+		})
 	}
 	if events := 1 + tokens/r.kind.tokensPerEvent; events > r.events {
 		if r.events > 0 {
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -50,6 +50,9 @@
 	sim.schedulers = newSchedulers(p, w, rand.New(rand.NewPCG(seed, 2)))
 	for i := range w.servers {
 		sim.engines[serverID(i)] = engine.New(w.engine)
+		if i < len(w.slowdowns) {
+			sim.engines[serverID(i)].SetSlowdown(w.slowdowns[i])
+		}
 	}
 	longest := time.Duration(0)
 	for _, k := range w.kinds {
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -31,6 +31,8 @@
 	engine  routing.EngineProfile
 	kinds   []Kind
 	windows []Window
+	// slowdowns holds the factors by which the first servers are slower than their profile.
+	slowdowns []float64
 }
 
 // Kind describes a class of prompts: their rate, lengths and objectives.
@@ -72,6 +74,13 @@
 	return w
 }
 
+// WithSlowdowns returns the workload with engines of which the first ones are slower than
+// their profile by the given factors.
+func (w Workload) WithSlowdowns(factors ...float64) Workload {
+	w.slowdowns = factors
+	return w
+}
+
 // WithRate returns the workload with all rates multiplied by a factor.
 func (w Workload) WithRate(factor float64) Workload {
 	kinds := slices.Clone(w.kinds)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -186,6 +186,7 @@
 	p.control.do(func(now time.Time) {
 		values["waiting"] = p.control.scheduler.Waiting()
 		values["unseen_load"], values["seen_share"] = p.control.observedLoad(now)
+		values["speed_factors"] = p.control.speedFactors(now)
 		values["processor"] = p.control.members.self.CPUCores
 		values["entries"] = len(p.control.members.live(now, p.settings.timeouts.listed())) + 1
 		values["revision"] = p.control.cache.revision.Number()
--- a/gateway/seenshare.go
+++ b/gateway/seenshare.go
@@ -91,3 +91,12 @@
 	}
 	return unseen, shares
 }
+
+// speedFactors returns, by server, the factors by which servers are slower than expected.
+func (c *control) speedFactors(now time.Time) map[string]float64 {
+	out := make(map[string]float64)
+	for _, service := range c.cache.services() {
+		maps.Copy(out, c.scheduler.SpeedFactors(now, service))
+	}
+	return out
+}
