--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -12,7 +12,7 @@
 	reported := make(map[string]bool, len(requests))
 	for _, request := range requests {
 		reported[request.id] = true
-		if alloc := sched.running[request.id]; alloc == nil {
+		if alloc := sched.running[request.id]; alloc == nil || alloc.server != request.server {
 			sched.Adopt(now, owner, request)
 		} else if request.started && !alloc.started {
 			sched.start(now, alloc)
@@ -25,10 +25,14 @@
 	}
 }
 
-// Adopt adds a request that another scheduler placed.
+// Adopt adds a request that another scheduler placed. It replaces a placement of this
+// scheduler on another server: the entry asked another scheduler before it had the answer.
 func (sched *Scheduler) Adopt(now time.Time, owner Owner, request RunningRequest) {
-	if sched.running[request.id] != nil {
-		return
+	if alloc := sched.running[request.id]; alloc != nil {
+		if alloc.server == request.server {
+			return
+		}
+		sched.release(now, alloc)
 	}
 	p := sched.pools[request.service]
 	if p == nil || p.servers[request.server] == nil {
@@ -37,7 +41,7 @@
 	started := request.started
 	request.started = false
 	s := p.servers[request.server]
-	alloc := &allocation{RunningRequest: request, owner: owner, granted: now, assigned: s, memory: request.prompt + request.answer}
+	alloc := &allocation{RunningRequest: request, owner: owner, granted: now, adopted: true, assigned: s, memory: request.prompt + request.answer}
 	sched.adoptUnsettled(alloc)
 	if s.engine != nil && alloc.memory > s.engine.Memory() {
 		p.adoptSpread(alloc)
@@ -93,6 +97,7 @@
 // assignPrefill adds a part of a request's prefill to the server's backlog.
 func (s *server) assignPrefill(now time.Time, alloc *allocation, cost time.Duration) {
 	s.prefillDoneAt = later(now, s.prefillDoneAt).Add(cost)
+	s.speed.prefill += s.unscaled(cost)
 	alloc.prefillParts = append(alloc.prefillParts, prefillPart{server: s, cost: cost})
 	if s != alloc.assigned {
 		s.workerFor++
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -78,6 +78,9 @@
 	outcomeAt time.Time
 	// blamers holds the entries that reported the consecutive failures.
 	blamers map[string]bool
+	// observed is what the loads that the server states show.
+	observed observation
+	speed    speed
 }
 
 // allocation is a running request with what it takes on its servers.
@@ -86,6 +89,8 @@
 	owner    Owner
 	assigned *server
 	granted  time.Time
+	// adopted is set if another scheduler placed the request, at an unknown time before granted.
+	adopted bool
 	// memory is the number of tokens that the request takes on its server, and
 	// reservations what it takes on others.
 	memory       int
@@ -96,7 +101,8 @@
 	startedAt    time.Time
 	prefillParts []prefillPart
 	// charged is the cost for which the account was charged.
-	charged time.Duration
+	charged    time.Duration
+	speedBasis speedBasis
 }
 
 // reservation is memory that a request takes on a prefill worker until it ends.
@@ -115,7 +121,7 @@
 // by which events are overdue counts as well: a server that answers nothing would
 // otherwise seem idle and get all the requests that are packed on one server.
 func (s *server) backlog(now time.Time) time.Duration {
-	backlog := max(0, s.prefillDoneAt.Sub(now))
+	backlog := max(0, s.prefillDoneAt.Sub(now)) + s.unseenBacklog(now)
 	if s.firstExpected.IsZero() {
 		return backlog
 	}
@@ -149,7 +155,7 @@
 
 // prefillTime returns the time in which the server prefills a share of a prompt.
 func (s *server) prefillTime(prompt int, share float64) time.Duration {
-	return s.engine.PrefillTime(prompt, share)
+	return s.scaled(s.engine.PrefillTime(prompt, share))
 }
 
 // decodePassTime returns the time that the decode steps of a pass take in addition to its prefill.
@@ -157,7 +163,7 @@
 	if s.decoding == 0 {
 		return 0
 	}
-	return s.engine.DecodePassTime(s.decoding, s.contextTokens)
+	return s.scaled(s.engine.DecodePassTime(s.decoding, s.contextTokens))
 }
 
 // add adds a request to the server.
@@ -191,7 +197,7 @@
 	if s.tokenInterval == 0 {
 		return true
 	}
-	pass := s.backlog(now) + cost + s.engine.DecodePassTime(len(s.running), s.memory)
+	pass := s.backlog(now) + cost + s.scaled(s.engine.DecodePassTime(len(s.running), s.memory))
 	return pass <= time.Duration(maxPassFraction*float64(s.tokenInterval))
 }
 
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -31,9 +31,9 @@
 	// minDemand is the demand below which an account does not count as asking.
 	minDemand = time.Microsecond
 	// initialServiceTime is the expected service time of a plain service before a response
-	// is complete, and serviceTimeWeight the weight of the newest in the moving average.
-	initialServiceTime = 50 * time.Millisecond
-	serviceTimeWeight  = 0.05
+	// is complete, and meanServiceTimeWeight the weight of the newest in the moving average.
+	initialServiceTime    = 50 * time.Millisecond
+	meanServiceTimeWeight = 0.05
 )
 
 // shares is the usage of a service's capacity by account; its zero value is ready to use.
@@ -202,7 +202,7 @@
 	}
 	if p.service.Engine() == nil && outcome == OutcomeComplete {
 		p.shares.serviceTime = cmp.Or(p.shares.serviceTime, held)
-		p.shares.serviceTime += time.Duration(serviceTimeWeight * float64(held-p.shares.serviceTime))
+		p.shares.serviceTime += time.Duration(meanServiceTimeWeight * float64(held-p.shares.serviceTime))
 	}
 	a := p.shares.byName[alloc.account]
 	if a == nil {
--- a/experiment/fifo.go
+++ b/experiment/fifo.go
@@ -106,3 +106,6 @@
 
 // Waiting returns the number of queued requests.
 func (s *fifoScheduler) Waiting() int { return len(s.queue) }
+
+// ObserveLoad does nothing.
+func (s *fifoScheduler) ObserveLoad(time.Time, string, dispatch.ObservedLoad) {}
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -60,6 +60,7 @@
 	Ended(now time.Time, id string, outcome dispatch.Outcome)
 	Withdraw(id string)
 	Waiting() int
+	ObserveLoad(now time.Time, service string, load dispatch.ObservedLoad)
 }
 
 var _ scheduler = (*dispatch.Scheduler)(nil)
@@ -131,6 +132,9 @@
 // Started does nothing.
 func (s *randomScheduler) Started(time.Time, string) {}
 
+// ObserveLoad does nothing.
+func (s *randomScheduler) ObserveLoad(time.Time, string, dispatch.ObservedLoad) {}
+
 // Withdraw does nothing.
 func (s *randomScheduler) Withdraw(string) {}
 
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -63,6 +63,8 @@
 	// handedOverAt is when this entry last told another one of a service that it ceased to
 	// schedule, although it does not stop.
 	handedOverAt map[string]time.Time
+	// reports holds, by service, which entries have reported to this scheduler.
+	reports map[string]*reports
 	// pendingEvents holds the events to send to schedulers, by peer address.
 	pendingEvents map[string]*eventsMessage
 
@@ -103,6 +105,7 @@
 		waiters:       make(map[string]chan dispatch.Decision),
 		schedulers:    make(map[string]string),
 		takeovers:     make(map[string]*takeover),
+		reports:       make(map[string]*reports),
 		pendingEvents: make(map[string]*eventsMessage),
 		handedOverAt:  make(map[string]time.Time),
 		newerPeers:    make(chan string, 1),
@@ -211,6 +214,7 @@
 			c.takeOver(now, service)
 		}
 		c.scheduler.SetPrimary(now, service, primary)
+		c.setSeenShare(now, service, primary)
 	}
 }
 
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -123,6 +123,7 @@
 	}
 	owner := dispatch.NewOwner(heartbeat.From.ID, heartbeat.From.Incarnation)
 	c.scheduler.Reconcile(now, owner, heartbeat.Schedules, running)
+	c.noteReport(now, owner, heartbeat.Schedules)
 }
 
 // askEntry asks an entry what it runs on the servers of a service.
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -15,12 +15,20 @@
 	for _, e := range entries {
 		e.members.self.State = memberReady
 		e.members.self.Heartbeats = settledRounds
+		e.started = now.Add(-time.Minute)
 	}
 	for _, e := range entries {
 		for _, other := range entries {
 			e.members.observe(now, other.members.self)
 		}
 	}
+	for _, e := range entries {
+		for _, other := range entries {
+			if other != e {
+				exchange(now, e, other)
+			}
+		}
+	}
 	for _, e := range entries {
 		e.updateShares(now)
 	}
