--- a/dispatch/learned_test.go
+++ b/dispatch/learned_test.go
@@ -33,15 +33,21 @@
 	second.scheduler.MergeLearned(second.now, learned) // the second time changes nothing
 }
 
-// crashWith has servers end under requests with the bad part, while others go well.
+// crashWith has further servers end under requests with the bad part, while others go well.
 func (f *fleet) crashWith(c *qt.C, n int) {
 	for i := range n {
+		var others []string
+		for j := range 12 {
+			if j != len(f.scheduler.Learned(f.now, "llm").Evidence().Moments()) {
+				others = append(others, fmt.Sprintf("e%02d", j))
+			}
+		}
 		f.now = f.now.Add(200 * time.Millisecond)
 		sound, bad := fmt.Sprint("sound", f.now.UnixMilli()), fmt.Sprint("bad", f.now.UnixMilli())
 		f.granted(c, f.short(sound, 1000).WithParts(7))
 		f.scheduler.Started(f.now, sound)
 		f.scheduler.Ended(f.now, sound, OutcomeComplete)
-		f.granted(c, f.short(bad, 1000).WithParts(badPart, quarantine.Part(100+i)))
+		f.granted(c, f.short(bad, 1000).WithParts(badPart, quarantine.Part(100+i)).WithExclude(others...))
 		f.scheduler.Ended(f.now, bad, OutcomeBroken)
 		f.scheduler.Tick(f.now)
 	}
@@ -88,6 +94,24 @@
 	}
 }
 
+// A scheduler that ceases to see all requests and does so again forgets what it saw before,
+// unless the one between has told it the rest.
+func TestEvidenceOfAnInterruptedScheduler(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		c := qt.New(t)
+		first, second := succession()
+		first.crashWith(c, 2)
+		handOver(first, second)
+		if told {
+			handOver(second, first)
+		} else {
+			first.scheduler.SetPrimary(first.now, "llm", true)
+		}
+		first.crashWith(c, 1)
+		c.Assert(first.refuses(), qt.Equals, told)
+	}
+}
+
 // A scheduler that does not follow after all forgets the evidence: it does not see what
 // speaks for the parts. One that has worked beside the sender for long takes none.
 func TestHandoverThatIsNotFollowed(t *testing.T) {
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -143,7 +143,7 @@
 			f.crash(f.entries[i], 1)
 			f.stop(i)
 			if n == 0 {
-				f.run(settledRounds * heartbeatInterval) // the fresh entry may schedule again
+				f.run(2 * settledRounds * heartbeatInterval) // the fresh entry schedules again
 			}
 		}
 		for i := range f.entries {
