--- a/dispatch/observed_test.go
+++ b/dispatch/observed_test.go
@@ -99,3 +99,36 @@
 	c.Assert(servers[other].running, qt.HasLen, 1)
 	c.Assert(servers[other].decoding, qt.Equals, 1)
 }
+
+// Pattern: twenty of 23 servers are full of requests whose entries are gone. Guards against
+// placing on them: after each has stated its load once, requests go to the other three, and
+// those that find no room wait.
+func TestTwentyServersFullOfLostRequests(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(23, 0)
+	f.scheduler.SetSeenShare(f.now, "llm", 0.1)
+	full := make(map[string]bool)
+	for i := range 20 {
+		full[fmt.Sprintf("e%02d", i)] = true
+		f.observe(fmt.Sprintf("e%02d", i), 16, 3)
+	}
+	for i := 20; i < 23; i++ {
+		f.observe(fmt.Sprintf("e%02d", i), 0, 0)
+	}
+	granted := 0
+	for i := range 60 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		if i%10 == 0 {
+			for server := range full {
+				f.observe(server, 16, 3)
+			}
+		}
+		if decision, ok := f.scheduler.Submit(f.now, f.owner, f.short(fmt.Sprint(i), 2000)).(Granted); ok {
+			granted++
+			c.Assert(full[decision.Grant().Server()], qt.IsFalse, qt.Commentf("request %d", i))
+			f.scheduler.Started(f.now, fmt.Sprint(i))
+		}
+	}
+	c.Assert(granted > 20 && granted <= 48, qt.IsTrue, qt.Commentf("%d granted", granted))
+	c.Assert(f.scheduler.Waiting(), qt.Equals, 60-granted)
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -49,6 +49,9 @@
 	// markReachable records that the entry at a peer address was heard, so that it is
 	// dialed again at once; nil in tests without connections.
 	markReachable func(address string)
+	// slowServers holds the servers that were logged as slow, as of speedsLogged.
+	slowServers  map[string]bool
+	speedsLogged time.Time
 	// reports holds, by service, which entries have reported to this scheduler.
 	reports map[string]*reports
 	// pendingEvents holds the events to send to schedulers, by peer address.
@@ -90,6 +93,7 @@
 		scheduler:     dispatch.NewScheduler(settings.ID()),
 		waiters:       make(map[string]chan dispatch.Decision),
 		schedulers:    make(map[string]string),
+		slowServers:   make(map[string]bool),
 		reports:       make(map[string]*reports),
 		pendingEvents: make(map[string]*eventsMessage),
 		newerPeers:    make(chan string, 1),
@@ -170,6 +174,7 @@
 	c.updateCutOff()
 	c.logSuspicions(now)
 	c.logRepeats()
+	c.logSpeeds(now)
 	c.expireNotices(now)
 	for _, decision := range c.scheduler.Tick(now) {
 		c.deliver(decision)
@@ -222,14 +227,26 @@
 }
 
 func (c *control) setState(state memberState) {
+	ready := c.members.self.State == memberStarting && state == memberReady
 	c.members.self.State = state
 	c.state.Store(state)
+	if ready && !c.schedulesSome(c.timers.Now()) {
+		return // the next round is early enough
+	}
 	select {
 	case c.stateChanged <- struct{}{}:
 	default: // the next round is due already
 	}
 }
 
+// schedulesSome reports whether this entry is the scheduler of a service, as far as it knows,
+// or knows no service yet. The others must know at once that such an entry is ready. While
+// all entries of a fleet start, the announcements of all would take the schedulers' CPU.
+func (c *control) schedulesSome(now time.Time) bool {
+	services := c.cache.services()
+	return len(services) == 0 || slices.ContainsFunc(services, func(service string) bool { return c.members.scheduler(now, service) == nil })
+}
+
 // setCutOff sets whether this entry has lost the direct way to all servers.
 func (c *control) setCutOff(cutOff bool) {
 	c.do(func(time.Time) {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -27,6 +27,10 @@
 	// need each other's counters a few times within the shortest timeout; what one
 	// exchange costs grows with the fleet.
 	gossipPartners = 2
+	// schedulerRounds is the number of rounds, of the first startupRounds, of which one goes to
+	// the schedulers as well: if all entries start at once, a scheduler with little CPU would
+	// place requests late while it handles the heartbeats of all others every 80 ms.
+	schedulerRounds = uint32(heartbeatInterval / startupInterval)
 	// counterBytes is the encoded length of a heartbeatCounter: the entry's key,
 	// its counter, and in one byte its state and the time since the store last
 	// responded to it.
@@ -143,7 +147,10 @@
 		}
 		return out
 	}
-	chosen := m.schedulers(now, services)
+	chosen := make(map[string]bool)
+	if m.self.Heartbeats >= startupRounds || m.self.Heartbeats%schedulerRounds == 0 {
+		chosen = m.schedulers(now, services)
+	}
 	if watchers := m.storeWatchers(now); len(watchers) > 0 {
 		chosen[watchers[m.random.IntN(len(watchers))].PeerAddress] = true
 	}
--- a/gateway/seenshare.go
+++ b/gateway/observed.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"greengagedock.example/dispatch"
@@ -100,3 +101,27 @@
 	}
 	return out
 }
+
+// speedLogInterval is how often changes of the servers' speeds are logged.
+const speedLogInterval = time.Second
+
+// logSpeeds logs servers that have become slow, and those that no longer are.
+func (c *control) logSpeeds(now time.Time) {
+	if now.Sub(c.speedsLogged) < speedLogInterval {
+		return
+	}
+	c.speedsLogged = now
+	factors := c.speedFactors(now)
+	for _, server := range slices.Sorted(maps.Keys(factors)) {
+		if !c.slowServers[server] {
+			c.log.Info("server slow", "server", server, "factor", factors[server])
+			c.slowServers[server] = true
+		}
+	}
+	for _, server := range slices.Sorted(maps.Keys(c.slowServers)) {
+		if _, slow := factors[server]; !slow {
+			c.log.Info("server no longer slow", "server", server)
+			delete(c.slowServers, server)
+		}
+	}
+}
--- a/gateway/powerloss_test.go
+++ b/gateway/powerloss_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,6 +34,10 @@
 	byID     map[string]*powerRequest
 	// statesLoad is whether servers state their load.
 	statesLoad bool
+	// cost multiplies the CPU time of the messages between entries, of which busy is how long
+	// they keep each entry.
+	cost float64
+	busy map[*control]time.Duration
 }
 
 const (
@@ -48,6 +53,7 @@
 	id        string
 	entry     *control // nil once the entry is gone
 	arrived   time.Duration
+	decidedAt time.Duration
 	firstAt   time.Duration
 	server    string
 	tries     int
@@ -55,18 +61,20 @@
 	answer    int
 	finished  bool
 	tokens    int
-	submitted bool
+	// calls counts the placement calls, so that late responses are told apart.
+	calls int
 }
 
 func newPowerWorld(seed uint64) *powerWorld {
 	w := &powerWorld{random: rand.New(rand.NewPCG(seed, 9)), engines: make(map[string]*engine.Engine), passes: make(map[string]time.Duration),
-		byPeer: make(map[string]*control), byID: make(map[string]*powerRequest), statesLoad: true}
+		byPeer: make(map[string]*control), byID: make(map[string]*powerRequest), statesLoad: true, cost: 1, busy: make(map[*control]time.Duration)}
 	w.profile = routing.NewEngineProfile(16, 405_000).WithDecode(1310*time.Microsecond, time.Microsecond, 2*time.Microsecond, 34).
 		WithPrefill(time.Second/154_000, 162*time.Microsecond, 2048).WithMeanAnswer(1266)
 	for i := range powerServers {
 		w.engines[fmt.Sprint("s", i)] = engine.New(w.profile)
 	}
 	w.all = w.newEntry("all", 1)
+	w.all.members.self.CPUCores = 1000
 	w.all.setState(memberReady)
 	w.all.started = w.time().Add(-time.Hour)
 	w.all.reports["llm"] = &reports{since: w.all.started}
@@ -83,9 +91,23 @@
 	})
 }
 
-// delay is the time of a message between entries, which have little CPU while they start.
-func (w *powerWorld) delay() time.Duration {
-	return time.Millisecond + time.Duration(w.random.Int64N(int64(10*time.Millisecond)))
+// CPU time of the messages between entries on one core: of a heartbeat, of each member that one
+// lists, of a placement call and of events; and of a caller's request. The times are assumed;
+// cost multiplies them.
+const (
+	heartbeatCost = 300 * time.Microsecond
+	memberCost    = 5 * time.Microsecond
+	placementCost = 200 * time.Microsecond
+	eventsCost    = 100 * time.Microsecond
+	requestCost   = time.Millisecond
+)
+
+// deliver has an entry handle a message after those that arrived before.
+func (w *powerWorld) deliver(to *control, cost time.Duration, handle func()) {
+	w.AfterFunc(time.Millisecond, func() {
+		w.busy[to] = max(w.Now(), w.busy[to]) + time.Duration(w.cost*float64(cost)/to.members.self.CPUCores)
+		w.AfterFunc(w.busy[to]-w.Now(), handle)
+	})
 }
 
 func (w *powerWorld) newEntry(id string, cores float64) *control {
@@ -132,7 +154,9 @@
 	next(false)
 	w.AfterFunc(time.Duration(w.random.Int64N(int64(100*time.Millisecond))), func() {
 		c.setState(memberReady)
-		next(true)
+		if c.schedulesSome(w.time()) {
+			next(true)
+		}
 	})
 }
 
@@ -150,9 +174,9 @@
 		return
 	}
 	message := from.newHeartbeat(w.time(), target)
-	w.AfterFunc(w.delay(), func() {
+	w.deliver(to, heartbeatCost, func() {
 		reply := to.answerHeartbeat(w.time(), message)
-		w.AfterFunc(w.delay(), func() { from.applyHeartbeat(w.time(), reply) })
+		w.deliver(from, heartbeatCost+time.Duration(len(reply.Members))*memberCost, func() { from.applyHeartbeat(w.time(), reply) })
 	})
 }
 
@@ -194,14 +218,40 @@
 	if r.entry.noteScheduler("llm", address) && address != "" {
 		w.heartbeat(r.entry, heartbeatTarget{address: address})
 	}
-	delay := time.Duration(0)
-	if address != "" {
-		delay = w.delay()
+	r.calls++
+	call := r.calls
+	w.deliver(r.entry, requestCost, func() {
+		if scheduler == r.entry {
+			w.submit(r, scheduler, func(run func()) { run() })
+			return
+		}
+		w.AfterFunc(placementTimeout, func() { w.callTimedOut(r, scheduler, call) })
+		w.deliver(scheduler, placementCost, func() {
+			w.submit(r, scheduler, func(run func()) {
+				w.deliver(r.entry, placementCost, func() {
+					if r.calls == call { // else the call has timed out
+						r.calls++
+						run()
+					}
+				})
+			})
+		})
+	})
+}
+
+// callTimedOut has an entry turn to another scheduler if a placement call got no response.
+func (w *powerWorld) callTimedOut(r *powerRequest, scheduler *control, call int) {
+	if r.calls != call || r.finished {
+		return
+	}
+	if known := r.entry.members.byID[scheduler.settings.ID()]; known != nil {
+		known.suspectUntil = w.time().Add(suspectDuration)
 	}
-	w.AfterFunc(delay, func() { w.submit(r, scheduler, delay) })
+	w.ask(r)
 }
 
-func (w *powerWorld) submit(r *powerRequest, scheduler *control, delay time.Duration) {
+// submit has a scheduler decide on a request; respond runs what its entry does then.
+func (w *powerWorld) submit(r *powerRequest, scheduler *control, respond func(func())) {
 	if r.finished {
 		return
 	}
@@ -210,29 +260,38 @@
 		WithTimes(arrived, arrived.Add(powerObjective), arrived.Add(15*time.Second)).WithFirstTokenDeadline(arrived.Add(powerLeaves))
 	decision := scheduler.scheduler.Submit(w.time(), r.entry.owner, request)
 	if _, queued := decision.(dispatch.Queued); !queued {
-		w.AfterFunc(delay, func() { w.decided(r, scheduler, request, decision) })
+		respond(func() { w.decided(r, scheduler, request, decision) })
 		return
 	}
 	waiter := make(chan dispatch.Decision, 1)
 	scheduler.waiters[r.id] = waiter
-	w.await(r, scheduler, request, waiter, w.Now()+placementWait)
+	w.await(r, waiter, w.Now()+placementWait, func(decision dispatch.Decision) {
+		if decision == nil {
+			respond(func() { w.ask(r) })
+			return
+		}
+		respond(func() { w.decided(r, scheduler, request, decision) })
+	})
 }
 
-// await waits for the decision on a queued request, and asks again after a while.
-func (w *powerWorld) await(r *powerRequest, scheduler *control, request dispatch.Request, waiter chan dispatch.Decision, until time.Duration) {
+// await waits for the decision on a queued request, nil if there is none in time.
+func (w *powerWorld) await(r *powerRequest, waiter chan dispatch.Decision, until time.Duration, then func(dispatch.Decision)) {
 	select {
 	case decision := <-waiter:
-		w.decided(r, scheduler, request, decision)
+		then(decision)
 	default:
 		if w.Now() >= until {
-			w.ask(r)
+			then(nil)
 			return
 		}
-		w.AfterFunc(5*time.Millisecond, func() { w.await(r, scheduler, request, waiter, until) })
+		w.AfterFunc(5*time.Millisecond, func() { w.await(r, waiter, until, then) })
 	}
 }
 
 func (w *powerWorld) decided(r *powerRequest, scheduler *control, request dispatch.Request, decision dispatch.Decision) {
+	if r.decidedAt == 0 {
+		r.decidedAt = w.Now()
+	}
 	granted, ok := decision.(dispatch.Granted)
 	if r.finished || !ok {
 		r.finished = true
@@ -269,7 +328,7 @@
 	}
 	event(entry)
 	if scheduler := w.schedulerOf(entry); scheduler != entry {
-		w.AfterFunc(eventFlushInterval, func() { event(scheduler) })
+		w.AfterFunc(eventFlushInterval, func() { w.deliver(scheduler, eventsCost, func() { event(scheduler) }) })
 	}
 }
 
@@ -384,3 +443,26 @@
 		}
 	}
 }
+
+// Pattern: all entries of a large fleet with little CPU start at once under load. Guards
+// against a scheduler whose CPU goes to the heartbeats of the start, so that requests wait
+// for their placement: nine in ten of the first second get a decision before a second call
+// for one would be given up.
+func TestPlacementsWhileLargeFleetStarts(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	var waits []time.Duration
+	for seed := range uint64(8) {
+		w := newPowerWorld(seed)
+		w.cost = 4
+		w.play(30, 110, 1200*time.Millisecond)
+		for _, r := range w.requests {
+			if at := r.arrived - (powerLossAt + 1400*time.Millisecond); at >= 0 && at < time.Second && r.decidedAt > 0 {
+				waits = append(waits, r.decidedAt-r.arrived)
+			}
+		}
+	}
+	slices.Sort(waits)
+	ninth := waits[len(waits)*9/10]
+	c.Assert(ninth <= placementWait+placementTimeout, qt.IsTrue, qt.Commentf("nine in ten within %v", ninth))
+}
