--- a/dispatch/observed.go
+++ b/dispatch/observed.go
@@ -63,8 +63,9 @@
 	// recentEnds holds when requests on the server ended lately, in this order.
 	recentEnds []time.Time
 	// answers counts the requests that the server has answered, or begun to, since the
-	// scheduler sees only a part of the load.
-	answers int
+	// scheduler sees only a part of the load, without a break of unseenFadeTime up to answeredAt.
+	answers    int
+	answeredAt time.Time
 }
 
 // ObserveLoad records the load that a server of a service has stated.
@@ -107,12 +108,26 @@
 }
 
 // recordOutcome counts the answer of a request without events.
-func (o *observation) recordOutcome(alloc *allocation, outcome Outcome) {
+func (o *observation) recordOutcome(now time.Time, alloc *allocation, outcome Outcome) {
 	if outcome == OutcomeComplete && !alloc.started {
-		o.answers++
+		o.recordAnswer(now)
 	}
 }
 
+// recordAnswer counts an answer.
+func (o *observation) recordAnswer(now time.Time) {
+	o.answers = o.answersAt(now) + 1
+	o.answeredAt = now
+}
+
+// answersAt returns the number of recent answers.
+func (o *observation) answersAt(now time.Time) int {
+	if now.Sub(o.answeredAt) > unseenFadeTime {
+		return 0
+	}
+	return o.answers
+}
+
 // recordEnd records that a request on the server ended.
 func (s *server) recordEnd(now time.Time) {
 	ends := s.observed.recentEnds
--- a/dispatch/observed_test.go
+++ b/dispatch/observed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,10 +76,12 @@
 		c.Assert(n, qt.Equals, 4, qt.Commentf("%s", server))
 	}
 	c.Assert(f.scheduler.Waiting(), qt.Equals, 8)
+	other := f.short("other", 1000).WithExclude(first(used)) // as after a failure
+	c.Assert(f.scheduler.Submit(f.now, f.owner, other), qt.Equals, Queued{})
+	f.scheduler.Withdraw("other")
 	f.now = f.now.Add(50 * time.Millisecond)
-	first := f.scheduler.running["0"].server
 	f.scheduler.Started(f.now, "0")
-	f.observe(first, 4, 0)
+	f.observe(f.scheduler.running["0"].server, 4, 0)
 	placed := len(f.scheduler.Tick(f.now))
 	c.Assert(placed > 1, qt.IsTrue, qt.Commentf("%d placed", placed))
 	f.scheduler.SetSeenShare(f.now, "llm", 1)
@@ -132,3 +136,6 @@
 	c.Assert(granted > 20 && granted <= 48, qt.IsTrue, qt.Commentf("%d granted", granted))
 	c.Assert(f.scheduler.Waiting(), qt.Equals, 60-granted)
 }
+
+// first returns the lowest key.
+func first(counts map[string]int) string { return slices.Min(slices.Collect(maps.Keys(counts))) }
--- a/dispatch/partial.go
+++ b/dispatch/partial.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A scheduler that has just started, or that schedules only for its own entry, sees a part
 // of what runs on the servers. Until it sees the rest, it sends a server few requests
@@ -48,7 +51,21 @@
 	if !p.primary {
 		fraction = min(fraction, 1-p.unseenShare)
 	}
-	return s.unanswered() < max(1, int(fraction*float64(s.slots())))+s.observed.answers
+	return s.unanswered() < max(1, int(fraction*float64(s.slots())))+s.observed.answersAt(now)
+}
+
+// heldBack reports whether a server would be a candidate for a request if the scheduler saw
+// its load.
+func (p *pool) heldBack(now time.Time, s *server, request Request) bool {
+	return p.unseenShare > 0 && s.available(now) && !p.admitsUnseen(now, s) && !slices.Contains(request.exclude, s.info.ID())
+}
+
+// reasonWithoutCandidates returns why a request is refused for which there is no candidate.
+func (p *pool) reasonWithoutCandidates(now time.Time, request Request) Reason {
+	if slices.ContainsFunc(p.order, func(s *server) bool { return p.heldBack(now, s, request) }) {
+		return ReasonBusy
+	}
+	return ReasonNoServer
 }
 
 // placedSince returns the number of requests that were placed on the server after a time.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -49,7 +49,7 @@
 	}
 	available := p.candidates(now, request)
 	if len(available) == 0 {
-		return p.queueOrRefuse(now, request, ReasonNoServer)
+		return p.queueOrRefuse(now, request, p.reasonWithoutCandidates(now, request))
 	}
 	choice := p.choose(now, available, request, withoutWorkers)
 	if choice.server == nil && request.acceptsSuspended(now) && !p.needsSpread(request) {
@@ -114,8 +114,10 @@
 func (p *pool) findCandidates(now time.Time, request Request) []*server {
 	out := make([]*server, 0, len(p.order))
 	var excluded, failed []*server
+	held := false // whether a server is only held back until it has answered
 	for _, s := range p.order {
 		if !s.usable || !p.admits(now, s) {
+			held = held || p.heldBack(now, s, request)
 			continue
 		}
 		if !s.available(now) {
@@ -133,6 +135,8 @@
 	switch {
 	case len(out) > 0:
 		return out
+	case held:
+		return nil
 	case len(excluded) > 0:
 		return excluded
 	default:
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -210,7 +210,7 @@
 		return
 	}
 	s.decoding++
-	s.observed.answers++
+	s.observed.recordAnswer(now)
 	s.learnSpeed(now, alloc)
 	s.contextTokens += alloc.prompt
 	for _, part := range alloc.prefillParts {
@@ -242,7 +242,7 @@
 	}
 	if s := sched.serverOf(alloc); s != nil {
 		s.recordOutcome(now, alloc.owner.entry, outcome)
-		s.observed.recordOutcome(alloc, outcome)
+		s.observed.recordOutcome(now, alloc, outcome)
 		s.learnServiceTime(now, alloc, outcome)
 	}
 	sched.recordEvidence(now, alloc, outcome)
--- a/gateway/powerloss_test.go
+++ b/gateway/powerloss_test.go
@@ -60,7 +60,6 @@
 	prompt    int
 	answer    int
 	finished  bool
-	tokens    int
 	// calls counts the placement calls, so that late responses are told apart.
 	calls int
 }
