--- a/gateway/control.go
+++ b/gateway/control.go
@@ -63,6 +63,9 @@
 	// handedOverAt is when this entry last told another one of a service that it ceased to
 	// schedule, although it does not stop.
 	handedOverAt map[string]time.Time
+	// slowServers holds the servers that were logged as slow, as of speedsLogged.
+	slowServers  map[string]bool
+	speedsLogged time.Time
 	// reports holds, by service, which entries have reported to this scheduler.
 	reports map[string]*reports
 	// pendingEvents holds the events to send to schedulers, by peer address.
@@ -105,6 +108,7 @@
 		waiters:       make(map[string]chan dispatch.Decision),
 		schedulers:    make(map[string]string),
 		takeovers:     make(map[string]*takeover),
+		slowServers:   make(map[string]bool),
 		reports:       make(map[string]*reports),
 		pendingEvents: make(map[string]*eventsMessage),
 		handedOverAt:  make(map[string]time.Time),
@@ -187,6 +191,7 @@
 	c.updateCutOff()
 	c.logSuspicions(now)
 	c.logRepeats()
+	c.logSpeeds(now)
 	c.expireNotices(now)
 	for _, decision := range c.scheduler.Tick(now) {
 		c.deliver(decision)
@@ -246,14 +251,26 @@
 }
 
 func (c *control) setState(state memberState) {
+	ready := c.members.self.State == memberStarting && state == memberReady
 	c.members.self.State = state
 	c.state.Store(state)
+	if ready && !c.schedulesSome(c.timers.Now()) {
+		return // the next round is early enough
+	}
 	select {
 	case c.stateChanged <- struct{}{}:
 	default: // the next round is due already
 	}
 }
 
+// schedulesSome reports whether this entry is the scheduler of a service, as far as it knows,
+// or knows no service yet. The others must know at once that such an entry is ready. While
+// all entries of a fleet start, the announcements of all would take the schedulers' CPU.
+func (c *control) schedulesSome(now time.Time) bool {
+	services := c.cache.services()
+	return len(services) == 0 || slices.ContainsFunc(services, func(service string) bool { return c.members.scheduler(now, service) == nil })
+}
+
 // setCutOff sets whether this entry has lost the direct way to all servers.
 func (c *control) setCutOff(cutOff bool) {
 	c.do(func(time.Time) {
