mesh: one encoding of messages that allows for more fields

Only five gateway messages could get fields without being refused by the other version; the encoding now is in mesh and holds for every message of both interfaces. The own interface skips a message of an unknown kind instead of ending the connection.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -30,8 +30,16 @@
 	Kind  string
 	Error string
 	Body  msgpack.RawMessage
+	// Understands lists the kinds of calls that the sender understands. Only the first
+	// request on a connection has it, and the response to that.
+	Understands []string
 }
 
+// originalEnvelopeFields is the number of fields of an envelope that every version has.
+const originalEnvelopeFields = 4
+
+func init() { RegisterMessage[envelope](originalEnvelopeFields) }
+
 // encode returns a value as msgpack, with structs encoded as arrays without
 // field names.
 func encode(value any) ([]byte, error) {
@@ -60,18 +68,22 @@
 
 // messageReader decodes messages from a stream.
 type messageReader struct {
-	limit   *limitedReader
-	decoder *msgpack.Decoder
+	limit *limitedReader
+	from  *bufio.Reader
 }
 
 func newMessageReader(r io.Reader) *messageReader {
 	limit := &limitedReader{r: r}
-	return &messageReader{limit: limit, decoder: msgpack.NewDecoder(bufio.NewReader(limit))}
+	return &messageReader{limit: limit, from: bufio.NewReader(limit)}
 }
 
 func (r *messageReader) next() (envelope, error) {
 	var e envelope
+	var message bytes.Buffer
 	r.limit.remaining = maxMessageBytes
-	err := r.decoder.Decode(&e)
+	if err := readValue(r.from, &message); err != nil {
+		return e, err
+	}
+	err := msgpack.Unmarshal(message.Bytes(), &e)
 	return e, err
 }
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -7,6 +7,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"greengagedock.example/mesh"
 )
 
 // maxFrameBytes bounds one frame: the largest published value and its envelope.
@@ -19,6 +21,10 @@
 // ErrFrame is wrapped by the error of every malformed frame.
 var ErrFrame = eris.New("peer: malformed frame")
 
+// errUnknownKind is returned for a whole frame with a message of a kind that this version
+// does not know.
+var errUnknownKind = eris.New("peer: unknown kind of message")
+
 // message is a message from one entry to another; message.go defines the
 // implementations.
 type message interface {
@@ -67,8 +73,12 @@
 	return decodeBody(body)
 }
 
-// decodeBody decodes the message in a frame's body.
+// decodeBody decodes the message in a frame's body. The error wraps errUnknownKind if the
+// message is of an unknown kind, and else ErrFrame.
 func decodeBody(body []byte) (message, error) {
+	if err := mesh.CheckNesting(body); err != nil {
+		return nil, eris.Wrap(ErrFrame, err.Error())
+	}
 	decoder := msgpack.NewDecoder(bytes.NewReader(body))
 	name, err := decoder.DecodeString()
 	if err != nil {
@@ -76,7 +86,7 @@
 	}
 	m := newMessage(messageKind(name))
 	if m == nil {
-		return nil, eris.Wrapf(ErrFrame, "unknown kind %q", name)
+		return nil, eris.Wrapf(errUnknownKind, "%q", name)
 	}
 	if err := decoder.Decode(m); err != nil {
 		return nil, eris.Wrapf(ErrFrame, "decode %s: %v", name, err)
--- a/peer/listener.go
+++ b/peer/listener.go
@@ -115,6 +115,10 @@
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
 		m, err := readFrame(reader)
+		if errors.Is(err, errUnknownKind) {
+			in.log.Debug("message from peer skipped", "peer", from.Entry(), "reason", err)
+			continue
+		}
 		if err != nil {
 			in.log.Debug("peer connection ended", "peer", from.Entry(), "reason", err)
 			return
