mesh, peer: the first message of a connection states its sender's kinds; a refusal reaches the keeper

A kind of message that came later is sent only to entries that have stated it. The own interface uses the encoding for the Retry-After of a server's 429: it goes to the keeper with the release, and the keeper grants nothing there for that time. Tests of mesh, peer, backend and caller pass.

--- a/backend/allocator_release.go
+++ b/backend/allocator_release.go
@@ -22,6 +22,22 @@
 	return append(b.dueCancels(now), a.grantQueued(now)...)
 }
 
+// Refused records, before the release of an owner's slot, that its server wants no more
+// requests for a time, of which at most maxRetryAfter counts.
+func (a *Allocator) Refused(now time.Time, owner Owner, server, id string, wait time.Duration) {
+	b := a.backend(server)
+	if b == nil {
+		return
+	}
+	g, ok := b.grants[id]
+	if !ok || g.slot.owner != owner || g.slot.incarnation != b.incarnation {
+		return
+	}
+	if until := now.Add(min(wait, maxRetryAfter)); until.After(b.refusesUntil) {
+		b.refusesUntil = until
+	}
+}
+
 func (a *Allocator) endSlot(now time.Time, b *backendState, g *grant, outcome Outcome) {
 	switch outcome {
 	case OutcomeFinished:
--- a/backend/allocator_report.go
+++ b/backend/allocator_report.go
@@ -79,7 +79,7 @@
 		}
 	}
 	b.incarnation, b.reported = incarnation, true
-	b.leavingSince, b.suspectSince = time.Time{}, time.Time{}
+	b.leavingSince, b.suspectSince, b.refusesUntil = time.Time{}, time.Time{}, time.Time{}
 	b.warmth.reset(now)
 	if firstReport {
 		b.applyInherited(now)
--- a/backend/allocator_request.go
+++ b/backend/allocator_request.go
@@ -11,7 +11,7 @@
 	// before the deadline, beside the service time, for a request to be
 	// queued.
 	waitSafetyFactor = 2
-	// suspendedWait is the expected wait while all servers are suspended.
+	// suspendedWait is the least expected wait while all servers are suspended.
 	suspendedWait = 500 * time.Millisecond
 )
 
@@ -99,7 +99,7 @@
 	class := request.cost.Class()
 	capacity := a.classCapacity(now, q.workload, class)
 	if capacity.requests == 0 {
-		return suspendedWait
+		return max(suspendedWait, a.refusalEnd(now, request.workload))
 	}
 	ahead := q.classQueue(class).loadAhead(request.account, request.cost)
 	drainSeconds := 0.0
@@ -120,6 +120,22 @@
 	return seconds(max(turns*holdSeconds, drainSeconds))
 }
 
+// refusalEnd returns the time until the first of the servers of a workload takes requests
+// again, 0 if not all of them refuse requests.
+func (a *Allocator) refusalEnd(now time.Time, workload Workload) time.Duration {
+	first := time.Duration(0)
+	for _, b := range a.serving(workload) {
+		left := b.refusesUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if first == 0 || left < first {
+			first = left
+		}
+	}
+	return first
+}
+
 // classCapacity returns the load of a class that all servers of the workload
 // can take together.
 func (a *Allocator) classCapacity(now time.Time, workload Workload, class Class) Load {
--- a/backend/allocator_server.go
+++ b/backend/allocator_server.go
@@ -90,14 +90,16 @@
 	reportReceived      time.Time
 	pollFailed          bool
 	suspectSince        time.Time
-	failures            int
-	warmth              warmth
-	inherited           inheritedWarmth
-	estimator           estimator
-	grants              map[string]*grant
-	released            map[string]time.Time
-	unclaimed           map[string]*unclaimedStream
-	unexplainedTokens   int
+	// refusesUntil is the time until which the incarnation wants no more requests.
+	refusesUntil      time.Time
+	failures          int
+	warmth            warmth
+	inherited         inheritedWarmth
+	estimator         estimator
+	grants            map[string]*grant
+	released          map[string]time.Time
+	unclaimed         map[string]*unclaimedStream
+	unexplainedTokens int
 	// unexplainedCalls is how many requests a plain service runs beyond the
 	// grants.
 	unexplainedCalls int
@@ -139,6 +141,8 @@
 		return "unreachable"
 	case !b.suspectSince.IsZero():
 		return "refused or failed, no report since"
+	case now.Before(b.refusesUntil):
+		return "refuses requests"
 	case now.Sub(b.reportReceived) > maxReportAge:
 		return "report too old"
 	}
--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"greengagedock.example/backend"
@@ -109,9 +111,10 @@
 }
 
 // reportSurvival reports, before the slot is released, whether the server survived the
-// attempt, which ended with err.
+// attempt, which ended with err, and for how long it wants no more requests.
 func (a *attempt) reportSurvival(err error) {
 	server := a.execution.request.server
+	server.reportRefusal(a.slot, err)
 	settled := !a.startedAt.IsZero() && server.timers.Now().Sub(a.startedAt) >= quarantine.SettleTime
 	switch {
 	case err == nil || settled:
@@ -121,6 +124,15 @@
 	}
 }
 
+// reportRefusal reports, before a slot is released, for how long its server wants no more
+// requests if that is why the attempt ended with err.
+func (s *Server) reportRefusal(slot backend.Slot, err error) {
+	refusal, ok := errors.AsType[*backend.AttemptError](err)
+	if ok && refusal.Outcome() == backend.OutcomeRefused && refusal.Status() == http.StatusTooManyRequests && refusal.RetryAfter() > 0 {
+		s.slots.Refused(slot, refusal.RetryAfter())
+	}
+}
+
 // close ends the response.
 func (a *attempt) close() {
 	if a.response != nil {
--- a/caller/completion_test.go
+++ b/caller/completion_test.go
@@ -154,17 +154,20 @@
 		name  string
 		first http.HandlerFunc
 		ends  []string
+		// refused is for how long servers refuse, as told with the release.
+		refused []string
 	}{
-		{"good", good, []string{"engine-1 finished"}},
-		{"crossed body", respondWith(200, nil, text(`{"id":"other.1"}`)), []string{"engine-1 cancelled", "engine-2 finished"}},
-		{"crossed header", respondWith(200, http.Header{"X-Request-Id": {"other.1"}}, text(`{}`)), []string{"engine-1 cancelled", "engine-2 finished"}},
-		{"no id", respondWith(200, nil, text(`{}`)), []string{"engine-1 cancelled", "engine-2 finished"}},
-		{"not JSON", respondWith(200, nil, text(`{"id":`)), []string{"engine-1 cancelled", "engine-2 finished"}},
-		{"short", respondWith(200, http.Header{"Content-Length": {"99"}}, text(`{}`)), []string{"engine-1 cancelled", "engine-2 finished"}},
-		{"full", respondWith(429, nil, text("")), []string{"engine-1 refused", "engine-2 finished"}},
-		{"other incarnation", respondWith(409, nil, text("")), []string{"engine-1 refused", "engine-2 finished"}},
-		{"leaving", respondWith(503, draining, text("")), []string{"engine-1 leaving", "engine-2 finished"}},
-		{"broken", respondWith(500, nil, text("")), []string{"engine-1 cancelled", "engine-2 finished"}},
+		{"good", good, []string{"engine-1 finished"}, nil},
+		{"crossed body", respondWith(200, nil, text(`{"id":"other.1"}`)), []string{"engine-1 cancelled", "engine-2 finished"}, nil},
+		{"crossed header", respondWith(200, http.Header{"X-Request-Id": {"other.1"}}, text(`{}`)), []string{"engine-1 cancelled", "engine-2 finished"}, nil},
+		{"no id", respondWith(200, nil, text(`{}`)), []string{"engine-1 cancelled", "engine-2 finished"}, nil},
+		{"not JSON", respondWith(200, nil, text(`{"id":`)), []string{"engine-1 cancelled", "engine-2 finished"}, nil},
+		{"short", respondWith(200, http.Header{"Content-Length": {"99"}}, text(`{}`)), []string{"engine-1 cancelled", "engine-2 finished"}, nil},
+		{"full", respondWith(429, nil, text("")), []string{"engine-1 refused", "engine-2 finished"}, nil},
+		{"full for a time", respondWith(429, http.Header{"Retry-After": {"3"}}, text("")), []string{"engine-1 refused", "engine-2 finished"}, []string{"engine-1 3s"}},
+		{"other incarnation", respondWith(409, nil, text("")), []string{"engine-1 refused", "engine-2 finished"}, nil},
+		{"leaving", respondWith(503, draining, text("")), []string{"engine-1 leaving", "engine-2 finished"}, nil},
+		{"broken", respondWith(500, nil, text("")), []string{"engine-1 cancelled", "engine-2 finished"}, nil},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -180,6 +183,7 @@
 			c.Assert(response.StatusCode, qt.Equals, 200, qt.Commentf("%s", text))
 			c.Assert(text, qt.Equals, `{"id":"mine","choices":[{"text":"hi"}],"usage":{"completion_tokens":1}}`)
 			c.Assert(e.slots.waitReleased(t, len(test.ends)), qt.ContentEquals, test.ends)
+			c.Assert(e.slots.refused, qt.DeepEquals, test.refused)
 		})
 	}
 }
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -97,6 +97,7 @@
 	startBy  time.Duration
 	requests []backend.SlotRequest
 	released []string
+	refused  []string
 }
 
 func (s *fakeSlots) Acquire(ctx context.Context, request backend.SlotRequest) (backend.Slot, error) {
@@ -118,6 +119,12 @@
 
 func (s *fakeSlots) Settled(backend.Slot) {}
 
+func (s *fakeSlots) Refused(slot backend.Slot, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = append(s.refused, slot.Server()+" "+wait.String())
+}
+
 func (s *fakeSlots) Release(slot backend.Slot, outcome backend.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/caller/group.go
+++ b/caller/group.go
@@ -114,6 +114,7 @@
 			if groupCtx.Err() == nil && backend.Broken(err) {
 				g.execution.request.server.slots.Crashed(g.slots[i])
 			}
+			g.execution.request.server.reportRefusal(g.slots[i], err)
 			return false, g.handleAttemptError(ctx, groupCtx, g.slots[i], err)
 		}
 	}
--- a/caller/group_reserve.go
+++ b/caller/group_reserve.go
@@ -100,6 +100,7 @@
 // refused.
 func (g *serverGroup) releaseRefused(slot backend.Slot, err error) {
 	e := g.execution
+	e.request.server.reportRefusal(slot, err)
 	outcome := backend.OutcomeFailed
 	if attemptErr, ok := errors.AsType[*backend.AttemptError](err); ok {
 		outcome = attemptErr.Outcome()
--- a/caller/group_test.go
+++ b/caller/group_test.go
@@ -69,6 +69,8 @@
 
 func (s *groupSlots) Settled(backend.Slot) {}
 
+func (s *groupSlots) Refused(backend.Slot, time.Duration) {}
+
 func (s *groupSlots) Release(slot backend.Slot, _ backend.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/caller/interfaces.go
+++ b/caller/interfaces.go
@@ -19,6 +19,8 @@
 	Crashed(slot backend.Slot)
 	// Settled reports, before its release, that the slot's server survives the request.
 	Settled(slot backend.Slot)
+	// Refused reports, before its release, for how long the slot's server wants no more requests.
+	Refused(slot backend.Slot, wait time.Duration)
 }
 
 // Snapshot is the published state at one moment. It is immutable.
--- a/gateway/encoding.go
+++ b/gateway/encoding.go
@@ -2,6 +2,10 @@
 
 import "greengagedock.example/mesh"
 
+// callKinds lists the kinds of calls that handle handles. Those that versions without such a
+// list don't know are in the second part; they are sent only to entries that state them.
+var callKinds = mesh.NewKinds([]string{callHeartbeat, callItems, callPlacement, callEvents}, nil)
+
 // All messages are encoded in a form that allows for more fields; see mesh.RegisterMessage.
 // New fields follow the existing ones, and the numbers here never change: they are those of
 // the versions that know no other form.
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -106,7 +106,7 @@
 	p.paths = mesh.NewPaths(network, ways, &p.timers, log)
 	p.client = upstream.NewClient(platform.Headers, &p.timers, dialer)
 	p.client.SetNetwork(p.paths)
-	p.peerClient = mesh.NewClient(settings.timeouts.Dialer())
+	p.peerClient = mesh.NewClient(settings.timeouts.Dialer()).WithKinds(callKinds)
 	var reserver ingress.KVReserver
 	if platform.KVReserver != nil {
 		reserver = platform.KVReserver(p.paths)
@@ -116,7 +116,7 @@
 	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold())
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
 	p.callerServer = ingress.NewServer(p.control, scheduler, reserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
-	p.peerServer = mesh.NewServer(p.control.handle)
+	p.peerServer = mesh.NewServer(p.control.handle).WithKinds(callKinds)
 	p.peerServer.ServeTunnels(ways.serveTunnel)
 	if err := p.listen(platform); err != nil {
 		for _, listener := range p.listeners {
@@ -179,6 +179,7 @@
 	values := map[string]any{
 		"open": p.callerServer.OpenRequests(), "log_lines_dropped": p.logs.Dropped(),
 		"tunnels_served":     p.peerServer.Tunnels(),
+		"older_entries":      p.peerClient.Older(),
 		"connections_opened": p.client.ConnectionsOpened(), "connections_reused": p.client.ConnectionsReused(),
 		"control_bytes_sent":     sum(p.peerClient.Traffic().Sent(), p.peerServer.Traffic().Sent()),
 		"control_bytes_received": sum(p.peerClient.Traffic().Received(), p.peerServer.Traffic().Received()),
--- a/mesh/client.go
+++ b/mesh/client.go
@@ -24,6 +24,7 @@
 type Client struct {
 	dialer  upstream.Dialer
 	traffic Traffic
+	kinds   Kinds
 
 	mu    sync.Mutex
 	peers map[string]*peerConn
@@ -34,10 +35,32 @@
 	return &Client{dialer: dialer}
 }
 
+// WithKinds has the client state the kinds of calls on each connection, and send none of the
+// later ones to an entry that has not stated it. It must be called before the first call.
+func (c *Client) WithKinds(kinds Kinds) *Client {
+	c.kinds = kinds
+	return c
+}
+
+// Older returns the number of connected entries that state no kinds of calls, as those of
+// versions before this statement.
+func (c *Client) Older() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	older := 0
+	for _, p := range c.peers {
+		if p.isOlder() {
+			older++
+		}
+	}
+	return older
+}
+
 // peerConn is the connection to one entry.
 type peerConn struct {
 	address string
 	dialer  upstream.Dialer
+	kinds   Kinds
 
 	// dialing has room for one dial at a time; who sends to it may use failedAt, when a
 	// dial last failed.
@@ -51,19 +74,36 @@
 	conn    net.Conn
 	lastID  uint64
 	pending map[uint64]chan envelope
+	// statement is what the entry stated on this connection.
+	statement *statement
+}
+
+// statement is what an entry states about itself at the beginning of a connection.
+type statement struct {
+	// opening is the ID of the first request, 0 before it. The response to it has what the
+	// entry understands.
+	opening     uint64
+	known       chan struct{} // closed once that response has arrived
+	understands []string      // nil if the entry states nothing
 }
 
 // Traffic returns the traffic of the client's calls; a call that fails counts as sent.
 func (c *Client) Traffic() *Traffic { return &c.traffic }
 
 // Call calls the entry at the given IP:PORT address and decodes its response
-// into reply. Errors wrap ErrUnreachable or ErrRefused.
+// into reply. Errors wrap ErrUnreachable, ErrRefused or ErrNotUnderstood.
 func (c *Client) Call(ctx context.Context, address, kind string, call, reply any) error {
 	body, err := encode(call)
 	if err != nil {
 		return eris.Wrapf(ErrRefused, "encode %s: %v", kind, err)
 	}
-	response, err := c.peer(address).call(ctx, kind, body)
+	p := c.peer(address)
+	if !c.kinds.original(kind) {
+		if err := p.waitUnderstood(ctx, kind); err != nil {
+			return eris.Wrapf(err, "%s to %s", kind, address)
+		}
+	}
+	response, err := p.call(ctx, kind, body)
 	c.traffic.count(kind, len(body), len(response.Body))
 	if err != nil {
 		return eris.Wrapf(ErrUnreachable, "%s to %s: %v", kind, address, err)
@@ -111,7 +151,7 @@
 	defer c.mu.Unlock()
 	p := c.peers[address]
 	if p == nil {
-		p = &peerConn{address: address, dialer: c.dialer, dialing: make(chan struct{}, 1), pending: make(map[uint64]chan envelope)}
+		p = &peerConn{address: address, dialer: c.dialer, kinds: c.kinds, dialing: make(chan struct{}, 1), pending: make(map[uint64]chan envelope)}
 		if c.peers == nil {
 			c.peers = make(map[string]*peerConn)
 		}
@@ -183,10 +223,11 @@
 		p.failedAt = time.Now()
 		return nil, err
 	}
+	opened := &statement{known: make(chan struct{})}
 	p.mu.Lock()
-	p.conn = conn
+	p.conn, p.statement = conn, opened
 	p.mu.Unlock()
-	go p.receive(conn)
+	go p.receive(conn, opened)
 	return conn, nil
 }
 
@@ -201,7 +242,11 @@
 	id := p.lastID
 	responses := make(chan envelope, 1)
 	p.pending[id] = responses
-	if err := writeEnvelope(conn, envelope{ID: id, Kind: kind, Body: body}); err != nil {
+	request := envelope{ID: id, Kind: kind, Body: body}
+	if p.statement.opening == 0 {
+		p.statement.opening, request.Understands = id, p.kinds.all()
+	}
+	if err := writeEnvelope(conn, request); err != nil {
 		delete(p.pending, id)
 		return 0, nil, err
 	}
@@ -209,7 +254,7 @@
 }
 
 // receive delivers responses to waiting calls until the connection ends.
-func (p *peerConn) receive(conn net.Conn) {
+func (p *peerConn) receive(conn net.Conn, opened *statement) {
 	defer p.fail(conn)
 	r := newMessageReader(conn)
 	for {
@@ -220,6 +265,10 @@
 		p.mu.Lock()
 		responses := p.pending[response.ID]
 		delete(p.pending, response.ID)
+		if response.ID == opened.opening && !opened.isKnown() {
+			opened.understands = response.Understands
+			close(opened.known)
+		}
 		p.mu.Unlock()
 		if responses != nil {
 			responses <- response
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -14,6 +14,7 @@
 type Server struct {
 	handler Handler
 	traffic Traffic
+	kinds   Kinds
 
 	mu         sync.Mutex
 	closed     bool
@@ -27,6 +28,13 @@
 	return &Server{handler: handler, conns: make(map[net.Conn]bool)}
 }
 
+// WithKinds has the server state the kinds of calls that it understands to each caller that
+// states its own. It must be called before Serve.
+func (s *Server) WithKinds(kinds Kinds) *Server {
+	s.kinds = kinds
+	return s
+}
+
 // Traffic returns the traffic of the served calls.
 func (s *Server) Traffic() *Traffic { return &s.traffic }
 
@@ -98,6 +106,9 @@
 		}
 		go func() {
 			response := s.respond(call)
+			if len(call.Understands) > 0 {
+				response.Understands = s.kinds.all()
+			}
 			s.traffic.count(call.Kind, len(response.Body), len(call.Body))
 			writeMu.Lock()
 			defer writeMu.Unlock()
--- a/peer/attempt_ids.go
+++ b/peer/attempt_ids.go
@@ -41,13 +41,16 @@
 		c.ID = change(m.ID)
 		return &c
 	case *withdraw:
-		return &withdraw{ID: change(m.ID)}
+		c := *m
+		c.ID = change(m.ID)
+		return &c
 	case *release:
 		c := *m
 		c.ID = change(m.ID)
 		return &c
 	case *slotDeclaration:
-		c := &slotDeclaration{Pending: make([]string, len(m.Pending)), Slots: make([]declaredSlot, len(m.Slots))}
+		c := *m
+		c.Pending, c.Slots = make([]string, len(m.Pending)), make([]declaredSlot, len(m.Slots))
 		for i, id := range m.Pending {
 			c.Pending[i] = change(id)
 		}
@@ -55,7 +58,7 @@
 			s.ID = change(s.ID)
 			c.Slots[i] = s
 		}
-		return c
+		return &c
 	default:
 		return m
 	}
--- a/peer/control.go
+++ b/peer/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -73,6 +74,7 @@
 func Start(self registry.Instance, incarnation uint64, listener net.Listener, seeds []string, canceller Canceller, log hclog.Logger, timers *timer.Service) (*Control, error) {
 	greeting, err := encodeFrame(&hello{
 		Protocol: protocolVersion, Region: self.Location().Region(), Entry: self.ID(), Incarnation: incarnation,
+		Understands: slices.Concat(originalKinds, laterKinds),
 	})
 	if err != nil {
 		return nil, err
@@ -307,6 +309,11 @@
 // Settled reports that a slot's server survives the request of the attempt.
 func (c *Control) Settled(slot backend.Slot) { c.Deliver(RequestSettled{slot: slot}) }
 
+// Refused reports, before the release of a slot, for how long its server wants no more requests.
+func (c *Control) Refused(slot backend.Slot, wait time.Duration) {
+	c.Deliver(ServerRefused{slot: slot, wait: wait})
+}
+
 // Release releases a slot and reports the outcome of its attempt.
 func (c *Control) Release(slot backend.Slot, outcome backend.Outcome) {
 	c.Deliver(SlotReleased{slot: slot, outcome: outcome})
--- a/peer/event.go
+++ b/peer/event.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"greengagedock.example/backend"
 	"greengagedock.example/registry"
 )
@@ -15,6 +17,9 @@
 type Received struct {
 	from    backend.Owner
 	message message
+	// understands lists the kinds of messages that the peer has stated to understand, nil if
+	// it states nothing.
+	understands []messageKind
 }
 
 // linkUp is a new connection to a peer; messages sent on the one before may be
@@ -52,6 +57,12 @@
 // RequestSettled is an attempt of this entry's own traffic that its server survived.
 type RequestSettled struct{ slot backend.Slot }
 
+// ServerRefused is a statement of a slot's server that it wants no more requests for a time.
+type ServerRefused struct {
+	slot backend.Slot
+	wait time.Duration
+}
+
 // LoadReported is a load report of a backend server that this entry keeps.
 type LoadReported struct{ report backend.Report }
 
@@ -85,6 +96,7 @@
 func (SlotReleased) event()      {}
 func (ServerCrashed) event()     {}
 func (RequestSettled) event()    {}
+func (ServerRefused) event()     {}
 func (LoadReported) event()      {}
 func (ServerUnreachable) event() {}
 func (Draining) event()          {}
--- a/peer/keeper_state.go
+++ b/peer/keeper_state.go
@@ -142,6 +142,9 @@
 	if declaration := k.declarations[owner]; declaration != nil {
 		declaration.removeSlot(m.ID)
 	}
+	if wait := time.Duration(m.RefusesForMs) * time.Millisecond; wait > 0 {
+		k.allocator.Refused(now, owner, m.Server, m.ID, wait)
+	}
 	return k.allocator.Release(now, owner, m.Server, m.ID, backend.Outcome(m.Outcome))
 }
 
--- a/peer/listener.go
+++ b/peer/listener.go
@@ -101,7 +101,7 @@
 	defer in.remove(conn)
 	reader := bufio.NewReader(conn)
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
-	from, err := in.readHello(reader)
+	from, understands, err := in.readHello(reader)
 	if errors.Is(err, errTunnel) {
 		_ = conn.SetReadDeadline(time.Time{})
 		in.tunnels.ServeConn(&bufferedConn{TCPConn: conn.(*net.TCPConn), reader: reader})
@@ -111,6 +111,9 @@
 		in.log.Warn("rejected connection from peer", "remote", conn.RemoteAddr(), "error", err)
 		return
 	}
+	if understands == nil {
+		in.log.Info("peer of an older version connected", "peer", from.Entry(), "incarnation", from.Incarnation())
+	}
 	in.replaceConnection(from.Entry(), conn)
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
@@ -123,24 +126,25 @@
 			in.log.Debug("peer connection ended", "peer", from.Entry(), "reason", err)
 			return
 		}
-		in.deliver(Received{from: from, message: m})
+		in.deliver(Received{from: from, message: m, understands: understands})
 	}
 }
 
-// readHello reads the hello message and returns the sender that it names.
-func (in *acceptor) readHello(reader *bufio.Reader) (backend.Owner, error) {
+// readHello reads the hello message and returns the sender that it names and the kinds of
+// messages that this understands.
+func (in *acceptor) readHello(reader *bufio.Reader) (backend.Owner, []messageKind, error) {
 	m, err := readFrame(reader)
 	if err != nil {
-		return backend.Owner{}, err
+		return backend.Owner{}, nil, err
 	}
 	if t, ok := m.(*tunnel); ok && t.Protocol == protocolVersion && t.Region == in.region {
-		return backend.Owner{}, errTunnel
+		return backend.Owner{}, nil, errTunnel
 	}
 	h, ok := m.(*hello)
 	if !ok || h.Protocol != protocolVersion || h.Entry == "" || h.Region != in.region {
-		return backend.Owner{}, errInvalidHello
+		return backend.Owner{}, nil, errInvalidHello
 	}
-	return backend.NewOwner(h.Entry, h.Incarnation), nil
+	return backend.NewOwner(h.Entry, h.Incarnation), h.Understands, nil
 }
 
 // bufferedConn is a connection of which the first bytes were read into a buffer.
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"time"
 
 	"greengagedock.example/backend"
@@ -55,6 +56,7 @@
 	leaseUntil         time.Time
 	controlAddress     string
 	lastHeartbeat      heartbeat
+	understood         []messageKind // nil if the peer states nothing
 }
 
 // sentHeartbeat records when a heartbeat was sent.
@@ -155,6 +157,23 @@
 	return newIncarnation
 }
 
+// noteUnderstood records the kinds of messages that a peer's current incarnation understands.
+func (m *membership) noteUnderstood(from backend.Owner, kinds []messageKind) {
+	if peer := m.members[from.Entry()]; peer != nil && peer.owner == from {
+		peer.understood = kinds
+	}
+}
+
+// understands reports whether a kind of message may be sent to an entry: every version
+// understands it, or the entry has stated that it does.
+func (m *membership) understands(entry string, kind messageKind) bool {
+	if slices.Contains(originalKinds, kind) {
+		return true
+	}
+	peer := m.members[entry]
+	return peer != nil && slices.Contains(peer.understood, kind)
+}
+
 // processAck extends the lease that the peer grants by acknowledging a
 // heartbeat. The lease counts from when that heartbeat was sent.
 func (m *membership) processAck(now time.Time, peer *member, hb heartbeat) {
--- a/peer/message.go
+++ b/peer/message.go
@@ -55,15 +55,28 @@
 	}
 }
 
-// protocolVersion is the version of the protocol between entries.
+// protocolVersion is the version of the protocol between entries. Any other one is refused by
+// the first version, so what changes is stated in hello.Understands in place of it.
 const protocolVersion = 1
 
+// originalKinds lists the kinds that every version understands, and laterKinds the others,
+// which are sent only to entries that state them.
+var (
+	originalKinds = []messageKind{
+		kindHello, kindHeartbeat, kindSlotRequest, kindSlotReply, kindWithdraw, kindRelease,
+		kindSlotDeclaration, kindPull, kindItems, kindRepeats, kindTunnel,
+	}
+	laterKinds []messageKind
+)
+
 // hello opens each connection and names the sender of all messages that follow.
 type hello struct {
 	Protocol    int
 	Region      string
 	Entry       string
 	Incarnation uint64
+	// Understands lists the kinds of messages that the sender understands.
+	Understands []messageKind
 }
 
 // tunnel opens a connection on which a tunnel of package mesh is called for, in place of
@@ -176,6 +189,8 @@
 	ID      string
 	Server  string
 	Outcome string
+	// RefusesForMs is the time for which the server wants no more requests, 0 if it stated none.
+	RefusesForMs int64
 }
 
 // slotDeclaration lists all slots that the sender holds on servers that the
--- a/peer/node.go
+++ b/peer/node.go
@@ -67,6 +67,7 @@
 		n.tick(now)
 	case Received:
 		n.receive(now, e.from, e.message)
+		n.membership.noteUnderstood(e.from, e.understands)
 	case linkUp:
 		n.handleLinkUp(now, e.entry)
 	case PlatformRead:
@@ -83,6 +84,8 @@
 		n.recordCrash(now, e.slot)
 	case RequestSettled:
 		n.recordSettled(now, e.slot)
+	case ServerRefused:
+		n.recordRefusal(now, e.slot, e.wait)
 	case LoadReported:
 		n.deliverDecisions(now, n.keeper.report(now, e.report))
 	case ServerUnreachable:
@@ -276,7 +279,11 @@
 	n.updateAssignment(now)
 }
 
+// send sends a message to a peer that understands it.
 func (n *Node) send(to string, m message) {
+	if !n.membership.understands(to, m.kind()) {
+		return
+	}
 	n.effects = append(n.effects, Send{to: to, message: n.shortenIDs(to, m)})
 }
 
--- a/peer/slot_requests.go
+++ b/peer/slot_requests.go
@@ -55,6 +55,9 @@
 	declaredTo  backend.Owner
 	grantedAt   time.Time
 	fingerprint quarantine.Fingerprint
+	// refusesUntil is the time until which the server wants no more requests, zero if it
+	// stated none.
+	refusesUntil time.Time
 }
 
 func newRequesterState(random *rand.Rand) requesterState {
@@ -149,12 +152,13 @@
 // releaseSlot releases a slot at the keeper that granted it and at the one that
 // keeps its server now.
 func (n *Node) releaseSlot(now time.Time, slot backend.Slot, outcome backend.Outcome) {
+	refusesFor := n.refusesFor(now, slot)
 	delete(n.requester.held, slot.ID())
 	keepers := []string{slot.Keeper()}
 	if current := n.requester.table.keepers[slot.Server()]; current != "" && current != slot.Keeper() {
 		keepers = append(keepers, current)
 	}
-	m := &release{ID: slot.ID(), Server: slot.Server(), Outcome: string(outcome)}
+	m := &release{ID: slot.ID(), Server: slot.Server(), Outcome: string(outcome), RefusesForMs: refusesFor.Milliseconds()}
 	for _, keeper := range keepers {
 		if keeper == n.self.ID() {
 			n.deliverDecisions(now, n.keeper.release(now, n.owner, m))
@@ -164,6 +168,24 @@
 	}
 }
 
+// recordRefusal records for how long the server of a slot wants no more requests; its keeper
+// learns it with the release of the slot.
+func (n *Node) recordRefusal(now time.Time, slot backend.Slot, wait time.Duration) {
+	if owned := n.requester.held[slot.ID()]; owned != nil {
+		owned.refusesUntil = now.Add(wait)
+	}
+}
+
+// refusesFor returns for how long the server of a slot wants no more requests, 0 if it stated
+// nothing.
+func (n *Node) refusesFor(now time.Time, slot backend.Slot) time.Duration {
+	owned := n.requester.held[slot.ID()]
+	if owned == nil {
+		return 0
+	}
+	return max(0, owned.refusesUntil.Sub(now))
+}
+
 // handleReply handles a keeper's reply to a slot request.
 func (n *Node) handleReply(now time.Time, from backend.Owner, m *slotReply) {
 	p := n.requester.pending[m.ID]
