--- a/cmd/soak/entry.go
+++ b/cmd/soak/entry.go
@@ -102,6 +102,13 @@
 	}
 }
 
+// setDaemon has the process run another program from its next start on.
+func (e *entry) setDaemon(daemon string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.daemon = daemon
+}
+
 // signal sends a signal to the running process.
 func (e *entry) signal(s syscall.Signal) {
 	e.mu.Lock()
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -30,7 +30,10 @@
 
 // options configures a run.
 type options struct {
-	daemon        string
+	daemon string
+	// otherDaemon is the build by which entries are replaced, there and back, in place of the
+	// drawn faults; empty for none.
+	otherDaemon   string
 	dir           string
 	entries       int
 	servers       int
@@ -92,6 +95,7 @@
 		},
 	}
 	command.Flags().StringVar(&o.daemon, "daemon", "target/greengagedockd", "path of the entry program")
+	command.Flags().StringVar(&o.otherDaemon, "other-daemon", "", "path of another build of the entry program; replaces the entries by it one by one, there and back")
 	command.Flags().StringVar(&o.dir, "dir", os.TempDir(), "directory for the settings and logs of each run")
 	command.Flags().IntVar(&o.entries, "entries", 5, "number of entries")
 	command.Flags().IntVar(&o.servers, "servers", 9, "number of backend servers")
@@ -161,12 +165,21 @@
 	faultCtx, cancelFaults := context.WithTimeout(context.Background(), o.faultDuration)
 	var crashing string
 	var injecting sync.WaitGroup
-	if len(o.faultNames) == 0 || slices.Contains(o.faultNames, crashingPartFault) || slices.Contains(o.faultNames, crashingRequestFault) {
-		injecting.Go(func() { crashing = f.injectCrash(faultCtx, o.faultNames) })
+	crashNames := o.faultNames
+	if o.otherDaemon != "" && len(crashNames) == 0 {
+		crashNames = []string{[]string{crashingPartFault, crashingRequestFault}[seed%2]}
+	}
+	if len(crashNames) == 0 || slices.Contains(crashNames, crashingPartFault) || slices.Contains(crashNames, crashingRequestFault) {
+		injecting.Go(func() { crashing = f.injectCrash(faultCtx, crashNames) })
 	}
 	var stated []string
 	injecting.Go(func() { stated = f.injectStatements(faultCtx, o.faultNames) })
-	injected := f.injectFaults(faultCtx, selected)
+	var injected []string
+	if o.otherDaemon != "" {
+		injected = f.replaceEntries(ctx, o.daemon, o.otherDaemon)
+	} else {
+		injected = f.injectFaults(faultCtx, selected)
+	}
 	injecting.Wait()
 	injected = append(injected, stated...)
 	if crashing != "" {
@@ -182,6 +195,9 @@
 	cancel()
 	running.Wait()
 	f.checkRecovered(context.Background())
+	if o.otherDaemon != "" {
+		f.checkRefusedMessages()
+	}
 	violations := f.checker.violations(recoveredBy)
 	summary := fmt.Sprintf("seed %d: %d faults, %s, %d servers ended, %d violations", seed, len(injected), f.checker.summary(), len(f.serverEnds()), len(violations))
 	if len(violations) > 0 {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -311,6 +312,9 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	if err := client.Call(ctx, target.address, callHeartbeat, heartbeat, &reply); err != nil {
+		if errors.Is(err, mesh.ErrRefused) {
+			c.log.Warn("heartbeat refused", "address", target.address, "error", err)
+		}
 		if ctx.Err() != nil {
 			client.Drop(target.address) // redial rather than reuse an unresponsive connection
 		}
