--- a/mesh/value.go
+++ b/mesh/value.go
@@ -144,7 +144,7 @@
 
 // copy reads n bytes.
 func (r *valueReader) copy(n uint64) error {
-	var to io.Writer = io.Discard
+	to := io.Discard
 	if r.to != nil {
 		to = r.to
 	}
--- a/peer/versions_test.go
+++ b/peer/versions_test.go
@@ -46,7 +46,12 @@
 			_, err = conn.Write(frame)
 			c.Assert(err, qt.IsNil)
 		}
-		got := <-received
+		var got Received
+		select {
+		case got = <-received:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the message after one of an unknown kind did not arrive")
+		}
 		c.Assert(got.message, qt.DeepEquals, message(&withdraw{ID: "1"}))
 		c.Assert(got.understands, qt.DeepEquals, understands)
 		_, err = conn.Write(rawFrame(append(encodeMessage("wd"), 0xc1)))
