--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"greengagedock.example/dispatch"
 	"greengagedock.example/mesh"
@@ -111,66 +110,6 @@
 	Fingerprint quarantine.Fingerprint
 }
 
-// EncodeMsgpack encodes the message; see encodeFields.
-func (m learnedMessage) EncodeMsgpack(encoder *msgpack.Encoder) error {
-	return encodeFields(encoder, m, 0)
-}
-
-// DecodeMsgpack decodes the message; see decodeFields.
-func (m *learnedMessage) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	return decodeFields(decoder, m)
-}
-
-// EncodeMsgpack encodes the message; see encodeFields.
-func (m learnedServiceMessage) EncodeMsgpack(encoder *msgpack.Encoder) error {
-	return encodeFields(encoder, m, 0)
-}
-
-// DecodeMsgpack decodes the message; see decodeFields.
-func (m *learnedServiceMessage) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	return decodeFields(decoder, m)
-}
-
-// EncodeMsgpack encodes the message; see encodeFields.
-func (m momentMessage) EncodeMsgpack(encoder *msgpack.Encoder) error {
-	return encodeFields(encoder, m, 0)
-}
-
-// DecodeMsgpack decodes the message; see decodeFields.
-func (m *momentMessage) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	return decodeFields(decoder, m)
-}
-
-// EncodeMsgpack encodes the message; see encodeFields.
-func (m settledMessage) EncodeMsgpack(encoder *msgpack.Encoder) error {
-	return encodeFields(encoder, m, 0)
-}
-
-// DecodeMsgpack decodes the message; see decodeFields.
-func (m *settledMessage) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	return decodeFields(decoder, m)
-}
-
-// EncodeMsgpack encodes the message; see encodeFields.
-func (m learnedServerMessage) EncodeMsgpack(encoder *msgpack.Encoder) error {
-	return encodeFields(encoder, m, 0)
-}
-
-// DecodeMsgpack decodes the message; see decodeFields.
-func (m *learnedServerMessage) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	return decodeFields(decoder, m)
-}
-
-// EncodeMsgpack encodes the message; see encodeFields.
-func (m unsettledMessage) EncodeMsgpack(encoder *msgpack.Encoder) error {
-	return encodeFields(encoder, m, 0)
-}
-
-// DecodeMsgpack decodes the message; see decodeFields.
-func (m *unsettledMessage) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	return decodeFields(decoder, m)
-}
-
 // encodeLearned returns what this entry has learned of services. What is known of repeats
 // is the same for all of them.
 func (c *control) encodeLearned(now time.Time, services []string) learnedMessage {
