dispatch: forecast at submission, promised returns, refusals with figures

Late short prompts were refused behind long ones that do not delay them, with a Retry-After of 5 s for which no caller waits; none returned. A late request is now refused by the slots that the expected requests leave and by the prefill of shorter prompts ahead. Retry-After is the expected time of room plus what was promised before, within a third of the time left, and a caller that returns as promised goes before other late requests and is not shed. The experiment has a caller that returns wait anew for its first event; before, it had left before it returned.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -30,6 +30,8 @@
 	id         string
 	reason     Reason
 	retryAfter time.Duration
+	// explanation holds the figures that decided, for the log.
+	explanation string
 }
 
 // NewRefused returns the decision that refuses a request; the caller may retry after the given delay.
@@ -37,6 +39,15 @@
 	return Refused{id: id, reason: reason, retryAfter: retryAfter}
 }
 
+// WithExplanation returns the refusal with the figures that decided.
+func (r Refused) WithExplanation(explanation string) Refused {
+	r.explanation = explanation
+	return r
+}
+
+// Explanation returns the figures that decided, empty if the reason states all.
+func (r Refused) Explanation() string { return r.explanation }
+
 // ID returns the id of the request.
 func (r Refused) ID() string { return r.id }
 
@@ -63,6 +74,8 @@
 	ReasonServersLimited Reason = "servers_limited"
 	// ReasonBusy means that no slot becomes free in time.
 	ReasonBusy Reason = "busy"
+	// ReasonNoRoom means that even in the earliest case no slot becomes free before the caller leaves.
+	ReasonNoRoom Reason = "no_room"
 	// ReasonPastDeadline means that the deadline has passed, or that the request can't be served in time.
 	ReasonPastDeadline Reason = "too_late"
 	// ReasonQuarantined means that the same request, or ones with the same part of a prompt, crash servers.
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -32,7 +32,7 @@
 	if now.Before(p.queueDeadline(request)) {
 		return nil
 	}
-	return NewRefused(request.id, reason, p.retryAfter(now))
+	return p.refuseForRoom(now, request, reason, p.retryAfter(now))
 }
 
 // refuseHopeless refuses a request that would wait in vain: while the service has no
@@ -75,11 +75,11 @@
 	if usable == 0 {
 		return nil
 	}
-	wait := time.Duration(float64(ahead+backlog) / (float64(usable) * queueDrainShare))
+	wait := max(time.Duration(float64(ahead+backlog)/(float64(usable)*queueDrainShare)), p.slotWait(now, q.request))
 	if now.Add(wait).Before(p.queueDeadline(q.request)) {
 		return nil
 	}
-	return NewRefused(q.request.id, ReasonPastDeadline, min(max(wait, minRetryAfter), maxRetryAfterLate))
+	return p.refuseForRoom(now, q.request, ReasonPastDeadline, wait)
 }
 
 // queueDeadline returns the time until which a request may be queued.
@@ -89,7 +89,7 @@
 		return r.arrived.Add(time.Duration(plainWaitFraction * float64(r.objective.Sub(r.arrived))))
 	}
 	minTime := p.minPrefillTime(r) + engine.DecodePassTime(1, r.prompt)
-	limit := r.firstTokenDeadline.Sub(r.arrived)
+	limit := min(r.firstTokenDeadline.Sub(r.arrived), r.deadline.Sub(r.arrived))
 	return r.arrived.Add(time.Duration(firstTokenDeadlineFraction*float64(limit)) - minTime)
 }
 
@@ -118,7 +118,7 @@
 func (p *pool) sortQueue(now time.Time) {
 	engine := p.service.Engine()
 	for _, q := range p.queue {
-		q.underserved = p.underserved(q.request)
+		q.underserved = p.underserved(q.request) || q.returned
 	}
 	slices.SortStableFunc(p.queue, func(a, b *queuedRequest) int {
 		if engine == nil {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -71,6 +71,8 @@
 	limitedReturn time.Time
 	// settling holds the started requests that have not settled, in the order of their start.
 	settling []*allocation
+	// returns holds the callers that were told when to return.
+	returns promisedReturns
 }
 
 // usable returns the number of usable servers and their total prefill backlog.
@@ -89,6 +91,8 @@
 	request Request
 	// underserved is set if too few requests of this size class were placed.
 	underserved bool
+	// returned is set for a caller that was refused for lack of room and returns as promised.
+	returned bool
 }
 
 // NewScheduler returns an empty scheduler of the entry with the given id. The
@@ -127,6 +131,7 @@
 		p.statsOf(request).countRequest(now, request.prompt)
 		p.countDemand(now, request)
 	}
+	request, returned := p.returns.recognize(now, request)
 	if p.mayOvertake(now, request) {
 		if decision := sched.decide(now, p, owner, request, len(p.queue) > 0); decision != nil {
 			return decision
@@ -135,10 +140,13 @@
 	if decision := p.refuseLimited(now, request, p.queuedAhead(request)); decision != nil {
 		return decision
 	}
-	if len(p.queue) >= maxQueue {
-		return NewRefused(request.id, ReasonBusy, p.retryAfter(now))
+	if decision := p.refuseByForecast(now, request, returned); decision != nil {
+		return decision
+	}
+	if len(p.queue) >= maxQueue && !returned {
+		return p.refuseForRoom(now, request, ReasonBusy, p.retryAfter(now))
 	}
-	p.queue = append(p.queue, &queuedRequest{owner: owner, request: request})
+	p.queue = append(p.queue, &queuedRequest{owner: owner, request: request, returned: returned})
 	return Queued{}
 }
 
@@ -162,7 +170,6 @@
 		p.ticking = true
 		queue := p.queue
 		p.queue = nil
-		ahead := time.Duration(0)
 		misses := 0
 		for _, q := range queue {
 			var decision Decision
@@ -171,14 +178,13 @@
 			}
 			if decision == nil {
 				misses++
-				decision = p.shedLate(now, q, ahead)
+				decision = p.shedLate(now, q, p.prefillAhead(q.request))
 			}
 			if decision == nil {
 				decision = p.refuseLimited(now, q.request, len(p.queue))
 			}
 			if decision == nil {
 				p.queue = append(p.queue, q)
-				ahead += p.prefillTime(q.request)
 				continue
 			}
 			out = append(out, decision)
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -57,6 +57,9 @@
 	possible          float64
 	timesToFirstToken []time.Duration
 	maxIntervals      []time.Duration
+	refusalWaits      []time.Duration
+	returned          int
+	returnedServed    int
 }
 
 // Requests returns the number of requests.
@@ -68,6 +71,17 @@
 // Late returns the number of requests that were answered, but not within their objectives.
 func (s Summary) Late() int { return s.late }
 
+// RefusalWait returns a quantile, from 0 to 1, of the time that callers waited for a refusal.
+func (s Summary) RefusalWait(quantile float64) time.Duration {
+	return quantileOf(s.refusalWaits, quantile)
+}
+
+// Returned returns the number of requests whose callers were refused and returned.
+func (s Summary) Returned() int { return s.returned }
+
+// ReturnedServed returns the number of those that were then answered.
+func (s Summary) ReturnedServed() int { return s.returnedServed }
+
 // Worth returns the worth of the answers as a fraction of that of answering all
 // requests on time, 1 without requests.
 func (s Summary) Worth() float64 {
@@ -155,6 +169,13 @@
 	s.requests++
 	value := q.kind.value(q.prompt)
 	s.possible += value
+	s.refusalWaits = append(s.refusalWaits, q.refusals...)
+	if len(q.refusals) > 0 && q.attempts > 1 {
+		s.returned++
+		if q.result == resultComplete {
+			s.returnedServed++
+		}
+	}
 	if q.firstTokenAt > 0 {
 		s.timesToFirstToken = append(s.timesToFirstToken, q.timeToFirstToken())
 		s.maxIntervals = append(s.maxIntervals, q.maxInterval)
@@ -188,7 +209,7 @@
 	fmt.Fprintf(out, "placing %s, seed %d, %d servers: %d requests, worth %.3f, worst spans %.3f, %d preempted, %d refused by engines\n",
 		r.policy, r.seed, r.workload.servers, all.requests, all.Worth(), r.WorstSpanWorth(), r.preempted, r.rejected)
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "kind\trequests\ton time\tlate first\tlate pause\trefused\tleft\tdeadline\tworth\tfirst p50\tp95\tpause p95\t")
+	fmt.Fprintln(table, "kind\trequests\ton time\tlate first\tlate pause\trefused\trefusal p95\treturned\tserved\tleft\tdeadline\tworth\tfirst p50\tp95\tpause p95\t")
 	for _, k := range r.workload.kinds {
 		r.row(table, k.name, r.Summarize(k.name))
 		r.row(table, "largest tenth", r.Largest(k.name, 0.1))
@@ -201,7 +222,8 @@
 	for _, n := range s.refused {
 		refused += n
 	}
-	fmt.Fprintf(out, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%v\t%v\t%v\t\n", name, s.requests, s.onTime, s.lateFirstToken, s.lateInterval, refused, s.disconnected, s.deadline,
+	fmt.Fprintf(out, "%s\t%d\t%d\t%d\t%d\t%d\t%v\t%d\t%d\t%d\t%d\t%.3f\t%v\t%v\t%v\t\n", name, s.requests, s.onTime, s.lateFirstToken, s.lateInterval, refused,
+		s.RefusalWait(0.95).Round(time.Millisecond), s.returned, s.returnedServed, s.disconnected, s.deadline,
 		s.Worth(), s.TimeToFirstToken(0.5).Round(time.Millisecond), s.TimeToFirstToken(0.95).Round(time.Millisecond), s.MaxTokenInterval(0.95).Round(time.Millisecond))
 }
 
--- a/experiment/request.go
+++ b/experiment/request.go
@@ -7,6 +7,7 @@
 
 	"greengagedock.example/dispatch"
 	"greengagedock.example/engine"
+	"greengagedock.example/quarantine"
 )
 
 // result is the final state of a request.
@@ -32,6 +33,10 @@
 
 	arrived time.Duration
 	retries int
+	// received is when the caller sent the current request: at its arrival, or at its return.
+	received time.Duration
+	// refusals holds the times that the caller waited for each refusal.
+	refusals []time.Duration
 	// id, server and prefillWorkers belong to the current attempt.
 	id             string
 	attempts       int
@@ -55,10 +60,11 @@
 	r.id = fmt.Sprintf("%s/%d", r.name, r.attempts)
 	r.server, r.prefillWorkers = "", nil
 	sim.requests[r.id] = r
-	arrived := epoch.Add(r.arrived)
+	received := epoch.Add(r.received)
 	req := dispatch.NewRequest(r.id, service).WithTokens(r.prompt, r.answerHint).WithPriority(r.kind.priority).
-		WithTimes(arrived, arrived.Add(r.kind.objective), arrived.Add(r.kind.timeout)).
-		WithFirstTokenDeadline(arrived.Add(r.kind.callerTimeout())).WithMaxTokenInterval(r.kind.maxTokenInterval)
+		WithTimes(received, received.Add(r.kind.objective), epoch.Add(r.arrived+r.kind.timeout)).
+		WithFirstTokenDeadline(received.Add(r.kind.callerTimeout())).WithMaxTokenInterval(r.kind.maxTokenInterval).
+		WithFingerprint(quarantine.NewFingerprint("", "", "", r.name, "", nil))
 	id := r.id
 	sim.AfterFunc(2*networkDelay, func() {
 		if r.finished {
@@ -67,8 +73,8 @@
 		decision := sim.scheduler(r.entry).Submit(sim.time(), r.owner(), req)
 		sim.AfterFunc(networkDelay, func() { r.decided(id, decision) })
 	})
-	sim.AfterFunc(r.kind.callerTimeout()-(sim.Now()-r.arrived), func() {
-		if r.firstTokenAt == 0 {
+	sim.AfterFunc(r.kind.callerTimeout()-(sim.Now()-r.received), func() {
+		if r.firstTokenAt == 0 && r.id == id {
 			r.finish(resultDisconnected)
 		}
 	})
@@ -87,7 +93,8 @@
 			r.simulation.AfterFunc(networkDelay, func() { r.submit(id) })
 		}
 	case dispatch.Refused:
-		r.retry(d.Reason(), d.RetryAfter())
+		r.refusals = append(r.refusals, r.simulation.Now()-r.received)
+		r.retry(d.Reason(), d.RetryAfter(), true)
 	case dispatch.Queued:
 	}
 }
@@ -127,11 +134,13 @@
 	}
 	r.simulation.report.rejected++
 	r.release(dispatch.OutcomeRejected)
-	r.retry(reason, dispatch.TickInterval)
+	r.retry(reason, dispatch.TickInterval, false)
 }
 
-// retry lets the caller retry after a delay if it has retries and time left.
-func (r *request) retry(reason dispatch.Reason, retryAfter time.Duration) {
+// retry retries after a delay if there are retries and time left. A caller that returns
+// sends a new request, for whose first event it waits anew; an entry that tries another
+// engine keeps the request.
+func (r *request) retry(reason dispatch.Reason, retryAfter time.Duration, returns bool) {
 	sim := r.simulation
 	delete(sim.requests, r.id)
 	left := r.arrived + r.kind.timeout - sim.Now()
@@ -144,6 +153,9 @@
 	r.id = ""
 	sim.AfterFunc(retryAfter+2*networkDelay, func() {
 		if !r.finished {
+			if returns {
+				r.received = sim.Now()
+			}
 			r.attempt()
 		}
 	})
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -99,7 +99,7 @@
 	answerHint := LengthDistribution{mean: float64(answer), spread: hintSpread, limit: float64(answer) * maxHintFactor}
 	r := &request{
 		simulation: sim, kind: k, prompt: k.prompt.draw(sim.random), answer: answer, answerHint: answerHint.draw(sim.random),
-		entry: sim.random.IntN(sim.workload.entries), arrived: sim.Now(), name: fmt.Sprintf("%s-%d", k.name, number),
+		entry: sim.random.IntN(sim.workload.entries), arrived: sim.Now(), received: sim.Now(), name: fmt.Sprintf("%s-%d", k.name, number),
 	}
 	sim.report.add(r)
 	r.attempt()
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -296,7 +296,7 @@
 		}
 		return reply
 	case dispatch.Refused:
-		return placementReply{Reason: string(d.Reason()), RetryAfter: d.RetryAfter()}
+		return placementReply{Reason: string(d.Reason()), RetryAfter: d.RetryAfter(), Why: d.Explanation()}
 	default:
 		return placementReply{}
 	}
@@ -311,7 +311,7 @@
 		}
 		return dispatch.NewGranted(dispatch.NewGrant(id, m.Server, m.Address, workers, m.TimeToFirstToken).WithExplanation(m.Waited, m.Why))
 	case m.Reason != "":
-		return dispatch.NewRefused(id, dispatch.Reason(m.Reason), m.RetryAfter)
+		return dispatch.NewRefused(id, dispatch.Reason(m.Reason), m.RetryAfter).WithExplanation(m.Why)
 	default:
 		return dispatch.Queued{}
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -185,6 +185,9 @@
 	}
 	p.control.do(func(now time.Time) {
 		values["waiting"] = p.control.scheduler.Waiting()
+		admission := p.control.scheduler.Admission(now)
+		values["forecast_wait_seconds"], values["promised_returns"] = admission.Wait().Seconds(), admission.Promised()
+		values["room_slots"] = admission.Room()
 		values["processor"] = p.control.members.self.CPUCores
 		values["entries"] = len(p.control.members.live(now, p.settings.timeouts.listed())) + 1
 		values["revision"] = p.control.cache.revision.Number()
--- a/gateway/schedulerclient.go
+++ b/gateway/schedulerclient.go
@@ -41,7 +41,7 @@
 		case dispatch.Granted:
 			return d.Grant(), nil
 		case dispatch.Refused:
-			return dispatch.Grant{}, ingress.NewRefusal(d.Reason(), d.RetryAfter())
+			return dispatch.Grant{}, ingress.NewRefusal(d.Reason(), d.RetryAfter()).WithExplanation(d.Explanation())
 		case dispatch.Queued:
 		}
 	}
--- a/ingress/interfaces.go
+++ b/ingress/interfaces.go
@@ -46,8 +46,9 @@
 
 // Refusal is the error of a request that could not be placed; it has not run.
 type Refusal struct {
-	reason     dispatch.Reason
-	retryAfter time.Duration
+	reason      dispatch.Reason
+	retryAfter  time.Duration
+	explanation string
 }
 
 // NewRefusal returns a refusal with the time after which to retry.
@@ -55,6 +56,12 @@
 	return &Refusal{reason: reason, retryAfter: retryAfter}
 }
 
+// WithExplanation returns the refusal with the figures that decided, for the log.
+func (r *Refusal) WithExplanation(explanation string) *Refusal {
+	r.explanation = explanation
+	return r
+}
+
 // Error returns a message with the reason.
 func (r *Refusal) Error() string { return "ingress: refused: " + string(r.reason) }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -396,13 +396,18 @@
 	} else if until, ok := q.server.views.View().AllRefuseUntil(q.service.Name(), q.server.timers.Now()); ok {
 		retryAfter, reason = dispatch.ReturnAfter(q.id, q.server.timers.Now(), until), string(dispatch.ReasonServersRefuse)
 	}
+	if refusal != nil && refusal.explanation != "" {
+		q.refuse(reason, retryAfter, "why", refusal.explanation)
+		return
+	}
 	q.refuse(reason, retryAfter)
 }
 
-// refuse answers that the request has not run, with the time after which to retry.
-func (q *request) refuse(reason string, retryAfter time.Duration) {
+// refuse answers that the request has not run, with the time after which to retry. The log
+// line gets the added fields.
+func (q *request) refuse(reason string, retryAfter time.Duration, fields ...any) {
 	q.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
-	q.logEnd("refused", "reason", reason, "come_back", retryAfter)
+	q.logEnd("refused", append([]any{"reason", reason, "come_back", retryAfter}, fields...)...)
 	q.recordResult(ResultRefused)
 	q.writeError(http.StatusServiceUnavailable, "not run: "+reason)
 }
