--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -14,7 +14,7 @@
 	// earliestRunFraction is the fraction of a request's expected run time after which its
 	// slot is free in the earliest case: callers' hints of answer lengths are inaccurate.
 	earliestRunFraction = 0.5
-	// minLateSlots is the fraction of the slots that late requests get at least.
+	// minLateSlots is the fraction of the slots that late requests are expected to get at least.
 	minLateSlots = 0.02
 	// maxForecastAhead bounds the queued requests that a forecast follows; behind more, a
 	// request is queued.
@@ -163,32 +163,17 @@
 	return last
 }
 
-// prefillAhead returns the prefill time of the requests that remain in the queue before a
-// late one. Longer prompts wait for more room than it needs, so they don't delay it.
-func (p *pool) prefillAhead(request Request) time.Duration {
-	own, ahead := p.prefillTime(request), time.Duration(0)
-	for _, q := range p.queue {
-		if cost := p.prefillTime(q.request); cost <= own {
-			ahead += cost
-		}
-	}
-	return ahead
-}
-
-// slotWait returns how long a late request waits for a slot behind those that remain in the
-// queue before it and need no more room. Late requests get the slots that the requests
-// that are expected to arrive leave to them.
-func (p *pool) slotWait(now time.Time, request Request) time.Duration {
-	slots, ahead := 0, p.slotTime(request)
+// slotWait returns how long a new late request would wait for a slot behind all queued ones.
+// Late requests get the slots that the requests that are expected to arrive leave to them.
+func (p *pool) slotWait(now time.Time) time.Duration {
+	slots, ahead := 0, time.Duration(0)
 	for _, s := range p.order {
 		if s.usable {
 			slots += s.slots()
 		}
 	}
 	for _, q := range p.queue {
-		if q.request.prompt <= request.prompt {
-			ahead += p.slotTime(q.request)
-		}
+		ahead += p.slotTime(q.request)
 	}
 	total := float64(max(1, slots))
 	return time.Duration(float64(ahead) / max(total-p.slotDemand(now), minLateSlots*total))
@@ -201,8 +186,8 @@
 	room     int
 }
 
-// Wait returns the longest time, over the services, for which a late request with the
-// longest prompt would wait for a slot behind all queued ones.
+// Wait returns the longest time, over the services, for which a new late request would wait
+// for a slot behind all queued ones.
 func (a Admission) Wait() time.Duration { return a.wait }
 
 // Promised returns the number of refused callers that were promised a return.
@@ -217,9 +202,9 @@
 	for _, p := range sched.pools {
 		p.returns.expire(now)
 		out.promised += len(p.returns.promised)
-		if engine := p.service.Engine(); engine != nil {
+		if p.service.Engine() != nil {
 			out.room += int(math.Ceil(p.slotDemand(now) / maxSlotLoad))
-			out.wait = max(out.wait, p.slotWait(now, Request{prompt: engine.Memory()}))
+			out.wait = max(out.wait, p.slotWait(now))
 		}
 	}
 	return out
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -75,7 +75,7 @@
 	if usable == 0 {
 		return nil
 	}
-	wait := max(time.Duration(float64(ahead+backlog)/(float64(usable)*queueDrainShare)), p.slotWait(now, q.request))
+	wait := time.Duration(float64(ahead+backlog) / (float64(usable) * queueDrainShare))
 	if now.Add(wait).Before(p.queueDeadline(q.request)) {
 		return nil
 	}
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -14,27 +14,14 @@
 
 // mustLeaveRoom reports whether a request may only be placed where enough slots remain for
 // the requests that are expected meanwhile: a late one, and one with a longer objective
-// than others that has time left to wait. A late request of the kind that the room is for
-// takes one slot like those; it may while enough slots are free in fact.
+// than others that has time left to wait.
 func (p *pool) mustLeaveRoom(now time.Time, request Request) bool {
-	objective := request.objective.Sub(request.arrived)
-	longer := p.shortestObjective(now) < objective
 	if !now.Before(request.objective) {
-		return longer || !p.hasFreeSlots()
-	}
-	return longer && now.Sub(request.arrived) < time.Duration(roomSlackFraction*float64(objective))
-}
-
-// hasFreeSlots reports whether the requests that are running leave enough slots free for those expected.
-func (p *pool) hasFreeSlots() bool {
-	slots, running := 0, 0
-	for _, s := range p.order {
-		if s.usable {
-			slots += s.slots()
-			running += len(s.running)
-		}
+		return true
 	}
-	return float64(running) <= maxSlotLoad*float64(slots)
+	objective := request.objective.Sub(request.arrived)
+	slack := time.Duration(roomSlackFraction * float64(objective))
+	return now.Sub(request.arrived) < slack && p.shortestObjective(now) < objective
 }
 
 // shortestObjective returns the shortest objective of the recent requests, and the longest
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -170,6 +170,7 @@
 		p.ticking = true
 		queue := p.queue
 		p.queue = nil
+		ahead := time.Duration(0)
 		misses := 0
 		for _, q := range queue {
 			var decision Decision
@@ -178,13 +179,14 @@
 			}
 			if decision == nil {
 				misses++
-				decision = p.shedLate(now, q, p.prefillAhead(q.request))
+				decision = p.shedLate(now, q, ahead)
 			}
 			if decision == nil {
 				decision = p.refuseLimited(now, q.request, len(p.queue))
 			}
 			if decision == nil {
 				p.queue = append(p.queue, q)
+				ahead += p.prefillTime(q.request)
 				continue
 			}
 			out = append(out, decision)
