--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -74,6 +74,8 @@
 	ReasonServersLimited Reason = "servers_limited"
 	// ReasonBusy means that no slot becomes free in time.
 	ReasonBusy Reason = "busy"
+	// ReasonNoRoom means that even in the earliest case no slot becomes free before the caller leaves.
+	ReasonNoRoom Reason = "no_room"
 	// ReasonPastDeadline means that the deadline has passed, or that the request can't be served in time.
 	ReasonPastDeadline Reason = "too_late"
 	// ReasonQuarantined means that the same request, or ones with the same part of a prompt, crash servers.
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -32,7 +32,7 @@
 	if now.Before(p.queueDeadline(request)) {
 		return nil
 	}
-	return NewRefused(request.id, reason, p.retryAfter(now))
+	return p.refuseForRoom(now, request, reason, p.retryAfter(now))
 }
 
 // refuseHopeless refuses a request that would wait in vain: while the service has no
@@ -79,7 +79,7 @@
 	if now.Add(wait).Before(p.queueDeadline(q.request)) {
 		return nil
 	}
-	return NewRefused(q.request.id, ReasonPastDeadline, min(max(wait, minRetryAfter), maxRetryAfterLate))
+	return p.refuseForRoom(now, q.request, ReasonPastDeadline, wait)
 }
 
 // queueDeadline returns the time until which a request may be queued.
@@ -89,7 +89,7 @@
 		return r.arrived.Add(time.Duration(plainWaitFraction * float64(r.objective.Sub(r.arrived))))
 	}
 	minTime := p.minPrefillTime(r) + engine.DecodePassTime(1, r.prompt)
-	limit := r.firstTokenDeadline.Sub(r.arrived)
+	limit := min(r.firstTokenDeadline.Sub(r.arrived), r.deadline.Sub(r.arrived))
 	return r.arrived.Add(time.Duration(firstTokenDeadlineFraction*float64(limit)) - minTime)
 }
 
@@ -119,7 +119,7 @@
 func (p *pool) sortQueue(now time.Time) {
 	engine := p.service.Engine()
 	for _, q := range p.queue {
-		q.underserved, q.standing.over = p.underserved(q.request), false
+		q.underserved, q.standing.over = p.underserved(q.request) || q.returned, false
 	}
 	compare := func(a, b *queuedRequest) int {
 		if engine == nil {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -86,6 +86,8 @@
 	// settling holds the started requests that have not settled, in the order of their start.
 	settling []*allocation
 	shares   shares
+	// returns holds the callers that were told when to return.
+	returns promisedReturns
 }
 
 // usable returns the number of usable servers and their total prefill backlog.
@@ -105,6 +107,8 @@
 	// underserved is set if too few requests of this size class were placed.
 	underserved bool
 	standing    standing
+	// returned is set for a caller that was refused for lack of room and returns as promised.
+	returned bool
 }
 
 // NewScheduler returns an empty scheduler of the entry with the given id. The
@@ -144,6 +148,7 @@
 		p.statsOf(request).countRequest(now, request.prompt)
 		p.countDemand(now, request)
 	}
+	request, returned := p.returns.recognize(now, request)
 	if p.yields(now, request) {
 		p.shares.undelivered = sched.tickPool(now, p)
 	}
@@ -155,7 +160,10 @@
 	if decision := p.refuseLimited(now, request, p.queuedAhead(now, request)); decision != nil {
 		return p.decided(now, &queuedRequest{request: request}, decision)
 	}
-	return p.enqueue(now, owner, request)
+	if decision := p.refuseByForecast(now, request, returned); decision != nil {
+		return p.decided(now, &queuedRequest{request: request}, decision)
+	}
+	return p.enqueue(now, &queuedRequest{owner: owner, request: request, returned: returned})
 }
 
 // Withdraw removes a request from the queue.
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -397,17 +398,18 @@
 
 // enqueue queues a request. If the queue is full, the last request of the account that is
 // the most over its share is refused, which may be the new one.
-func (p *pool) enqueue(now time.Time, owner Owner, request Request) Decision {
-	q := &queuedRequest{owner: owner, request: request, standing: p.standingOf(now, request)}
-	if len(p.queue) >= maxQueue {
+func (p *pool) enqueue(now time.Time, q *queuedRequest) Decision {
+	request := q.request
+	q.standing = p.standingOf(now, request)
+	if len(p.queue) >= maxQueue && !q.returned {
 		i := p.mostOver(now, request)
 		if i < 0 {
-			return p.decided(now, q, NewRefused(request.id, ReasonBusy, p.retryAfter(now)))
+			return p.decided(now, q, p.refuseForRoom(now, request, ReasonBusy, p.retryAfter(now)))
 		}
 		displaced := p.queue[i]
 		a := p.shares.account(now, displaced.request.account)
 		displaced.standing = standing{over: true, usage: a.used, waiting: a.waiting, share: p.shares.level, behind: cmp.Or(request.account, commonAccount)}
-		p.shares.undelivered = append(p.shares.undelivered, p.decided(now, displaced, NewRefused(displaced.request.id, ReasonBusy, p.retryAfter(now))))
+		p.shares.undelivered = append(p.shares.undelivered, p.decided(now, displaced, p.refuseForRoom(now, displaced.request, ReasonBusy, p.retryAfter(now))))
 		p.queue = slices.Delete(p.queue, i, i+1)
 	}
 	p.queue = append(p.queue, q)
@@ -474,7 +476,7 @@
 		if q.standing.share == 0 {
 			return d
 		}
-		return d.WithExplanation(q.standing.String())
+		return d.WithExplanation(strings.TrimPrefix(d.explanation+", "+q.standing.String(), ", "))
 	default:
 		return decision
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -194,6 +194,9 @@
 		values["accounts"] = accountGauges(p.control.scheduler.AccountUsages(now))
 		values["unseen_load"], values["seen_share"] = p.control.observedLoad(now)
 		values["speed_factors"] = p.control.speedFactors(now)
+		admission := p.control.scheduler.Admission(now)
+		values["forecast_wait_seconds"], values["promised_returns"] = admission.Wait().Seconds(), admission.Promised()
+		values["room_slots"] = admission.Room()
 		values["processor"] = p.control.members.self.CPUCores
 		values["entries"] = len(p.control.members.live(now, p.settings.timeouts.listed())) + 1
 		values["revision"] = p.control.cache.revision.Number()
