dispatch: a promised return is no new demand

A returning caller counted as expected demand, for which late requests leave room, so it kept itself out: in a test of 500 callers at twice the capacity none that returned was served, also with idle servers.

--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -136,3 +136,84 @@
 	f.now = f.now.Add(objectiveMemory + time.Second) // no short prompts any more
 	c.Assert(p.mustLeaveRoom(f.now, f.long("later", 200_000)), qt.IsFalse)
 }
+
+// Over 20 seeds of 500 callers at twice the capacity: a caller that returned as promised is
+// not refused again while a newer one that is late as well, and thus no more urgent, is
+// placed.
+func TestReturnedCallerIsNotRefusedBehindNewerOnes(t *testing.T) {
+	for seed := range uint64(20) {
+		c := qt.New(t)
+		f := newFleet(2, 0)
+		random := rand.New(rand.NewPCG(seed, 2))
+		received := make(map[string]time.Time) // by the id of an attempt
+		returns := make(map[string]time.Time)  // the refused callers by the time of return
+		ends := make(map[string]time.Time)
+		lateGrants := make(map[string]time.Time) // when those placed late were received, by id
+		again, served := 0, 0
+		handle := func(id string, returned bool, decision Decision) {
+			switch d := decision.(type) {
+			case Granted:
+				if f.now.Sub(received[id]) > 300*time.Millisecond {
+					lateGrants[id] = received[id]
+				}
+				if returned {
+					served++
+				}
+				f.scheduler.Started(f.now, id)
+				ends[id] = f.now.Add(1500*time.Millisecond + time.Duration(random.IntN(500))*time.Millisecond)
+			case Refused:
+				if !returned {
+					returns[id] = f.now.Add(d.RetryAfter())
+					return
+				}
+				again++
+				for other, at := range lateGrants {
+					c.Assert(at.After(received[id]), qt.IsFalse, qt.Commentf("seed %d: %s refused again, newer %s placed", seed, id, other))
+				}
+			case Queued:
+			}
+		}
+		submit := func(id string, caller int, returned bool) {
+			received[id] = f.now
+			handle(id, returned, f.scheduler.Submit(f.now, f.owner, withFingerprint(f.short(id, 2000), caller)))
+		}
+		for caller, step := 0, 0; step < 1200; step++ {
+			f.now = f.now.Add(TickInterval)
+			for n := 1; caller < 500 && n > 0; n-- {
+				submit(fmt.Sprintf("%04d", caller), caller, false)
+				caller++
+			}
+			for i := range caller {
+				id := fmt.Sprintf("%04d", i)
+				if due, ok := returns[id]; ok && !f.now.Before(due) {
+					delete(returns, id)
+					submit("again-"+id, i, true)
+				}
+				for _, running := range []string{id, "again-" + id} {
+					if end, ok := ends[running]; ok && !f.now.Before(end) {
+						delete(ends, running)
+						f.scheduler.Ended(f.now, running, OutcomeComplete)
+					}
+				}
+			}
+			for _, decision := range f.scheduler.Tick(f.now) {
+				id := decisionID(decision)
+				handle(id, len(id) > 4, decision)
+			}
+		}
+		t.Logf("seed %d: %d of those that returned placed, %d refused again", seed, served, again)
+		c.Assert(served > 0 && again > 0, qt.IsTrue)
+	}
+}
+
+// decisionID returns the id of the request that a tick decided on.
+func decisionID(decision Decision) string {
+	switch d := decision.(type) {
+	case Granted:
+		return d.Grant().ID()
+	case Refused:
+		return d.ID()
+	default:
+		return ""
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -127,11 +127,13 @@
 	if decision := sched.refuseQuarantined(now, p, request); decision != nil {
 		return decision
 	}
+	request, returned := p.returns.recognize(now, request)
 	if p.service.Engine() != nil {
 		p.statsOf(request).countRequest(now, request.prompt)
+	}
+	if p.service.Engine() != nil && !returned { // a late one is not to wait for its own demand
 		p.countDemand(now, request)
 	}
-	request, returned := p.returns.recognize(now, request)
 	if p.mayOvertake(now, request) {
 		if decision := sched.decide(now, p, owner, request, len(p.queue) > 0); decision != nil {
 			return decision
