--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -144,11 +144,13 @@
 	if decision := sched.refuseQuarantined(now, p, request); decision != nil {
 		return decision
 	}
+	request, returned := p.returns.recognize(now, request)
 	if p.service.Engine() != nil {
 		p.statsOf(request).countRequest(now, request.prompt)
-		p.countDemand(now, request)
+		if !returned { // a late request must not wait for room for itself
+			p.countDemand(now, request)
+		}
 	}
-	request, returned := p.returns.recognize(now, request)
 	if p.yields(now, request) {
 		p.shares.undelivered = sched.tickPool(now, p)
 	}
