--- a/ingress/notice_test.go
+++ b/ingress/notice_test.go
@@ -159,3 +159,19 @@
 	}
 	c.Assert(server.seen(), qt.HasLen, 1)
 }
+
+// Guards against load that is lost or counted at the wrong server: a stated load is reported
+// with the server, but not that of another incarnation at its address.
+func TestStatedLoadIsReported(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbedOn(c)
+	metadata := upstream.ResponseMetadata{}.WithLoad(upstream.NewServerLoad(7, 2, 12))
+	s1 := routing.NewIncarnation("s1", 0)
+	b.server.noteLoad("desk", s1, metadata.WithNotRun(true, ""))
+	b.server.noteLoad("desk", s1, upstream.ResponseMetadata{})
+	c.Assert(b.scheduler.loads, qt.HasLen, 0)
+	b.server.noteLoad("desk", s1, metadata)
+	c.Assert(b.scheduler.loads, qt.HasLen, 1)
+	load := b.scheduler.loads[0]
+	c.Assert(load, qt.Equals, dispatch.NewObservedLoad("s1", 7, 2, load.At()))
+}
