--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -67,13 +67,12 @@
 			var mu sync.Mutex
 			var running sync.WaitGroup
 			freeRanges := make(chan int, parallel)
-			for i := 0; i < portRanges && len(freeRanges) < parallel; i++ {
-				if porttest.Hold(firstPort + portsPerRun*i) { // else another soak has them
-					freeRanges <- i
+			for range parallel {
+				portRange, err := holdRange()
+				if err != nil {
+					return err
 				}
-			}
-			if len(freeRanges) < parallel {
-				return fmt.Errorf("%d of %d ranges of ports are free, %d needed", len(freeRanges), portRanges, parallel)
+				freeRanges <- portRange
 			}
 			for _, seed := range all {
 				portRange := <-freeRanges
@@ -112,6 +111,25 @@
 	return command
 }
 
+// portRangesHeld holds the ranges of ports that this process uses.
+var portRangesHeld struct {
+	mu   sync.Mutex
+	held [portRanges]bool
+}
+
+// holdRange returns a range of ports that neither another run nor another soak uses.
+func holdRange() (int, error) {
+	portRangesHeld.mu.Lock()
+	defer portRangesHeld.mu.Unlock()
+	for i := range portRanges {
+		if !portRangesHeld.held[i] && porttest.Hold(firstPort+portsPerRun*i) {
+			portRangesHeld.held[i] = true
+			return i, nil
+		}
+	}
+	return 0, fmt.Errorf("none of %d ranges of ports is free", portRanges)
+}
+
 // loadSeeds returns the seeds in the file, or, if file is empty, count seeds
 // from first on.
 func loadSeeds(file string, first, count uint64) ([]uint64, error) {
--- a/cmd/soak/mutation_test.go
+++ b/cmd/soak/mutation_test.go
@@ -104,15 +104,16 @@
 
 // A run reports the violation that each mutation causes.
 func TestSoakDetectsMutations(t *testing.T) {
-	for i, m := range mutations {
+	for _, m := range mutations {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
 			dir := t.TempDir()
 			o := options{daemon: m.build(c, dir), dir: dir, entries: 3, servers: 6, callers: 24, faultDuration: 4 * time.Second, faultNames: m.faultNames}
+			portRange := heldRange(c)
 			var violations []string
 			for seed := range uint64(maxMutationRuns) {
-				summary, reported := run(o, seed+1, portRanges-2-i)
+				summary, reported := run(o, seed+1, portRange)
 				t.Log(summary)
 				if slices.ContainsFunc(reported, regexp.MustCompile(m.violation).MatchString) {
 					return
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -18,6 +18,13 @@
 	"greengagedock.example/platform/platformtest"
 )
 
+// heldRange returns a range of ports that no other soak uses.
+func heldRange(c *qt.C) int {
+	portRange, err := holdRange()
+	c.Assert(err, qt.IsNil)
+	return portRange
+}
+
 // One short run with a fixed seed; longer runs are started by hand.
 func TestShortSoak(t *testing.T) {
 	c := qt.New(t)
@@ -25,7 +32,7 @@
 	daemon := filepath.Join(dir, "greengagedockd")
 	out, err := exec.Command("go", "build", "-o", daemon, "greengagedock.example/cmd/greengagedockd").CombinedOutput()
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
-	summary, violations := run(options{daemon: daemon, dir: dir, entries: 3, servers: 6, callers: 3, faultDuration: 3 * time.Second}, 1, portRanges-1)
+	summary, violations := run(options{daemon: daemon, dir: dir, entries: 3, servers: 6, callers: 3, faultDuration: 3 * time.Second}, 1, heldRange(c))
 	t.Log(summary)
 	c.Assert(violations, qt.HasLen, 0)
 }
@@ -167,7 +174,7 @@
 	dir := t.TempDir()
 	c.Assert(os.Mkdir(filepath.Join(dir, "entry-1.log"), 0o700), qt.IsNil)
 	before := runtime.NumGoroutine()
-	_, err := startFleet(dir, "/bin/false", 1, 3, 3, firstPort+portsPerRun*(portRanges-1))
+	_, err := startFleet(dir, "/bin/false", 1, 3, 3, firstPort+portsPerRun*heldRange(c))
 	c.Assert(err, qt.ErrorMatches, ".*entry-1.log.*")
 	for deadline := time.Now().Add(5 * time.Second); runtime.NumGoroutine() > before+10; {
 		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%d goroutines, %d before", runtime.NumGoroutine(), before))
