--- a/cmd/soak/mutation_test.go
+++ b/cmd/soak/mutation_test.go
@@ -121,7 +121,7 @@
 
 // A run reports the violation that each mutation causes.
 func TestSoakDetectsMutations(t *testing.T) {
-	for i, m := range mutations {
+	for _, m := range mutations {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
@@ -130,9 +130,10 @@
 			if m.other {
 				o.daemon, o.otherDaemon = m.build(c, dir, false), o.daemon
 			}
+			portRange := heldRange(c)
 			var violations []string
 			for seed := range uint64(maxMutationRuns) {
-				summary, reported := run(o, seed+1, portRanges-2-i)
+				summary, reported := run(o, seed+1, portRange)
 				t.Log(summary)
 				if slices.ContainsFunc(reported, regexp.MustCompile(m.violation).MatchString) {
 					return
