mesh: end tunnels of vanished entries after 4 s on both interfaces

The own interface opened tunnels with a dialer without times of its own: Linux ends its idle connections 2.0 s after the last byte, since TCP_USER_TIMEOUT (1.5 s) decides and not the number of probes. Tests: mesh, upstream and peer pass.

--- a/mesh/tunnel.go
+++ b/mesh/tunnel.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sys/unix"
 
 	"greengagedock.example/upstream"
 )
@@ -35,7 +37,11 @@
 	maxTunnelReplyBytes = 4 << 10
 )
 
-// tunnelKeepAlive ends the connection to an entry that answers no probe for four seconds.
+// TunnelSilence is how long the other entry of a tunnel may answer no probe, or acknowledge
+// nothing, until the tunnel's connection is closed.
+const TunnelSilence = 4 * time.Second
+
+// tunnelKeepAlive sends the probes.
 var tunnelKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
 // Errors of tunnels.
@@ -99,9 +105,28 @@
 			return err
 		}
 	}
+	if socket, ok := conn.(syscall.Conn); ok {
+		if err := limitUnacknowledged(socket); err != nil {
+			return err
+		}
+	}
 	return conn.SetWriteDeadline(time.Time{})
 }
 
+// limitUnacknowledged has a connection end whose sent data stays unacknowledged: while there
+// is such data, the system sends no keep-alive probes.
+func limitUnacknowledged(conn syscall.Conn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(TunnelSilence.Milliseconds()))
+	})
+	return errors.Join(err, optErr)
+}
+
 // openTunnel connects to the server that a call names.
 func (s *Server) openTunnel(body []byte) (net.Conn, error) {
 	var address string
--- a/mesh/tunnel_test.go
+++ b/mesh/tunnel_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"greengagedock.example/upstream"
 )
@@ -172,3 +173,23 @@
 	b.c.Assert(NewClient(upstream.Dialer{}).Call(context.Background(), b.address, "x", "", &reply), qt.IsNil)
 	b.c.Assert(reply, qt.Equals, "called")
 }
+
+// Guards against a relay that goes on holding a server's request for an entry that has
+// vanished: while data is unacknowledged, there are no keep-alive probes.
+func TestKeptTunnelLimitsUnacknowledgedData(t *testing.T) {
+	c := qt.New(t)
+	listener := listen(c)
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	c.Assert(keepTunnel(conn), qt.IsNil)
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	c.Assert(err, qt.IsNil)
+	var timeout int
+	var optErr error
+	c.Assert(raw.Control(func(fd uintptr) {
+		timeout, optErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}), qt.IsNil)
+	c.Assert(optErr, qt.IsNil)
+	c.Assert(time.Duration(timeout)*time.Millisecond, qt.Equals, TunnelSilence)
+}
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -9,6 +9,9 @@
 	"greengagedock.example/upstream"
 )
 
+// tunnelDialer opens the connections of tunnels, which live as long as those to servers.
+var tunnelDialer = upstream.NewDialer(mesh.TunnelSilence, mesh.TunnelSilence)
+
 // refuseCalls is the handler of the connections that are only for tunnels.
 func refuseCalls(string, []byte) (any, error) { return nil, mesh.ErrRefused }
 
@@ -22,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return mesh.OpenTunnel(ctx, upstream.Dialer{}, entry, address, opening...)
+	return mesh.OpenTunnel(ctx, tunnelDialer, entry, address, opening...)
 }
 
 // Relays returns where the other entries accept their peers that were heard recently, in
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -63,7 +63,9 @@
 
 // NewDialer returns a dialer whose connections fail once their peer has answered no
 // keep-alive probe for silence, in whole seconds and at least two, or once sent data
-// has been unacknowledged for the other time; 0 is the default of either.
+// has been unacknowledged for the other time; 0 is the default of either. On Linux the
+// latter alone decides: an idle connection whose peer is silent also fails with the first
+// probe, one second apart, that is due after it.
 func NewDialer(silence, unacknowledged time.Duration) Dialer {
 	return Dialer{silence: silence, unacknowledged: unacknowledged}
 }
--- a/upstream/dial_test.go
+++ b/upstream/dial_test.go
@@ -100,3 +100,46 @@
 		})
 	}
 }
+
+// Guards against a page that states the time by the number of keep-alive probes alone: Linux
+// ends an idle connection whose peer is silent with the first probe that is due once
+// TCP_USER_TIMEOUT has passed, if that is sooner.
+func TestSilentPeerEndsIdleConnection(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		dialer   Dialer
+		reserved bool
+		want     time.Duration
+	}{
+		"servers":                     {NewDialer(4*time.Second, 4*time.Second), false, 4 * time.Second},
+		"servers with held memory":    {NewDialer(4*time.Second, 4*time.Second).WithReserved(3 * time.Second), true, 3 * time.Second},
+		"entries and the store":       {NewDialer(3*time.Second, 1500*time.Millisecond), false, 2 * time.Second},
+		"defaults":                    {Dialer{}, false, 2 * time.Second},
+		"probes below unacknowledged": {NewDialer(2*time.Second, 4*time.Second), false, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer listener.Close()
+			client, err := test.dialer.Dial(context.Background(), listener.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer client.Close()
+			server, err := listener.Accept()
+			c.Assert(err, qt.IsNil)
+			defer server.Close()
+			c.Assert(test.dialer.limitSilence(client, test.reserved), qt.IsNil)
+			_, err = server.Write([]byte("x")) // the last byte that arrives
+			c.Assert(err, qt.IsNil)
+			_, err = client.Read(make([]byte, 1))
+			c.Assert(err, qt.IsNil)
+			start := time.Now()
+			mute(c, server, true)
+			_, err = client.Read(make([]byte, 1))
+			c.Assert(err, qt.ErrorIs, syscall.ETIMEDOUT)
+			silent := time.Since(start)
+			c.Check(silent > test.want-300*time.Millisecond && silent < test.want+700*time.Millisecond, qt.IsTrue, qt.Commentf("ended after %v", silent))
+		})
+	}
+}
