mesh: take bytes of a response as the evidence of a path

A dial that succeeded counted as a working path, so an entry behind something that accepts connections and then passes nothing on, or resets them, served none of its calls. A path now works when bytes of a response arrived on it, and is lost when a small GET on it stays without a byte while another entry gets a response: the health check, or the load report on the own interface, once a second and only while there is doubt. Connections that a lost path accepted and left without a byte are closed. A lost path returns once it has answered each probe for 1.5 s, twice as long after each further loss. Network.CutOff became Lost(address): what ends on a lost path is not blamed on its server.

The fake network of ingress/path_test.go follows the renamed method, and TestSingleLostWay waits until the other paths are checked.

--- a/backend/client_load.go
+++ b/backend/client_load.go
@@ -35,13 +35,16 @@
 	Tokens int    `json:"tokens"`
 }
 
+// LoadPath is the path of a server's load report, which costs it next to nothing.
+const LoadPath = "/v1/load"
+
 // LoadReport reads the load report of a server at its IP and port. The
 // report's lag includes the duration of the read, so that it never looks
 // newer than it is.
 func (c *Client) LoadReport(ctx context.Context, server, address string) (Report, error) {
 	c.setup()
 	started := c.clock.Now()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+LoadPath, nil)
 	if err != nil {
 		return Report{}, eris.Wrapf(ErrReport, "%s: %v", server, err)
 	}
--- a/cmd/greengagedockd/gateway.go
+++ b/cmd/greengagedockd/gateway.go
@@ -64,6 +64,7 @@
 		KVReserver: func(network upstream.Network) ingress.KVReserver { return platform.NewEngineClient(network) },
 		Headers:    platform.Headers{},
 		Directory:  platform.DirectoryHandler,
+		HealthPath: platform.HealthPath,
 	}
 	process, err := gateway.Start(settings, adapters, output, log)
 	if err != nil {
--- a/cuttest/network.go
+++ b/cuttest/network.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -12,7 +14,7 @@
 	"greengagedock.example/upstream"
 )
 
-// Mode is how an entry is cut off from all servers.
+// Mode is how an entry is cut off from servers.
 type Mode string
 
 // The modes.
@@ -25,55 +27,91 @@
 	Reset Mode = "reset"
 	// New: connections live on, and new ones are refused.
 	New Mode = "new"
+	// Accepting: connections are accepted, and nothing is passed on in either direction.
+	Accepting Mode = "accepting"
+	// Resetting: connections are accepted, and reset once something is sent.
+	Resetting Mode = "resetting"
+	// OneWay: what is sent arrives, and no response does.
+	OneWay Mode = "one_way"
 )
 
 // Network is the way of one entry to the servers, which can be cut.
 type Network struct {
 	dialer upstream.Dialer
 
-	mu     sync.Mutex
-	mode   Mode
+	mu   sync.Mutex
+	mode Mode
+	// only holds the servers to which the way is cut, nil for all.
+	only   map[string]bool
 	healed chan struct{} // closed when a silent cut ends
 	conns  map[*connection]bool
+	// dials counts the connections that were tried while a way was cut, by server.
+	dials map[string]int
 }
 
 // NewNetwork returns a network that opens connections with a dialer while it is whole.
 func NewNetwork(dialer upstream.Dialer) *Network {
-	return &Network{dialer: dialer, conns: make(map[*connection]bool)}
+	return &Network{dialer: dialer, conns: make(map[*connection]bool), dials: make(map[string]int)}
 }
 
 // connection is a connection of a Network.
 type connection struct {
 	*net.TCPConn
 	network *Network
+	address string
 	close   sync.Once
 	closed  chan struct{}
+	// broken is set once bytes were dropped, since later ones must not follow.
+	broken atomic.Bool
 }
 
-// SetMode cuts the way, or restores it.
-func (n *Network) SetMode(mode Mode) {
+// SetMode cuts the way to some servers, or to all if none is named, or restores it.
+func (n *Network) SetMode(mode Mode, servers ...string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.healed != nil {
 		close(n.healed)
 		n.healed = nil
 	}
-	n.mode = mode
+	n.mode, n.only = mode, nil
+	if len(servers) > 0 {
+		n.only = make(map[string]bool)
+		for _, server := range servers {
+			n.only[server] = true
+		}
+	}
 	if mode == Silent {
 		n.healed = make(chan struct{})
 	}
-	if mode == Reset {
+	if mode == Reset || mode == Resetting {
 		for conn := range n.conns {
-			_ = conn.SetLinger(0) // fails only if the connection is closed
-			conn.TCPConn.Close()
+			if n.only == nil || n.only[conn.address] {
+				conn.reset()
+			}
 		}
 	}
 }
 
-// state returns the mode and the end of a silent cut.
-func (n *Network) state() (Mode, <-chan struct{}) {
+// reset resets the connection.
+func (c *connection) reset() {
+	_ = c.SetLinger(0) // fails only if the connection is closed
+	c.TCPConn.Close()
+}
+
+// DialsWhileCut returns how many connections to a server were tried while the way was cut.
+func (n *Network) DialsWhileCut(server string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials[server]
+}
+
+// state returns the mode of the way to a server and the end of a silent cut.
+func (n *Network) state(server string) (Mode, <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.only != nil && !n.only[server] {
+		return None, nil
+	}
 	return n.mode, n.healed
 }
 
@@ -82,7 +120,12 @@
 
 // Dial implements upstream.Network.
 func (n *Network) Dial(ctx context.Context, address string) (net.Conn, error) {
-	mode, _ := n.state()
+	mode, _ := n.state(address)
+	if mode != None {
+		n.mu.Lock()
+		n.dials[address]++
+		n.mu.Unlock()
+	}
 	switch mode {
 	case Silent:
 		select {
@@ -98,7 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &connection{TCPConn: conn.(*net.TCPConn), network: n, closed: make(chan struct{})}
+	c := &connection{TCPConn: conn.(*net.TCPConn), network: n, address: address, closed: make(chan struct{})}
 	n.mu.Lock()
 	n.conns[c] = true
 	n.mu.Unlock()
@@ -108,7 +151,17 @@
 // Read returns nothing while the way is silent, until the connection would time out.
 func (c *connection) Read(p []byte) (int, error) {
 	read, err := c.TCPConn.Read(p)
-	if mode, healed := c.network.state(); mode == Silent {
+	mode, healed := c.network.state(c.address)
+	switch {
+	case c.broken.Load() || mode == Accepting || mode == OneWay:
+		c.broken.Store(true)
+		if err == nil || err == io.EOF {
+			<-c.closed
+			return 0, net.ErrClosed
+		}
+	case mode == Resetting:
+		return 0, syscall.ECONNRESET
+	case mode == Silent:
 		select {
 		case <-healed:
 		case <-c.closed:
@@ -120,11 +173,25 @@
 	return read, err
 }
 
+// Write sends bytes, which get lost or have the connection reset in some modes.
+func (c *connection) Write(p []byte) (int, error) {
+	mode, _ := c.network.state(c.address)
+	switch {
+	case mode == Accepting || c.broken.Load():
+		c.broken.Store(true)
+		return len(p), nil
+	case mode == Resetting:
+		c.reset()
+		return len(p), nil
+	}
+	return c.TCPConn.Write(p)
+}
+
 // Doubt implements upstream.Network.
 func (n *Network) Doubt(string) {}
 
-// CutOff implements upstream.Network.
-func (n *Network) CutOff() bool { return false }
+// Lost implements upstream.Network.
+func (n *Network) Lost(string) bool { return false }
 
 // Close closes the connection.
 func (c *connection) Close() error {
--- a/cuttest/press.go
+++ b/cuttest/press.go
@@ -15,6 +15,13 @@
 	MinCutShare   = 2.0 / 3
 	MinOtherShare = 0.98
 
+	// AdaptTime is the time from the start of a cut within which MinEarlyShare of what others
+	// get must be served, and from which on MinLateShare must; CutTime is how long it lasts.
+	AdaptTime     = 2 * time.Second
+	CutTime       = 9 * time.Second
+	MinEarlyShare = 2.0 / 3
+	MinLateShare  = 0.95
+
 	// callersPerEntry is the number of callers of each entry, callInterval the time between
 	// two calls of one.
 	callersPerEntry = 2
@@ -59,6 +66,30 @@
 	}
 }
 
+// PressAcross has callers press from the start of a cut on, in two windows: from its start to
+// AdaptTime, and from then to its end after CutTime. It returns the shares of both.
+func PressAcross(entries int, call func(entry int) bool, cut func()) (early, late []float64) {
+	cut()
+	first := Press(entries, call)
+	time.Sleep(AdaptTime)
+	second := Press(entries, call)
+	early = first()
+	time.Sleep(CutTime - AdaptTime)
+	return early, second()
+}
+
+// ServedAcross reports whether callers are served as they must be from the start of a cut of
+// the first entries, so many, on, given the shares that PressAcross returns.
+func ServedAcross(early, late []float64, cut int) bool {
+	for i := range late {
+		others := [2]float64{early[len(early)-1], late[len(late)-1]}
+		if i < cut && (early[i] < MinEarlyShare*others[0] || late[i] < MinLateShare*others[1]) || i >= cut && min(early[i], late[i]) < MinOtherShare {
+			return false
+		}
+	}
+	return true
+}
+
 // Served reports whether callers are served as they must be while the first entries, so many,
 // are cut off, given the shares that Press returns.
 func Served(shares []float64, cut int) bool {
--- a/entry/cutoff_test.go
+++ b/entry/cutoff_test.go
@@ -53,3 +53,37 @@
 		}
 	}
 }
+
+// Guards against a handshake that is taken for a way: what is on the way to the servers accepts
+// connections, and passes nothing on or resets them.
+func TestEntriesBehindAcceptingPathServeCalls(t *testing.T) {
+	for _, mode := range []cuttest.Mode{cuttest.Accepting, cuttest.Resetting} {
+		for _, cut := range []int{1, 2} {
+			t.Run(fmt.Sprint(mode, cut), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t, 0)
+				for i := range 3 {
+					id := fmt.Sprintf("service-%d", i)
+					f.publishServer(id, registry.KindService, i, f.serve(standin.NewService(id)), "licensing")
+				}
+				f.start(3)
+				warm := f.press(http.MethodGet)
+				time.Sleep(time.Second)
+				warm()
+				var calls atomic.Int64
+				early, late := cuttest.PressAcross(len(f.entries), func(entry int) bool {
+					call := calls.Add(1)
+					method := []string{http.MethodGet, http.MethodPost}[call%2]
+					status, _ := f.grant(f.entries[entry], method, fmt.Sprintf(`{"strip": "across-%d"}`, call))
+					return status == http.StatusOK
+				}, func() {
+					for _, network := range f.networks[:cut] {
+						network.SetMode(mode)
+					}
+				})
+				f.c.Check(cuttest.ServedAcross(early, late, cut), qt.IsTrue, qt.Commentf("shares served %.2f, then %.2f, the first %d cut off", early, late, cut))
+				t.Logf("shares served %.2f, then %.2f, the first %d cut off", early, late, cut)
+			})
+		}
+	}
+}
--- a/entry/network.go
+++ b/entry/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -11,6 +12,10 @@
 	"greengagedock.example/mesh"
 )
 
+// pathSilence is how long a request may be without a byte, and its server send nothing on any
+// direct connection, until the way to it is checked.
+const pathSilence = 500 * time.Millisecond
+
 // serverNetwork is the direct way to backend servers.
 type serverNetwork struct{}
 
@@ -22,8 +27,8 @@
 // Doubt implements upstream.Network.
 func (serverNetwork) Doubt(string) {}
 
-// CutOff implements upstream.Network.
-func (serverNetwork) CutOff() bool { return false }
+// Lost implements upstream.Network.
+func (serverNetwork) Lost(string) bool { return false }
 
 // dialServer opens a connection to a server, once the control state is there to tell which
 // ways lead to it.
@@ -50,17 +55,17 @@
 	return w.process.control.OpenTunnel(ctx, relay, address)
 }
 
-// CutOffChanged ends the idle connections, which lead through ways that are lost or no longer
+// Changed ends the idle connections, which lead through ways that are lost or no longer
 // needed.
-func (w ways) CutOffChanged(bool) { w.process.client.Close() }
+func (w ways) Changed(bool) { w.process.client.Close() }
 
 // serveTunnel connects to a server for another entry that has lost the way to it.
 func (w ways) serveTunnel(ctx context.Context, address string) (net.Conn, error) {
 	switch {
 	case !slices.Contains(w.Servers(), address):
 		return nil, eris.Wrapf(mesh.ErrRefused, "%s: not a listed server", address)
-	case w.process.paths.CutOff() || w.process.draining():
-		return nil, eris.Wrap(mesh.ErrRefused, "cut off from the servers, or draining")
+	case w.process.paths.Lost(address) || w.process.draining():
+		return nil, eris.Wrap(mesh.ErrRefused, "way to the server lost, or draining")
 	}
 	return w.process.paths.DialDirect(ctx, address)
 }
--- a/entry/process.go
+++ b/entry/process.go
@@ -66,6 +66,7 @@
 	p.startedAt = p.timers.Now()
 	ways := ways{p}
 	p.paths = mesh.NewPaths(network, ways, &p.timers, log.Named("mesh"))
+	p.paths.SetProbe(backend.LoadPath)
 	p.client.SetDial(p.dialServer)
 	p.recorder.entryID = s.ID()
 	p.recorder.timers = &p.timers
@@ -118,6 +119,7 @@
 	watch := &watcher{control: p.control, client: registry.NewClient(p.settings.PlatformAddresses()...), log: p.log.Named("platform")}
 	p.goroutines.Go(func() { poll.run(ctx) })
 	p.goroutines.Go(func() { p.paths.Probe(ctx) })
+	p.goroutines.Go(func() { p.paths.Watch(ctx, pathSilence) })
 	p.goroutines.Go(func() { watch.run(ctx) })
 	p.goroutines.Go(func() { p.reportOpenRequests(ctx) })
 	p.goroutines.Go(func() { p.checkDeadlines(ctx) })
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -49,6 +49,9 @@
 		ingress.HeaderDecoder
 		upstream.HeaderCodec
 	}
+	// HealthPath is the path of a GET request that costs backend servers next to nothing. It is
+	// sent while there is doubt about the way to one; empty if there is none.
+	HealthPath string
 	// Directory returns the HTTP handler for directory requests and readiness checks.
 	Directory func(d Directory) http.Handler
 }
@@ -104,6 +107,7 @@
 	}
 	ways := ways{process: p, dialer: dialer}
 	p.paths = mesh.NewPaths(network, ways, &p.timers, log)
+	p.paths.SetProbe(platform.HealthPath)
 	p.client = upstream.NewClient(platform.Headers, &p.timers, dialer)
 	p.client.SetNetwork(p.paths)
 	p.peerClient = mesh.NewClient(settings.timeouts.Dialer())
--- a/gateway/ways.go
+++ b/gateway/ways.go
@@ -34,9 +34,9 @@
 	return mesh.OpenTunnel(ctx, w.dialer, relay, address)
 }
 
-// CutOffChanged tells the other entries, and ends the idle connections on ways that are lost
-// or no longer needed.
-func (w ways) CutOffChanged(cutOff bool) {
+// Changed tells the other entries, and ends the idle connections on ways that are lost or no
+// longer needed.
+func (w ways) Changed(cutOff bool) {
 	w.process.control.setCutOff(cutOff)
 	w.process.sweepOnce()
 }
@@ -47,6 +47,8 @@
 	switch {
 	case !slices.Contains(w.Servers(), address):
 		return nil, eris.Wrapf(mesh.ErrRefused, "%s: not a known server", address)
+	case w.process.paths.Lost(address):
+		return nil, eris.Wrapf(mesh.ErrRefused, "%s: way to the server lost", address)
 	case state != memberReady:
 		return nil, eris.Wrapf(mesh.ErrRefused, "entry is %v", state)
 	}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -184,8 +184,9 @@
 	doubt *time.Timer
 }
 
-// doubtTimeout is how long a plain service may take until the way to its server is checked,
-// and maxDoubtFraction the fraction of the time left that this may be.
+// doubtTimeout is how long a plain service may take until the way to its server is checked, and
+// an engine beyond several times the expected time; maxDoubtFraction is the fraction of the time
+// left that this may be for a plain service.
 const (
 	doubtTimeout     = 500 * time.Millisecond
 	maxDoubtFraction = 0.5
@@ -226,7 +227,7 @@
 	if q.service.Engine() == nil {
 		return min(doubtTimeout, time.Duration(maxDoubtFraction*float64(q.deadline.Sub(now))))
 	}
-	return q.firstByteTimeout(grant)
+	return doubtTimeout + silenceFactor*grant.TimeToFirstToken()
 }
 
 // firstByteTimeout returns how long an engine may take until its first byte, by the time that
--- a/ingress/path_test.go
+++ b/ingress/path_test.go
@@ -19,7 +19,7 @@
 // pathNetwork is a network whose ways are lost as set.
 type pathNetwork struct {
 	upstream.Dialer
-	cutOff bool
+	lost   bool
 	noPath bool
 
 	mu      sync.Mutex
@@ -41,8 +41,8 @@
 	n.doubted = append(n.doubted, address)
 }
 
-// CutOff implements upstream.Network.
-func (n *pathNetwork) CutOff() bool { return n.cutOff }
+// Lost implements upstream.Network.
+func (n *pathNetwork) Lost(string) bool { return n.lost }
 
 // Guards against RECOVER: servers are blamed for what an entry that has lost the way to them
 // sees of them.
@@ -54,16 +54,16 @@
 		status  int
 	}{
 		{&pathNetwork{}, "/once/x", dispatch.OutcomeBroken, http.StatusBadGateway},
-		{&pathNetwork{cutOff: true}, "/once/x", dispatch.OutcomePathLost, http.StatusBadGateway},
-		{&pathNetwork{cutOff: true}, "/stream/fixed/x", dispatch.OutcomePathLost, http.StatusBadGateway},
-		{&pathNetwork{cutOff: true, noPath: true}, "/once/x", dispatch.OutcomeWithdrawn, http.StatusServiceUnavailable},
+		{&pathNetwork{lost: true}, "/once/x", dispatch.OutcomePathLost, http.StatusBadGateway},
+		{&pathNetwork{lost: true}, "/stream/fixed/x", dispatch.OutcomePathLost, http.StatusBadGateway},
+		{&pathNetwork{lost: true, noPath: true}, "/once/x", dispatch.OutcomeWithdrawn, http.StatusServiceUnavailable},
 	} {
 		backend := newBackend(qt.New(t), "")
 		b := newTestbed(t, backend)
 		network := test.network
 		b.server.client.SetNetwork(network)
 		response, _, _ := b.do(b.request(http.MethodPost, test.path, ""))
-		comment := qt.Commentf("%s, cut off %v, no path %v", test.path, network.cutOff, network.noPath)
+		comment := qt.Commentf("%s, lost %v, no path %v", test.path, network.lost, network.noPath)
 		b.c.Check(response.StatusCode, qt.Equals, test.status, comment)
 		b.c.Check(b.scheduler.ended()[0], qt.Equals, test.outcome, comment)
 	}
--- a/mesh/paths.go
+++ b/mesh/paths.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -8,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -24,25 +26,48 @@
 //
 // A way is lost only if another entry reaches the server: a server that no entry reaches is
 // down. So a dial that failed, or a connection that ended or was silent, is followed by a
-// dial through another entry, aside from any request.
+// small request of its own on the direct way and through other entries. Only bytes of a
+// response show that a way works: whatever is on the way may accept connections for a server
+// that it does not reach.
 
 const (
-	// checkTimeout bounds a check of the way to a server: a dial, and one by another entry.
+	// checkTimeout bounds a check of the way to a server.
 	checkTimeout = 1200 * time.Millisecond
 	// checkInterval is the least time between two checks of the way to one server.
 	checkInterval = time.Second
-	// maxChecks bounds the checks at the same time.
-	maxChecks = 3
-	// minLostForCutOff is the number of ways that are lost, with none that is not, from which
-	// all ways count as lost, if there are as many servers.
+	// maxChecks bounds the checks at the same time, but for those of a survey.
+	maxChecks = 8
+	// relayDelay is how long the direct way, or one through another entry, may leave a check's
+	// request unanswered until the next way is tried beside it: several times what a sound
+	// server takes.
+	relayDelay = 150 * time.Millisecond
+	// directPatience is how long the direct way may leave it unanswered once it was answered
+	// through another entry: two retransmissions of a lost packet.
+	directPatience = 450 * time.Millisecond
+	// freshAnswer is how recently a server must have sent something on the direct way for its
+	// silence on a single connection to raise no doubt about the way.
+	freshAnswer = 250 * time.Millisecond
+	// surveySize is the number of other ways that are checked at once if one is lost and none is
+	// known to work since. If 22 of 26 ways are lost, these are all lost in 1 of 20 surveys.
+	surveySize = 12
+	// minLostForCutOff is the number of ways that must be lost, with none that is known to work
+	// after a survey, for all ways to count as lost, if there are as many servers.
 	minLostForCutOff = 2
-	// probeInterval is the time between rounds of dials that show whether lost ways are back,
-	// and probesPerRound the number of dials in a round.
+	// probeInterval is the time between rounds of probes that show whether lost ways are back,
+	// and thus between two probes of one, and probesPerRound the number of probes in a round.
 	probeInterval  = 500 * time.Millisecond
-	probesPerRound = 2
+	probesPerRound = 8
+	// minHold is for how long a lost way must answer each probe until it is used again: longer
+	// than a way that comes and goes each second does. The time doubles with each loss, up to
+	// maxHoldDoublings times, until the way has been whole for forgetLosses.
+	minHold          = 1500 * time.Millisecond
+	maxHoldDoublings = 4
+	forgetLosses     = time.Minute
 	// maxRelays is the number of entries that are asked for one connection.
 	maxRelays = 3
-	// refusedTime is how long an entry that opened no tunnel is asked after the others.
+	// refusedTime is how long an entry that opened no tunnel, or one that passed nothing on,
+	// is asked after the others, and one that led to a server before them: one that has lost
+	// its own way to a server may not know it yet.
 	refusedTime = 2 * time.Second
 )
 
@@ -54,8 +79,8 @@
 	Relays() []string
 	// Open opens a tunnel to a server through the entry at the address relay.
 	Open(ctx context.Context, relay, address string) (net.Conn, error)
-	// CutOffChanged is called when the result of Paths.CutOff changes.
-	CutOffChanged(cutOff bool)
+	// Changed is called when the results of Paths.Lost change, with that of Paths.CutOff.
+	Changed(cutOff bool)
 }
 
 // Paths is an upstream.Network that reaches servers through other entries where the direct
@@ -65,27 +90,55 @@
 	ways   Ways
 	timers *timer.Service
 	log    hclog.Logger
+	// probePath is the path of the request of a probe, empty if a handshake must do.
+	probePath string
+	start     time.Time
 
-	mu sync.Mutex
-	// lost holds when the direct way to a server was found to be lost, by its address.
-	lost map[string]time.Time
-	// reachedAt is when a server was last reached directly.
-	reachedAt time.Time
+	mu        sync.Mutex
+	paths     map[string]*path // by the server's address
 	cutOff    bool
-	checks    int
-	checkedAt map[string]time.Time
-	// refusedAt holds when an entry last opened no tunnel, by its address.
+	surveying bool
+	// surveySince is when the ways were lost that led to the survey, as the time since start.
+	surveySince int64
+	checks      int
+	// refusedAt holds when an entry last opened no tunnel, or none that works, by its address.
 	refusedAt map[string]time.Time
+	// ledAt holds when a server last responded to a check through an entry, by its address.
+	ledAt map[string]time.Time
+}
+
+// path is the direct way to a server. Only answeredAt may be used without Paths.mu.
+type path struct {
+	// answeredAt is when the server last sent something on it, as the time since Paths.start.
+	answeredAt atomic.Int64
+	lost       bool
+	// inferred is set if the way counts as lost only because all ways do.
+	inferred bool
+	lostAt   time.Time
+	losses   int
+	// returnedAt is when the way was last found to be whole again.
+	returnedAt time.Time
+	// goodSince is when it answered the first probe after the last one that it did not.
+	goodSince time.Time
+	checkedAt time.Time
+	probedAt  time.Time
+	probing   bool
+	conns     map[*directConn]bool
 }
 
 // NewPaths returns paths whose direct ways lead through a network.
 func NewPaths(direct upstream.Network, ways Ways, timers *timer.Service, log hclog.Logger) *Paths {
 	return &Paths{
-		direct: direct, ways: ways, timers: timers, log: log,
-		lost: make(map[string]time.Time), checkedAt: make(map[string]time.Time), refusedAt: make(map[string]time.Time),
+		direct: direct, ways: ways, timers: timers, log: log, start: timers.Now(),
+		paths: make(map[string]*path), refusedAt: make(map[string]time.Time), ledAt: make(map[string]time.Time),
 	}
 }
 
+// SetProbe has ways checked by a GET request for a path, which must cost servers next to
+// nothing. Without it, a handshake counts as an answer. It is to be called before the first
+// Dial.
+func (p *Paths) SetProbe(path string) { p.probePath = path }
+
 // relayedConn is a connection through another entry.
 type relayedConn struct {
 	*net.TCPConn
@@ -95,179 +148,313 @@
 // Relay implements upstream.Relayed.
 func (c relayedConn) Relay() string { return c.relay }
 
+// pathOf returns the direct way to a server; p.mu must be held.
+func (p *Paths) pathOf(address string) *path {
+	known := p.paths[address]
+	if known == nil {
+		known = &path{conns: make(map[*directConn]bool)}
+		p.paths[address] = known
+	}
+	return known
+}
+
+// sinceStart returns a time as that since p.start, which is never 0.
+func (p *Paths) sinceStart(now time.Time) int64 { return max(1, int64(now.Sub(p.start))) }
+
 // Dial implements upstream.Network.
 func (p *Paths) Dial(ctx context.Context, address string) (net.Conn, error) {
-	if p.isLost(address) {
-		return p.dialRelayed(ctx, address)
-	}
-	conn, err := p.DialDirect(ctx, address)
-	if err == nil || ctx.Err() != nil {
-		return conn, err
+	if !p.Lost(address) {
+		conn, err := p.DialDirect(ctx, address)
+		if err == nil || ctx.Err() != nil {
+			return conn, err
+		}
+		if !p.Lost(address) {
+			p.check(address, false)
+			return nil, err
+		}
 	}
-	if p.isLost(address) {
-		return p.dialRelayed(ctx, address)
+	conn, err := p.dialRelayed(ctx, address)
+	if errors.Is(err, upstream.ErrNoPath) && p.answersProbes(address) {
+		return p.DialDirect(ctx, address)
 	}
-	p.check(address, false)
-	return nil, err
+	return conn, err
 }
 
 // Doubt implements upstream.Network.
 func (p *Paths) Doubt(address string) {
+	p.mu.Lock()
+	answeredAt := p.pathOf(address).answeredAt.Load()
+	p.mu.Unlock()
+	if answeredAt == 0 || p.sinceStart(p.timers.Now())-answeredAt >= int64(freshAnswer) {
+		p.doubt(address)
+	}
+}
+
+// doubt has the direct way to a server checked.
+func (p *Paths) doubt(address string) {
 	if !p.isLost(address) {
 		p.check(address, true)
 	}
 }
 
-// CutOff implements upstream.Network.
+// CutOff reports whether the direct ways to all servers are lost.
 func (p *Paths) CutOff() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.cutOff
 }
 
-// isLost reports whether the direct way to a server is lost.
+// Lost implements upstream.Network. While it is being found out whether all ways are lost, it
+// reports true for those on which nothing has arrived since.
+func (p *Paths) Lost(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.pathOf(address)
+	return p.cutOff || known.lost || p.surveying && known.answeredAt.Load() < p.surveySince
+}
+
+// isLost reports whether the direct way to a server was found to be lost.
 func (p *Paths) isLost(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, lost := p.lost[address]
-	return lost || p.cutOff
+	return p.cutOff || p.pathOf(address).lost
 }
 
-// DialDirect opens a direct connection, which shows that the way is not lost.
+// LostSince returns when the direct ways were lost that are, by the server's address.
+func (p *Paths) LostSince() map[string]time.Time {
+	out := make(map[string]time.Time)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, known := range p.paths {
+		if known.lost {
+			out[address] = known.lostAt
+		}
+	}
+	return out
+}
+
+// answersProbes reports whether a lost way has answered the last probe.
+func (p *Paths) answersProbes(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.pathOf(address).goodSince.IsZero()
+}
+
+// lastAnswer returns when a server last sent something on a way that is not lost, as the time
+// since p.start; p.mu must be held.
+func (p *Paths) lastAnswer() int64 {
+	last := int64(0)
+	for _, known := range p.paths {
+		if !known.lost {
+			last = max(last, known.answeredAt.Load())
+		}
+	}
+	return last
+}
+
+// DialDirect opens a direct connection.
 func (p *Paths) DialDirect(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := p.direct.Dial(ctx, address)
-	if err == nil {
-		p.reached(address)
+	if err != nil {
+		return nil, err
 	}
-	return conn, err
+	return p.observe(address, conn), nil
 }
 
 // dialRelayed opens a connection through another entry.
 func (p *Paths) dialRelayed(ctx context.Context, address string) (net.Conn, error) {
 	relays := p.relays()
 	lastErr := eris.New("no other entry reaches servers")
+	var unreachable error
 	for _, relay := range relays[:min(maxRelays, len(relays))] {
 		conn, err := p.ways.Open(ctx, relay, address)
 		switch {
 		case err == nil:
 			return relayedConn{conn.(*net.TCPConn), relay}, nil
-		case errors.Is(err, ErrServerUnreachable) || ctx.Err() != nil:
+		case ctx.Err() != nil:
 			return nil, err
+		case errors.Is(err, ErrServerUnreachable):
+			unreachable = err // another entry may reach it
+			continue
 		}
 		lastErr = err
-		p.mu.Lock()
-		p.refusedAt[relay] = p.timers.Now()
-		p.mu.Unlock()
+		p.refused(relay)
+	}
+	if unreachable != nil {
+		return nil, unreachable
 	}
 	return nil, eris.Wrapf(upstream.ErrNoPath, "%v", lastErr)
 }
 
-// relays returns the entries that may lead to servers; those that lately opened no tunnel
-// come last.
+// refused records that an entry opened no tunnel, or none that works.
+func (p *Paths) refused(relay string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusedAt[relay] = p.timers.Now()
+}
+
+// led records that a server responded through an entry.
+func (p *Paths) led(relay string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ledAt[relay] = p.timers.Now()
+	delete(p.refusedAt, relay)
+}
+
+// relays returns the entries that may lead to servers: those first that lately did, and those
+// last that opened no tunnel, or none that worked.
 func (p *Paths) relays() []string {
 	relays, now := slices.Clone(p.ways.Relays()), p.timers.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.refusedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= refusedTime })
-	slices.SortStableFunc(relays, func(a, b string) int { return p.refusedAt[a].Compare(p.refusedAt[b]) })
+	maps.DeleteFunc(p.ledAt, func(_ string, at time.Time) bool { return now.Sub(at) >= refusedTime })
+	slices.SortStableFunc(relays, func(a, b string) int {
+		return cmp.Or(p.refusedAt[a].Compare(p.refusedAt[b]), cmp.Compare(p.leads(b), p.leads(a)))
+	})
 	return relays
 }
 
+// leads returns 1 for an entry through which a server lately responded, and 0 for any other;
+// p.mu must be held.
+func (p *Paths) leads(relay string) int {
+	if _, led := p.ledAt[relay]; led {
+		return 1
+	}
+	return 0
+}
+
 // check finds out, aside from any request, whether the direct way to a server is lost. With
-// dial set it dials the server first.
+// dial set it tries that way first.
 func (p *Paths) check(address string, dial bool) {
 	now := p.timers.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.checks >= maxChecks || now.Sub(p.checkedAt[address]) < checkInterval {
+	known := p.pathOf(address)
+	if p.checks >= maxChecks || !known.checkedAt.IsZero() && now.Sub(known.checkedAt) < checkInterval {
 		return
 	}
-	maps.DeleteFunc(p.checkedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= checkInterval })
-	p.checkedAt[address] = now
+	known.checkedAt = now
 	p.checks++
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
-		defer cancel()
-		lost := p.wayLost(ctx, address, dial)
+		p.checkNow(address, dial, now)
 		p.mu.Lock()
+		defer p.mu.Unlock()
 		p.checks--
-		p.mu.Unlock()
-		if lost {
-			p.lose(address, now)
-		}
 	}()
 }
 
-// wayLost reports whether another entry reaches a server that this one doesn't.
-func (p *Paths) wayLost(ctx context.Context, address string, dial bool) bool {
-	if dial {
-		if conn, err := p.DialDirect(ctx, address); err == nil {
-			conn.Close()
-			return false
-		}
+// checkNow is check without its limits.
+func (p *Paths) checkNow(address string, dial bool, now time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	if lost, connected := p.wayLost(ctx, address, dial); lost {
+		p.lose(address, now, connected)
 	}
-	conn, err := p.dialRelayed(ctx, address)
-	if err != nil {
-		return false
-	}
-	conn.Close()
-	return true
 }
 
-// lose records that the direct way to a server is lost, as found at a time.
-func (p *Paths) lose(address string, now time.Time) {
-	servers := len(p.ways.Servers())
+// lose records that the direct way to a server is lost, as found at a time. If the way still
+// accepts connections, which thus don't end by themselves, those are closed on which a request
+// has got no byte, unless some arrived on others since then.
+func (p *Paths) lose(address string, now time.Time, connected bool) {
+	servers := p.ways.Servers()
 	p.mu.Lock()
-	p.lost[address] = now
-	since := 0
-	for _, at := range p.lost {
-		if at.After(p.reachedAt) {
-			since++
+	known := p.pathOf(address)
+	found := !known.lost
+	if found {
+		known.lose(now)
+	}
+	var hanging []*directConn
+	for conn := range known.conns {
+		if connected && conn.asked.Load() != 0 && known.answeredAt.Load() < p.sinceStart(now) {
+			hanging = append(hanging, conn)
+		}
+	}
+	recent, last := 0, p.lastAnswer()
+	for _, other := range p.paths {
+		if other.lost && p.sinceStart(other.lostAt) > last {
+			recent++
 		}
 	}
-	changed := !p.cutOff && since >= min(minLostForCutOff, servers)
-	p.cutOff = p.cutOff || changed
+	survey := found && !p.cutOff && !p.surveying && recent > 0
+	checkOthers := found && !p.cutOff && !p.surveying && !survey
+	if survey {
+		p.surveying, p.surveySince = true, p.sinceStart(now)
+	}
+	cutOff := p.cutOff
 	p.mu.Unlock()
-	p.log.Warn("way to server lost", "address", address, "lost", since, "servers", servers, "cut_off", changed)
-	if changed {
-		p.ways.CutOffChanged(true)
-	} else {
-		p.checkOthers()
+	for _, conn := range hanging {
+		conn.Close()
+	}
+	if !found {
+		return
+	}
+	p.log.Warn("way to server lost", "address", address, "lost", recent, "servers", len(servers), "accepts", connected, "ended", len(hanging))
+	p.ways.Changed(cutOff)
+	if survey {
+		go p.survey()
+	} else if checkOthers {
+		for _, other := range p.unchecked(minLostForCutOff) {
+			p.check(other, true)
+		}
+	}
+}
+
+// lose records that the way is lost.
+func (k *path) lose(now time.Time) {
+	if now.Sub(k.returnedAt) >= forgetLosses {
+		k.losses = 0
 	}
+	k.lost, k.inferred, k.lostAt, k.goodSince = true, false, now, time.Time{}
+	k.losses++
 }
 
-// checkOthers checks the ways to some servers to which they are not known to be lost: open
-// connections that hang don't show it soon.
-func (p *Paths) checkOthers() {
+// hold returns for how long the way must answer each probe until it is used again.
+func (k *path) hold() time.Duration { return minHold << min(max(0, k.losses-1), maxHoldDoublings) }
+
+// unchecked returns some servers, at most so many, to which the ways are not known to be lost.
+// Open connections that hang don't show it soon.
+func (p *Paths) unchecked(limit int) []string {
 	servers := slices.Clone(p.ways.Servers())
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	checked := 0
-	for _, address := range servers {
-		if checked < minLostForCutOff && !p.isLost(address) {
-			p.check(address, true)
-			checked++
-		}
-	}
+	servers = slices.DeleteFunc(servers, p.isLost)
+	return servers[:min(limit, len(servers))]
 }
 
-// reached records that a server was reached directly.
-func (p *Paths) reached(address string) {
+// survey finds out whether the direct ways to all servers are lost.
+func (p *Paths) survey() {
+	var running sync.WaitGroup
+	now := p.timers.Now()
+	for _, address := range p.unchecked(surveySize) {
+		running.Go(func() { p.checkNow(address, true, now) })
+	}
+	running.Wait()
+	servers := p.ways.Servers()
+	now = p.timers.Now()
 	p.mu.Lock()
-	_, lost := p.lost[address]
-	changed := p.cutOff
-	delete(p.lost, address)
-	p.reachedAt = p.timers.Now()
-	p.cutOff = false
-	p.mu.Unlock()
-	if lost || changed {
-		p.log.Info("way to server is back", "address", address, "cut_off", false)
+	p.surveying = false
+	lost := 0
+	for _, known := range p.paths {
+		if known.lost {
+			lost++
+		}
+	}
+	p.cutOff = p.lastAnswer() < p.surveySince && lost >= min(minLostForCutOff, len(servers))
+	for _, address := range servers {
+		if known := p.pathOf(address); p.cutOff && !known.lost {
+			known.lose(now)
+			known.inferred = true
+		}
 	}
-	if changed {
-		p.ways.CutOffChanged(false)
+	cutOff := p.cutOff
+	p.mu.Unlock()
+	if cutOff {
+		p.log.Warn("ways to all servers lost", "servers", len(servers), "cut_off", true)
+		p.ways.Changed(true)
 	}
 }
 
-// Probe dials servers to which the way is lost, at intervals until ctx ends.
+// Probe finds out at intervals whether ways that are lost are back, until ctx ends.
 func (p *Paths) Probe(ctx context.Context) {
 	tick := p.timers.Every(probeInterval)
 	defer tick.Stop()
@@ -279,29 +466,75 @@
 		case <-ctx.Done():
 			return
 		}
-		for _, address := range p.probed() {
+		for _, address := range p.toProbe() {
 			running.Go(func() {
 				ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 				defer cancel()
-				if conn, err := p.DialDirect(ctx, address); err == nil {
-					conn.Close()
-				}
+				p.probed(address, p.ask(ctx, p.directly(address), nil) == nil)
 			})
 		}
 	}
 }
 
-// probed returns the servers to dial in a round, and forgets those that are gone.
-func (p *Paths) probed() []string {
-	servers := slices.Clone(p.ways.Servers())
+// toProbe returns the servers to probe in a round, and forgets those that are gone. Ways that
+// answered the last probe come first, then those that were not probed for longest.
+func (p *Paths) toProbe() []string {
+	servers, now := p.ways.Servers(), p.timers.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.lost, func(address string, _ time.Time) bool { return !slices.Contains(servers, address) })
-	if !p.cutOff {
-		servers = slices.Collect(maps.Keys(p.lost))
+	maps.DeleteFunc(p.paths, func(address string, known *path) bool {
+		return !slices.Contains(servers, address) && len(known.conns) == 0
+	})
+	var out []string
+	for address, known := range p.paths {
+		if known.lost && !known.probing && now.Sub(known.probedAt) >= probeInterval*9/10 {
+			out = append(out, address)
+		}
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		first, second := p.paths[a], p.paths[b]
+		if first.goodSince.IsZero() != second.goodSince.IsZero() {
+			return second.goodSince.Compare(first.goodSince)
+		}
+		return cmp.Or(first.probedAt.Compare(second.probedAt), cmp.Compare(a, b))
+	})
+	out = out[:min(probesPerRound, len(out))]
+	for _, address := range out {
+		p.paths[address].probing, p.paths[address].probedAt = true, now
+	}
+	return out
+}
+
+// probed records whether a probe on the direct way to a server was answered. The way is back
+// once it has answered for long enough; so are then the ways that only counted as lost because
+// all did.
+func (p *Paths) probed(address string, answered bool) {
+	now := p.timers.Now()
+	p.mu.Lock()
+	known := p.pathOf(address)
+	known.probing = false
+	switch {
+	case !answered:
+		known.goodSince = time.Time{}
+	case known.goodSince.IsZero():
+		known.goodSince = now
+	}
+	back := answered && known.lost && now.Sub(known.goodSince) >= known.hold()
+	if back {
+		known.lost, known.returnedAt = false, now
+		p.cutOff = false
+		for _, other := range p.paths {
+			if other.lost && other.inferred {
+				other.lost, other.losses = false, other.losses-1
+			}
+		}
+	}
+	held := known.hold()
+	p.mu.Unlock()
+	if back {
+		p.log.Info("way to server is back", "address", address, "after", held, "cut_off", false)
+		p.ways.Changed(false)
 	}
-	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	return servers[:min(probesPerRound, len(servers))]
 }
 
 // IdleOfUse returns which idle connections are of use for later requests, given the address
@@ -309,6 +542,6 @@
 func (p *Paths) IdleOfUse() func(address, relay string) bool {
 	relays := p.ways.Relays()
 	return func(address, relay string) bool {
-		return p.isLost(address) == (relay != "") && (relay == "" || slices.Contains(relays, relay))
+		return p.Lost(address) == (relay != "") && (relay == "" || slices.Contains(relays, relay))
 	}
 }
--- a/mesh/paths_test.go
+++ b/mesh/paths_test.go
@@ -47,8 +47,8 @@
 // Doubt implements upstream.Network.
 func (w *testWays) Doubt(string) {}
 
-// CutOff implements upstream.Network.
-func (w *testWays) CutOff() bool { return false }
+// Lost implements upstream.Network.
+func (w *testWays) Lost(string) bool { return false }
 
 // Servers implements Ways.
 func (w *testWays) Servers() []string { return w.servers }
@@ -60,8 +60,8 @@
 	return slices.Clone(w.relays)
 }
 
-// CutOffChanged implements Ways.
-func (w *testWays) CutOffChanged(bool) {}
+// Changed implements Ways.
+func (w *testWays) Changed(bool) {}
 
 // Open implements Ways.
 func (w *testWays) Open(_ context.Context, relay, address string) (net.Conn, error) {
@@ -175,7 +175,7 @@
 	set(w, w.cut, true, servers[0])
 	_, err := dial(p, servers[0])
 	c.Assert(err, qt.ErrorIs, errTestCut)
-	eventually(c, "way lost", func() bool { return p.isLost(servers[0]) })
+	eventually(c, "way lost", func() bool { return p.Lost(servers[0]) && !p.Lost(servers[1]) })
 	c.Assert(p.CutOff(), qt.IsFalse)
 	relay, err := dial(p, servers[0])
 	c.Assert(err, qt.IsNil)
@@ -198,7 +198,7 @@
 		defer w.mu.Unlock()
 		return w.direct == 1
 	})
-	c.Assert(p.isLost(servers[0]), qt.IsFalse)
+	c.Assert(p.Lost(servers[0]), qt.IsFalse)
 	set(w, w.cut, true, servers...)
 	p.Doubt(servers[1])
 	p.Doubt(servers[2])
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -26,7 +26,7 @@
 	// reached, so that nothing is known of the server; no byte of the request was sent.
 	ErrNoPath = eris.New("upstream: no way to the server")
 	// ErrPathLost is returned when the request may have run, and its connection ended or was
-	// silent while the direct ways to all servers are lost.
+	// silent while the direct way to the server is lost.
 	ErrPathLost = eris.New("upstream: way to the server lost")
 
 	errStrayResponses = eris.New("upstream: only responses to other requests received")
@@ -125,14 +125,14 @@
 		return false
 	}
 	c.network.Doubt(conn.address)
-	return c.network.CutOff()
+	return c.network.Lost(conn.address)
 }
 
 // Doubt records that the server at an address is silent, and reports whether it may be at
-// fault: not while the direct ways to all servers are lost.
+// fault: not while the direct way to it is lost.
 func (c *Client) Doubt(address string) (mayBeAtFault bool) {
 	c.network.Doubt(address)
-	return !c.network.CutOff()
+	return !c.network.Lost(address)
 }
 
 // PathLost reports whether the response ended early, or is silent, because the way to its
@@ -218,7 +218,7 @@
 		if conn == nil {
 			return nil
 		}
-		if conn.address == address && conn.reusable(now) {
+		if conn.address == address && conn.reusable(now) && (conn.relay != "" || !c.network.Lost(address)) {
 			return conn
 		}
 		conn.tcp.Close()
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -33,8 +33,8 @@
 	// Doubt reports that a server at an address sends nothing on a connection, or has ended
 	// one without a response.
 	Doubt(address string)
-	// CutOff reports whether the direct ways to all servers are lost.
-	CutOff() bool
+	// Lost reports whether the direct way to a server at an address is known to be lost.
+	Lost(address string) bool
 }
 
 // Relayed is a connection that leads to its server through another entry.
@@ -140,8 +140,8 @@
 // Doubt implements Network.
 func (d Dialer) Doubt(string) {}
 
-// CutOff implements Network: a dialer knows of no other way.
-func (d Dialer) CutOff() bool { return false }
+// Lost implements Network: a dialer knows of no other way.
+func (d Dialer) Lost(string) bool { return false }
 
 // readable reports whether the peer has closed or reset an idle connection, or sent more.
 func readable(conn net.Conn) bool {
