gateway: place requests on servers that their entry reaches

An entry that reaches some servers and not others got the rest placed on pairs that can't communicate, and its failures suspended servers for all. Placement prefers servers that the entry of the request reaches, and otherwise the entry's tunnel leads through the relay with the fewest tunnels for its CPU. A server that did not respond to one entry, and just did to others, is avoided by that entry alone. A lost path has the others checked 12 at a time, each with two attempts, and up to 8 entries are asked for a way.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -51,7 +51,11 @@
 	if len(available) == 0 {
 		return p.queueOrRefuse(now, request, ReasonNoServer)
 	}
-	choice := p.choose(now, available, request, withoutWorkers)
+	reached := reachedBy(now, owner.entry, available)
+	choice := p.choose(now, reached, request, withoutWorkers)
+	if choice.server == nil && len(reached) < len(available) {
+		choice = p.choose(now, available, request, withoutWorkers)
+	}
 	if choice.server == nil && request.acceptsSuspended(now) && !p.needsSpread(request) {
 		choice = p.choose(now, p.suspendedCandidates(now, request), request, true)
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -204,6 +204,7 @@
 	if s == nil {
 		return
 	}
+	s.responded(now, alloc.owner.entry)
 	s.decoding++
 	s.contextTokens += alloc.prompt
 	for _, part := range alloc.prefillParts {
@@ -258,7 +259,7 @@
 // SetCutOff sets which entries have lost the way to all servers. What they reported of
 // servers before that was known no longer counts, and events that they wait for are not
 // overdue.
-func (sched *Scheduler) SetCutOff(entries map[string]bool) {
+func (sched *Scheduler) SetCutOff(now time.Time, entries map[string]bool) {
 	for _, alloc := range sched.running {
 		if !entries[alloc.owner.entry] || sched.cutOff[alloc.owner.entry] {
 			continue
@@ -270,7 +271,7 @@
 	sched.cutOff = entries
 	for _, p := range sched.pools {
 		for _, s := range p.order {
-			s.forgive(entries)
+			s.forgive(now, entries)
 		}
 	}
 }
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -76,6 +76,7 @@
 	failureRate  float64
 	// blamers holds the entries that reported the consecutive failures.
 	blamers map[string]bool
+	reach   reach
 }
 
 // allocation is a running request with what it takes on its servers.
@@ -239,10 +240,12 @@
 		}
 		return
 	case OutcomeComplete:
+		s.responded(now, entry)
 		s.consecutiveFailures = 0
 		s.unresponsive = false
 		s.blamers = nil
 	case OutcomeServerError:
+		s.responded(now, entry)
 		s.consecutiveFailures = 0
 		s.unresponsive = false
 		s.blamers = nil
@@ -251,6 +254,13 @@
 		s.refusedUntil = later(s.refusedUntil, now.Add(maxSuspension))
 		return
 	case OutcomeUnreachable, OutcomeBroken, OutcomeStalled:
+		if s.reach.blamedAlone(now, entry) {
+			if outcome != OutcomeBroken {
+				return
+			}
+			cost = 1
+			break
+		}
 		cost = 1
 		s.consecutiveFailures++
 		if s.blamers == nil {
@@ -276,16 +286,16 @@
 }
 
 // forgive ends the suspension of a server whose consecutive failures were all reported by
-// entries that turn out to have lost the way to all servers.
-func (s *server) forgive(cutOff map[string]bool) {
+// entries that turn out to have lost the way to it, or to all servers.
+func (s *server) forgive(now time.Time, cutOff map[string]bool) {
 	if len(s.blamers) == 0 {
 		return
 	}
 	for entry := range s.blamers {
-		if !cutOff[entry] {
+		if !cutOff[entry] && !s.reach.avoids(now, entry) {
 			return
 		}
 	}
-	s.blamers, s.consecutiveFailures, s.unresponsive, s.failureRate = nil, 0, false, 0
-	s.suspendedUntil = time.Time{}
+	s.absolve()
+	s.failureRate = 0
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -69,6 +69,10 @@
 	noticesExpired time.Time
 	// cutOff holds the entries that the scheduler knows to be cut off.
 	cutOff map[string]bool
+	// unreached holds when this entry lost the direct ways that it has, by the server's id, and
+	// tunnels returns the number of tunnels that it serves, nil for none.
+	unreached map[string]time.Time
+	tunnels   func() int
 	// entries is the number of entries that share the fleet-wide limits.
 	entries atomic.Int64
 	state   atomic.Value // memberState
@@ -164,7 +168,8 @@
 	}
 	c.entries.Store(int64(entries))
 	c.updateShares(now)
-	c.updateCutOff()
+	c.updateCutOff(now)
+	c.scheduler.SetUnreached(now, c.members.self.ID, slices.Sorted(maps.Keys(c.unreached)))
 	c.logSuspicions(now)
 	c.logRepeats()
 	c.expireNotices(now)
@@ -220,33 +225,40 @@
 func (c *control) setState(state memberState) {
 	c.members.self.State = state
 	c.state.Store(state)
+	c.announce()
+}
+
+// announce has the next round of heartbeats sent at once.
+func (c *control) announce() {
 	select {
 	case c.stateChanged <- struct{}{}:
 	default: // the next round is due already
 	}
 }
 
-// setCutOff sets whether this entry has lost the direct way to all servers.
-func (c *control) setCutOff(cutOff bool) {
-	c.do(func(time.Time) {
+// setPaths sets whether this entry has lost the direct way to all servers, and when it lost
+// those that it has, by the server's address.
+func (c *control) setPaths(cutOff bool, lost map[string]time.Time) {
+	c.do(func(now time.Time) {
+		c.setUnreached(lost)
 		switch {
 		case cutOff && c.members.self.State == memberReady:
 			c.setState(memberCutOff)
 		case !cutOff && c.members.self.State == memberCutOff:
 			c.setState(memberReady)
 		}
-		c.updateCutOff()
+		c.updateCutOff(now)
 	})
 }
 
 // updateCutOff tells the scheduler which entries are cut off.
-func (c *control) updateCutOff() {
+func (c *control) updateCutOff(now time.Time) {
 	cutOff := c.members.cutOff()
 	if maps.Equal(cutOff, c.cutOff) {
 		return
 	}
 	c.cutOff = cutOff
-	c.scheduler.SetCutOff(cutOff)
+	c.scheduler.SetCutOff(now, cutOff)
 	c.log.Info("entries cut off from servers", "entries", slices.Sorted(maps.Keys(cutOff)))
 }
 
--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"greengagedock.example/dispatch"
+	"greengagedock.example/routing"
 )
 
 // Entries that are cut off schedule for no other one, lead nowhere, and leave the directory
@@ -54,7 +56,7 @@
 	fail(other, "s3")
 	c.Assert(granted(scheduler, now, "before"), qt.Equals, "")
 	scheduler.members.observe(now, memberMessage{ID: "e2", Incarnation: 1, State: memberCutOff})
-	scheduler.updateCutOff()
+	scheduler.updateCutOff(now)
 	for i := range 30 {
 		server := granted(scheduler, now, fmt.Sprint("after-", i))
 		c.Assert(server, qt.Not(qt.Equals), "")
@@ -71,3 +73,57 @@
 	}
 	return decision.Grant().Server()
 }
+
+// Guards against pairs of entry and server that can't communicate and are still chosen: the
+// scheduler learns from heartbeats which they are, also beside an entry that skips the field.
+func TestSchedulerLearnsUnreachedServers(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	scheduler, cut := newSuspicionEntry(1, now), newSuspicionEntry(2, now)
+	lost := make(map[string]time.Time)
+	servers := make(map[string]routing.Server)
+	for i := range 12 {
+		id := fmt.Sprint("s", i)
+		servers[id] = routing.NewServer(id, "llm", id+":1", "a", 16)
+		if i > 0 {
+			lost[servers[id].Address()] = now.Add(-time.Duration(i) * time.Second)
+		}
+	}
+	cut.view.Store(routing.NewView(routing.NewRevision(0, 1), cut.cache.table, servers, nil))
+	reached := "s0"
+	cut.setUnreached(lost)
+	body, err := msgpack.Marshal(cut.newHeartbeat(now, heartbeatTarget{}))
+	c.Assert(err, qt.IsNil)
+	var heartbeat heartbeatMessage
+	c.Assert(msgpack.Unmarshal(body, &heartbeat), qt.IsNil)
+	c.Assert(heartbeat.Unreached, qt.HasLen, len(lost))
+	scheduler.applyHeartbeat(now, heartbeat)
+	place := func(owner dispatch.Owner, id string) string {
+		decision, ok := scheduler.scheduler.Submit(now, owner, scheduler.crashingRequest(now, id).WithParts()).(dispatch.Granted)
+		c.Assert(ok, qt.IsTrue)
+		scheduler.scheduler.Ended(now, id, dispatch.OutcomeComplete)
+		return decision.Grant().Server()
+	}
+	for i := range 10 {
+		c.Assert(place(cut.owner, fmt.Sprint("cut-", i)), qt.Equals, reached)
+	}
+	// Once cut off from all, it says so by its state alone.
+	cut.members.self.State = memberCutOff
+	c.Assert(cut.newHeartbeat(now, heartbeatTarget{}).Unreached, qt.HasLen, 0)
+}
+
+// Guards against a relay that serves all tunnels of a partial cut.
+func TestLeastLoadedRelayIsFirst(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	m := newTestMembers(memberReady)
+	for i, tunnels := range []int{40, 3, 9} {
+		other := testMember(fmt.Sprint("e", i), 1, memberReady)
+		other.PeerAddress, other.CPUCores = fmt.Sprint("p", i), 0.2
+		m.observe(now, other)
+		m.byID[other.ID].tunnels = tunnels
+	}
+	for range 20 {
+		c.Assert(m.relays(now)[2], qt.Equals, "p0")
+	}
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -80,6 +80,8 @@
 	// storeAnsweredAt is when the store last responded to the entry, zero if never
 	// or not known.
 	storeAnsweredAt time.Time
+	// tunnels is the number of tunnels that the entry last said that it serves.
+	tunnels int
 }
 
 // members holds this entry and the other entries that it knows.
@@ -298,13 +300,13 @@
 	return out
 }
 
-// relays returns the peer addresses of the other entries that reach servers, in weighted
-// random order.
+// relays returns the peer addresses of the other entries that reach servers, those with the
+// fewest tunnels for their CPU first, and in weighted random order among equals.
 func (m *members) relays(now time.Time) []string {
 	var candidates []weightedAddress
 	for _, known := range m.live(now, m.timeouts.scheduler()) {
 		if known.State == memberReady {
-			candidates = append(candidates, m.weigh(known.PeerAddress, known.CPUCores))
+			candidates = append(candidates, m.weighLoaded(known.PeerAddress, known.CPUCores, known.tunnels))
 		}
 	}
 	return inOrder(candidates)
@@ -318,7 +320,12 @@
 }
 
 func (m *members) weigh(address string, cpuCores float64) weightedAddress {
-	return weightedAddress{address, m.random.ExpFloat64() / max(minCPUCores, cpuCores)}
+	return m.weighLoaded(address, cpuCores, 0)
+}
+
+// weighLoaded is weigh for an entry that serves so many tunnels.
+func (m *members) weighLoaded(address string, cpuCores float64, tunnels int) weightedAddress {
+	return weightedAddress{address, (float64(tunnels) + m.random.ExpFloat64()) / max(minCPUCores, cpuCores)}
 }
 
 // inOrder returns the addresses in the order of their keys.
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -86,6 +86,17 @@
 	// digests differ.
 	RepeatsDigest uint64
 	Repeats       []repeatMessage
+	// Unreached lists the servers to which the sender has lost the direct way, unless it is cut
+	// off from all, and Tunnels is the number of tunnels that it serves.
+	Unreached []unreachedMessage
+	Tunnels   int
+}
+
+// unreachedMessage is a server to which an entry has lost the direct way.
+type unreachedMessage struct {
+	Server string
+	// Age is the time since then.
+	Age time.Duration
 }
 
 // noticeMessage is what a backend server stated about itself.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -96,11 +96,13 @@
 		}
 	}
 	if known := c.members.byID[heartbeat.From.ID]; known != nil {
+		known.tunnels = heartbeat.Tunnels
 		known.storeAnsweredAt = time.Time{}
 		if heartbeat.StoreAge >= 0 {
 			known.storeAnsweredAt = now.Add(-heartbeat.StoreAge)
 		}
 	}
+	c.applyUnreached(now, heartbeat)
 	c.members.mergeCounters(now, heartbeat.Counters)
 	c.mergeSuspicions(now, heartbeat.Suspicions)
 	c.mergeRepeats(now, heartbeat.Repeats)
@@ -123,7 +125,10 @@
 // the target has no address.
 func (c *control) newHeartbeat(now time.Time, to heartbeatTarget) heartbeatMessage {
 	heartbeat := heartbeatMessage{From: c.members.self, Revision: c.cache.revision.Packed(), StoreAge: c.storeAge(now), Digest: c.members.digest(), SuspicionsDigest: c.suspicionsDigest(), RepeatsDigest: c.repeats().Digest(),
-		NoticesDigest: c.notices.Digest(now), Notices: encodeNotices(now, c.notices.News(now))}
+		NoticesDigest: c.notices.Digest(now), Notices: encodeNotices(now, c.notices.News(now)), Unreached: c.encodeUnreached(now)}
+	if c.tunnels != nil {
+		heartbeat.Tunnels = c.tunnels()
+	}
 	if to.address == "" {
 		return heartbeat
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -122,6 +122,7 @@
 	p.callerServer = ingress.NewServer(p.control, scheduler, reserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
 	p.peerServer = mesh.NewServer(p.control.handle)
 	p.peerServer.ServeTunnels(ways.serveTunnel)
+	p.control.tunnels = p.peerServer.Tunnels
 	if err := p.listen(platform); err != nil {
 		for _, listener := range p.listeners {
 			listener.Close()
@@ -183,6 +184,7 @@
 	values := map[string]any{
 		"open": p.callerServer.OpenRequests(), "log_lines_dropped": p.logs.Dropped(),
 		"tunnels_served":     p.peerServer.Tunnels(),
+		"paths_lost":         len(p.paths.LostSince()),
 		"connections_opened": p.client.ConnectionsOpened(), "connections_reused": p.client.ConnectionsReused(),
 		"control_bytes_sent":     sum(p.peerClient.Traffic().Sent(), p.peerServer.Traffic().Sent()),
 		"control_bytes_received": sum(p.peerClient.Traffic().Received(), p.peerServer.Traffic().Received()),
--- a/gateway/ways.go
+++ b/gateway/ways.go
@@ -37,7 +37,7 @@
 // Changed tells the other entries, and ends the idle connections on ways that are lost or no
 // longer needed.
 func (w ways) Changed(cutOff bool) {
-	w.process.control.setCutOff(cutOff)
+	w.process.control.setPaths(cutOff, w.process.paths.LostSince())
 	w.process.sweepOnce()
 }
 
--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 // tcpConn has the methods of a TCP connection that its users need.
@@ -121,8 +119,8 @@
 }
 
 // ask opens a connection, sends a small request on it and returns once the first byte of a
-// response has arrived. It sets connected, unless that is nil, once the connection is open.
-func (p *Paths) ask(ctx context.Context, open opener, connected *atomic.Bool) error {
+// response has arrived.
+func (p *Paths) ask(ctx context.Context, open opener) error {
 	conn, err := open(ctx)
 	if err != nil {
 		return err
@@ -131,9 +129,6 @@
 	if p.probePath == "" {
 		return nil
 	}
-	if connected != nil {
-		connected.Store(true)
-	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	request := "GET " + p.probePath + " HTTP/1.1\r\nHost: " + conn.RemoteAddr().String() + "\r\nConnection: close\r\n\r\n"
@@ -144,41 +139,41 @@
 	return err
 }
 
-// wayLost reports whether another entry gets a response of a server that this one does not,
-// and whether connections on the direct way are accepted all the same.
-func (p *Paths) wayLost(ctx context.Context, address string, dial bool) (lost, connected bool) {
-	start := time.Now()
-	direct := make(chan error, 1)
-	var accepted atomic.Bool
-	if dial {
-		go func() { direct <- p.ask(ctx, p.directly(address), &accepted) }()
-	} else {
-		direct <- eris.New("not dialed")
-	}
-	failed := false
+// wayLost reports whether another entry gets a response of a server that this one does not.
+func (p *Paths) wayLost(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	patience := time.After(directPatience)
+	direct := make(chan error, 2)
+	askDirectly := func() { direct <- p.ask(ctx, p.directly(address)) }
+	go askDirectly()
+	pending := 1
 	select {
 	case err := <-direct:
 		if err == nil {
 			p.answered(address)
-			return false, true
+			return false
 		}
-		failed = true
+		pending--
 	case <-time.After(relayDelay):
+		go askDirectly() // one lost packet is not a lost way
+		pending++
 	}
 	if !p.reachedByOthers(ctx, address) {
-		return false, false
+		return false
 	}
-	if !failed {
+	for ; pending > 0; pending-- {
 		select {
 		case err := <-direct:
 			if err == nil {
 				p.answered(address)
-				return false, true
+				return false
 			}
-		case <-time.After(directPatience - time.Since(start)):
+		case <-patience:
+			return true
 		}
 	}
-	return true, accepted.Load()
+	return true
 }
 
 // answered records that a server sent something on the direct way.
@@ -202,12 +197,16 @@
 	results := make(chan result, len(relays))
 	open := make(map[string]bool)
 	for next := 0; next < len(relays) || len(open) > 0; {
-		if next < len(relays) {
+		count := 1
+		if next > 0 {
+			count = checkRelays
+		}
+		for ; count > 0 && next < len(relays); count-- {
 			relay := relays[next]
 			next++
 			open[relay] = true
 			go func() {
-				results <- result{relay, p.ask(ctx, func(ctx context.Context) (net.Conn, error) { return p.ways.Open(ctx, relay, address) }, nil)}
+				results <- result{relay, p.ask(ctx, func(ctx context.Context) (net.Conn, error) { return p.ways.Open(ctx, relay, address) })}
 			}()
 		}
 		var late <-chan time.Time
--- a/mesh/paths.go
+++ b/mesh/paths.go
@@ -38,17 +38,17 @@
 	// maxChecks bounds the checks at the same time, but for those of a survey.
 	maxChecks = 8
 	// relayDelay is how long the direct way, or one through another entry, may leave a check's
-	// request unanswered until the next way is tried beside it: several times what a sound
-	// server takes.
-	relayDelay = 150 * time.Millisecond
-	// directPatience is how long the direct way may leave it unanswered once it was answered
-	// through another entry: two retransmissions of a lost packet.
-	directPatience = 450 * time.Millisecond
+	// request unanswered until it is sent again beside it, also on the next way: several times
+	// what a sound server takes.
+	relayDelay = 100 * time.Millisecond
+	// directPatience is how long the direct way may leave both unanswered once another entry has
+	// got an answer: enough for one retransmission of a lost packet.
+	directPatience = 350 * time.Millisecond
 	// freshAnswer is how recently a server must have sent something on the direct way for its
 	// silence on a single connection to raise no doubt about the way.
 	freshAnswer = 250 * time.Millisecond
-	// surveySize is the number of other ways that are checked at once if one is lost and none is
-	// known to work since. If 22 of 26 ways are lost, these are all lost in 1 of 20 surveys.
+	// surveySize is the number of other ways that are checked at once if one is lost, since open
+	// connections that hang don't show it soon; if one of them is lost too, as many others follow.
 	surveySize = 12
 	// minLostForCutOff is the number of ways that must be lost, with none that is known to work
 	// after a survey, for all ways to count as lost, if there are as many servers.
@@ -63,8 +63,11 @@
 	minHold          = 1500 * time.Millisecond
 	maxHoldDoublings = 4
 	forgetLosses     = time.Minute
-	// maxRelays is the number of entries that are asked for one connection.
-	maxRelays = 3
+	// maxRelays is the number of entries that are asked for one connection: most may have lost
+	// the way to the server too. checkRelays is the number that a check asks at once after the
+	// first one.
+	maxRelays   = 8
+	checkRelays = 3
 	// refusedTime is how long an entry that opened no tunnel, or one that passed nothing on,
 	// is asked after the others, and one that led to a server before them: one that has lost
 	// its own way to a server may not know it yet.
@@ -100,6 +103,7 @@
 	surveying bool
 	// surveySince is when the ways were lost that led to the survey, as the time since start.
 	surveySince int64
+	surveyedAt  time.Time
 	checks      int
 	// refusedAt holds when an entry last opened no tunnel, or none that works, by its address.
 	refusedAt map[string]time.Time
@@ -169,7 +173,7 @@
 			return conn, err
 		}
 		if !p.Lost(address) {
-			p.check(address, false)
+			p.check(address)
 			return nil, err
 		}
 	}
@@ -193,7 +197,7 @@
 // doubt has the direct way to a server checked.
 func (p *Paths) doubt(address string) {
 	if !p.isLost(address) {
-		p.check(address, true)
+		p.check(address)
 	}
 }
 
@@ -324,9 +328,8 @@
 	return 0
 }
 
-// check finds out, aside from any request, whether the direct way to a server is lost. With
-// dial set it tries that way first.
-func (p *Paths) check(address string, dial bool) {
+// check finds out, aside from any request, whether the direct way to a server is lost.
+func (p *Paths) check(address string) {
 	now := p.timers.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -337,7 +340,7 @@
 	known.checkedAt = now
 	p.checks++
 	go func() {
-		p.checkNow(address, dial, now)
+		p.checkNow(address, now)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.checks--
@@ -345,18 +348,18 @@
 }
 
 // checkNow is check without its limits.
-func (p *Paths) checkNow(address string, dial bool, now time.Time) {
+func (p *Paths) checkNow(address string, now time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	if lost, connected := p.wayLost(ctx, address, dial); lost {
-		p.lose(address, now, connected)
+	if p.wayLost(ctx, address) {
+		p.lose(address, now)
 	}
 }
 
-// lose records that the direct way to a server is lost, as found at a time. If the way still
-// accepts connections, which thus don't end by themselves, those are closed on which a request
-// has got no byte, unless some arrived on others since then.
-func (p *Paths) lose(address string, now time.Time, connected bool) {
+// lose records that the direct way to a server is lost, as found by a check that began at a
+// time. Connections may hang for seconds, or for as long as the way accepts them, so those are
+// closed on which a request has got no byte, unless some arrived on others since then.
+func (p *Paths) lose(address string, now time.Time) {
 	servers := p.ways.Servers()
 	p.mu.Lock()
 	known := p.pathOf(address)
@@ -366,20 +369,19 @@
 	}
 	var hanging []*directConn
 	for conn := range known.conns {
-		if connected && conn.asked.Load() != 0 && known.answeredAt.Load() < p.sinceStart(now) {
+		if conn.asked.Load() != 0 && known.answeredAt.Load() < p.sinceStart(now) {
 			hanging = append(hanging, conn)
 		}
 	}
-	recent, last := 0, p.lastAnswer()
+	lost := 0
 	for _, other := range p.paths {
-		if other.lost && p.sinceStart(other.lostAt) > last {
-			recent++
+		if other.lost {
+			lost++
 		}
 	}
-	survey := found && !p.cutOff && !p.surveying && recent > 0
-	checkOthers := found && !p.cutOff && !p.surveying && !survey
+	survey := found && !p.cutOff && !p.surveying && now.Sub(p.surveyedAt) >= checkInterval
 	if survey {
-		p.surveying, p.surveySince = true, p.sinceStart(now)
+		p.surveying, p.surveySince, p.surveyedAt = true, p.sinceStart(now), now
 	}
 	cutOff := p.cutOff
 	p.mu.Unlock()
@@ -389,14 +391,10 @@
 	if !found {
 		return
 	}
-	p.log.Warn("way to server lost", "address", address, "lost", recent, "servers", len(servers), "accepts", connected, "ended", len(hanging))
+	p.log.Warn("way to server lost", "address", address, "lost", lost, "servers", len(servers), "ended", len(hanging))
 	p.ways.Changed(cutOff)
 	if survey {
 		go p.survey()
-	} else if checkOthers {
-		for _, other := range p.unchecked(minLostForCutOff) {
-			p.check(other, true)
-		}
 	}
 }
 
@@ -412,25 +410,29 @@
 // hold returns for how long the way must answer each probe until it is used again.
 func (k *path) hold() time.Duration { return minHold << min(max(0, k.losses-1), maxHoldDoublings) }
 
-// unchecked returns some servers, at most so many, to which the ways are not known to be lost.
-// Open connections that hang don't show it soon.
-func (p *Paths) unchecked(limit int) []string {
+// unchecked returns the servers to which the ways are not known to be lost, in random order.
+func (p *Paths) unchecked() []string {
 	servers := slices.Clone(p.ways.Servers())
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	servers = slices.DeleteFunc(servers, p.isLost)
-	return servers[:min(limit, len(servers))]
+	return slices.DeleteFunc(servers, p.isLost)
 }
 
-// survey finds out whether the direct ways to all servers are lost.
+// survey finds out which other ways are lost, and whether all are.
 func (p *Paths) survey() {
-	var running sync.WaitGroup
-	now := p.timers.Now()
-	for _, address := range p.unchecked(surveySize) {
-		running.Go(func() { p.checkNow(address, true, now) })
+	others := p.unchecked()
+	for found := true; found && len(others) > 0; {
+		batch := others[:min(surveySize, len(others))]
+		others = others[len(batch):]
+		var running sync.WaitGroup
+		now := p.timers.Now()
+		for _, address := range batch {
+			running.Go(func() { p.checkNow(address, now) })
+		}
+		running.Wait()
+		found = slices.ContainsFunc(batch, p.isLost)
 	}
-	running.Wait()
 	servers := p.ways.Servers()
-	now = p.timers.Now()
+	now := p.timers.Now()
 	p.mu.Lock()
 	p.surveying = false
 	lost := 0
@@ -470,7 +472,7 @@
 			running.Go(func() {
 				ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 				defer cancel()
-				p.probed(address, p.ask(ctx, p.directly(address), nil) == nil)
+				p.probed(address, p.ask(ctx, p.directly(address)) == nil)
 			})
 		}
 	}
