--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -108,6 +108,10 @@
 	}},
 }
 
+// namedFaults are drawn only if they are named: others would be drawn in their place for the
+// seeds that are kept.
+var namedFaults = []fault{{"path", failPath}}
+
 // silenceServers makes one server silent, or all, so that none can replace another. The
 // servers go on soon and lose nothing, so this excuses no entry.
 func silenceServers(_ context.Context, f *fleet) string {
@@ -182,8 +186,8 @@
 	}()
 }
 
-// selectFaults returns the faults with the given names, or all if there are no names;
-// the crashing faults and the statement faults, which are not drawn with the others, are none
+// selectFaults returns the faults with the given names, or all but namedFaults if there are no
+// names; the crashing faults and the statement faults, which are not drawn with the others, are none
 // of them.
 func selectFaults(names []string) ([]fault, error) {
 	if len(names) == 0 {
@@ -194,11 +198,12 @@
 		if name == crashingPartFault || name == crashingRequestFault || isStatementFault(name) {
 			continue
 		}
-		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		known := slices.Concat(faults, namedFaults)
+		i := slices.IndexFunc(known, func(f fault) bool { return f.name == name })
 		if i < 0 {
 			return nil, fmt.Errorf("unknown fault %q", name)
 		}
-		out = append(out, faults[i])
+		out = append(out, known[i])
 	}
 	return out, nil
 }
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -34,6 +34,12 @@
 
 	mu   sync.Mutex
 	mode proxyMode
+	// path is a fault of the connections of some processes alone, nil for none.
+	path *pathFault
+	// pairs holds the connections to the target, by those that they serve.
+	pairs map[net.Conn]net.Conn
+	// onPath holds the connections to the target that the fault of a path befalls.
+	onPath map[net.Conn]bool
 	// conns holds the open connections, and whether they lead to the target.
 	conns map[net.Conn]bool
 	// cut holds when a connection to the target, by its local address, was reset or
@@ -47,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, mode: proxyPass, conns: make(map[net.Conn]bool), cut: make(map[string]time.Time)}
+	p := &proxy{listener: listener, target: target, mode: proxyPass, pairs: make(map[net.Conn]net.Conn), onPath: make(map[net.Conn]bool), conns: make(map[net.Conn]bool), cut: make(map[string]time.Time)}
 	go p.accept()
 	return p, nil
 }
@@ -102,7 +108,8 @@
 }
 
 func (p *proxy) serve(from net.Conn) {
-	if p.currentMode() == proxyReset {
+	path := p.pathFaultOf(from)
+	if p.currentMode() == proxyReset || path != nil && path.mode == proxyReset {
 		platformtest.Reset(from)
 		return
 	}
@@ -113,6 +120,10 @@
 	}
 	p.mu.Lock()
 	p.conns[from], p.conns[to] = false, true
+	p.pairs[from] = to
+	if path != nil && path == p.path {
+		p.onPath[to] = true
+	}
 	delete(p.cut, to.LocalAddr().String()) // of an earlier connection with this port
 	p.mu.Unlock()
 	var both sync.WaitGroup
@@ -122,6 +133,8 @@
 	p.mu.Lock()
 	delete(p.conns, from)
 	delete(p.conns, to)
+	delete(p.pairs, from)
+	delete(p.onPath, to)
 	p.mu.Unlock()
 }
 
@@ -133,7 +146,7 @@
 	dropping := false
 	for {
 		n, err := from.Read(buffer)
-		switch mode := p.currentMode(); {
+		switch mode := p.modeOf(target); {
 		case mode == proxyDelay:
 			time.Sleep(proxyDelayTime)
 		case n > 0 && (mode == proxySilent || mode == proxyOneWay && from == target):
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -262,3 +263,33 @@
 	conn.Close()
 	c.Assert(<-sent < maxEndlessBytes, qt.IsTrue)
 }
+
+// A path fault befalls the connections of the processes that it names, open ones and new ones,
+// and no others.
+func TestPathFaultBefallsNamedProcesses(t *testing.T) {
+	c := qt.New(t)
+	echo := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer echo.Close()
+	p, err := newProxy(strings.TrimPrefix(echo.URL, "http://"))
+	c.Assert(err, qt.IsNil)
+	defer p.close()
+	client := http.Client{Timeout: 300 * time.Millisecond}
+	served := func() bool {
+		response, err := client.Get("http://" + p.address())
+		if err == nil {
+			response.Body.Close()
+		}
+		return err == nil
+	}
+	c.Assert(served(), qt.IsTrue)
+	for _, mode := range []proxyMode{proxySilent, proxyReset} {
+		fault := &pathFault{mode: mode, pids: []int{os.Getpid()}}
+		p.setPathFault(fault)
+		c.Assert(served(), qt.IsFalse) // on the open connection
+		c.Assert(served(), qt.IsFalse)
+		p.endPathFault(fault)
+		c.Assert(served(), qt.IsTrue)
+		p.setPathFault(&pathFault{mode: mode, pids: []int{os.Getppid()}})
+		c.Assert(served(), qt.IsTrue)
+	}
+}
