--- a/cmd/soak/path.go
+++ b/cmd/soak/path.go
@@ -69,7 +69,7 @@
 	if fault == nil {
 		return nil
 	}
-	if fault.owns(from.RemoteAddr()) {
+	if fault.owns(from) {
 		return fault
 	}
 	return nil
@@ -85,21 +85,21 @@
 	return p.mode
 }
 
-// owns reports whether one of the processes has the socket with a local address.
-func (f *pathFault) owns(address net.Addr) bool {
+// owns reports whether one of the processes has the other end of a connection.
+func (f *pathFault) owns(conn net.Conn) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	local := procAddress(address)
-	owned, known := f.owned[local]
+	ends := procAddress(conn.RemoteAddr()) + procAddress(conn.LocalAddr())
+	owned, known := f.owned[ends]
 	if !known {
 		f.owned = ownedAddresses(f.pids) // reads whole tables: once for many connections
-		owned = f.owned[local]
+		owned = f.owned[ends]
 	}
 	return owned
 }
 
-// ownedAddresses returns the local addresses of all TCP sockets on this machine, and whether one
-// of the processes has them.
+// ownedAddresses returns the local and remote addresses of the TCP sockets on this machine, and
+// whether one of the processes has them. Those that wait for their end have no owner any more.
 func ownedAddresses(pids []int) map[string]bool {
 	sockets := make(map[string]bool)
 	for _, pid := range pids {
@@ -119,9 +119,9 @@
 		return out
 	}
 	for line := range strings.Lines(string(table)) {
-		const localField, inodeField = 1, 9
-		if fields := strings.Fields(line); len(fields) > inodeField && !out[fields[localField]] {
-			out[fields[localField]] = sockets["socket:["+fields[inodeField]+"]"]
+		const localField, remoteField, inodeField = 1, 2, 9
+		if fields := strings.Fields(line); len(fields) > inodeField && fields[inodeField] != "0" {
+			out[fields[localField]+fields[remoteField]] = sockets["socket:["+fields[inodeField]+"]"]
 		}
 	}
 	return out
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -273,7 +273,7 @@
 	p, err := newProxy(strings.TrimPrefix(echo.URL, "http://"))
 	c.Assert(err, qt.IsNil)
 	defer p.close()
-	client := http.Client{Timeout: 2 * time.Second} // beside load, a response takes more than 300 ms at times
+	client := http.Client{Timeout: time.Second}
 	served := func() bool {
 		response, err := client.Get("http://" + p.address())
 		if err == nil {
