--- a/dispatch/learned.go
+++ b/dispatch/learned.go
@@ -172,7 +172,7 @@
 			continue
 		}
 		s.mergeFailures(learned.failures)
-		s.forgive(sched.cutOff)
+		s.forgive(now, sched.cutOff)
 		if s.limit.perSecond > 0 && !learned.limitAt.IsZero() {
 			s.limit.merge(now, learned.limitLevel, learned.limitAt, p.rateLimitShare)
 		}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -240,6 +240,7 @@
 	if s == nil {
 		return
 	}
+	s.responded(now, alloc.owner.entry)
 	s.decoding++
 	s.observed.recordAnswer(now)
 	s.learnSpeed(now, alloc)
@@ -300,7 +301,7 @@
 // SetCutOff sets which entries have lost the way to all servers. What they reported of
 // servers before that was known no longer counts, and events that they wait for are not
 // overdue.
-func (sched *Scheduler) SetCutOff(entries map[string]bool) {
+func (sched *Scheduler) SetCutOff(now time.Time, entries map[string]bool) {
 	for _, alloc := range sched.running {
 		if !entries[alloc.owner.entry] || sched.cutOff[alloc.owner.entry] {
 			continue
@@ -312,7 +313,7 @@
 	sched.cutOff = entries
 	for _, p := range sched.pools {
 		for _, s := range p.order {
-			s.forgive(entries)
+			s.forgive(now, entries)
 		}
 	}
 }
--- a/gateway/encoding.go
+++ b/gateway/encoding.go
@@ -29,6 +29,7 @@
 	mesh.RegisterMessage[keptMessage](2)
 	mesh.RegisterMessage[emptyReply](0)
 	mesh.RegisterMessage[loadMessage](0)
+	mesh.RegisterMessage[unreachedMessage](0)
 	mesh.RegisterMessage[learnedMessage](0)
 	mesh.RegisterMessage[learnedServiceMessage](0)
 	mesh.RegisterMessage[momentMessage](0)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -49,6 +49,9 @@
 		ingress.HeaderDecoder
 		upstream.HeaderCodec
 	}
+	// HealthPath is the path of a GET request that costs backend servers next to nothing. It is
+	// sent while there is doubt about the way to one; empty if there is none.
+	HealthPath string
 	// Directory returns the HTTP handler for directory requests and readiness checks.
 	Directory func(d Directory) http.Handler
 }
@@ -104,6 +107,7 @@
 	}
 	ways := ways{process: p, dialer: dialer}
 	p.paths = mesh.NewPaths(network, ways, &p.timers, log)
+	p.paths.SetProbe(platform.HealthPath)
 	p.client = upstream.NewClient(platform.Headers, &p.timers, dialer)
 	p.client.SetNetwork(p.paths)
 	p.peerClient = mesh.NewClient(settings.timeouts.Dialer()).WithKinds(callKinds)
@@ -123,6 +127,7 @@
 	p.callerServer = ingress.NewServer(p.control, scheduler, reserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
 	p.peerServer = mesh.NewServer(p.control.handle).WithKinds(callKinds)
 	p.peerServer.ServeTunnels(ways.serveTunnel)
+	p.control.tunnels = p.peerServer.Tunnels
 	if err := p.listen(platform); err != nil {
 		for _, listener := range p.listeners {
 			listener.Close()
@@ -185,6 +190,7 @@
 		"open": p.callerServer.OpenRequests(), "log_lines_dropped": p.logs.Dropped(),
 		"tunnels_served":     p.peerServer.Tunnels(),
 		"older_entries":      p.peerClient.Older(),
+		"paths_lost":         len(p.paths.LostSince()),
 		"connections_opened": p.client.ConnectionsOpened(), "connections_reused": p.client.ConnectionsReused(),
 		"control_bytes_sent":     sum(p.peerClient.Traffic().Sent(), p.peerServer.Traffic().Sent()),
 		"control_bytes_received": sum(p.peerClient.Traffic().Received(), p.peerServer.Traffic().Received()),
