soak: a replacement ends once a replaced entry does not become ready

With a build that refuses messages, each of seven replacements waited for 20 s, and the run of the mutation did not end within 165 s. The violation was in the logs; not run again since.

--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -61,6 +61,9 @@
 	statements     []statement
 	stopped        bool
 
+	// unready is set once a replaced entry did not become ready; only replaceEntries uses it.
+	unready bool
+
 	// statementRandom is the source of the statement faults.
 	statementRandom *rand.Rand
 }
--- a/cmd/soak/replace.go
+++ b/cmd/soak/replace.go
@@ -29,8 +29,10 @@
 	replace := func(e *entry, daemon string) {
 		step("%s replaced by %s", e.name, daemon)
 		e.setDaemon(daemon)
-		starts[e]++
-		f.restart(ctx, e)
+		if !f.unready { // else reported, and nothing is gained by going on
+			starts[e]++
+			f.restart(ctx, e)
+		}
 	}
 	for i, e := range f.entries {
 		replace(e, other)
@@ -69,6 +71,7 @@
 	}
 	time.Sleep(restartDelay)
 	if err := f.waitReady(ctx); err != nil {
+		f.unready = true
 		f.checker.report("replaced entry not ready: %s: %v", e.name, err)
 	}
 }
