--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -62,6 +62,9 @@
 	floods         intervals
 	stopped        bool
 
+	// unready is set once a replaced entry did not become ready; only replaceEntries uses it.
+	unready bool
+
 	// statementRandom is the source of the statement faults.
 	statementRandom *rand.Rand
 }
