dispatch: less work for each submission and tick with a full queue

Each submission computed the cost of all queued requests up to four times and looked for candidates up to four times more, and could run a whole tick that places nothing because what fits must leave room. The costs and sort keys of queued requests are now kept, candidates are shared between the trials, and requests that must leave room are not tried.

--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -120,23 +120,26 @@
 	engine := p.service.Engine()
 	for _, q := range p.queue {
 		q.underserved, q.standing.over = p.underserved(q.request) || q.returned, false
+		if engine != nil {
+			q.late, q.ratio = p.missesObjective(now, q.request), q.request.responseRatio(now, engine)
+		}
 	}
 	compare := func(a, b *queuedRequest) int {
 		if engine == nil {
 			return cmp.Or(compareStanding(a, b), a.request.priority-b.request.priority, a.request.arrived.Compare(b.request.arrived))
 		}
-		if aLate, bLate := p.missesObjective(now, a.request), p.missesObjective(now, b.request); aLate != bLate {
-			if aLate {
+		if a.late != b.late {
+			if a.late {
 				return 1
 			}
 			return -1
-		} else if aLate && a.underserved != b.underserved {
+		} else if a.late && a.underserved != b.underserved {
 			if a.underserved {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Or(compareStanding(a, b), a.request.priority-b.request.priority, cmp.Compare(b.request.responseRatio(now, engine), a.request.responseRatio(now, engine)))
+		return cmp.Or(compareStanding(a, b), a.request.priority-b.request.priority, cmp.Compare(b.ratio, a.ratio))
 	}
 	slices.SortStableFunc(p.queue, compare)
 	if p.markShares(now) {
--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -163,10 +163,10 @@
 	return time.Duration(max(0, float64(ahead+1)-c.free) / c.rate * float64(time.Second))
 }
 
-// refuseLimited refuses a request behind others that the rate limits of all servers keep
+// refuseLimited refuses a request behind a number of others that the rate limits of all servers keep
 // from being placed in time. The callers of such requests may return at the rate at which
 // they can be served.
-func (p *pool) refuseLimited(now time.Time, request Request, ahead int) Decision {
+func (p *pool) refuseLimited(now time.Time, request Request, ahead func() int) Decision {
 	capacity, limited := p.limitedCapacity(now)
 	if !limited {
 		return nil
@@ -177,7 +177,7 @@
 	if capacity.rate == 0 {
 		return nil // all of them are suspended for a while
 	}
-	freeAt := now.Add(capacity.wait(ahead))
+	freeAt := now.Add(capacity.wait(ahead()))
 	if !freeAt.After(p.queueDeadline(request)) {
 		return nil
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -106,7 +106,13 @@
 	request Request
 	// underserved is set if too few requests of this size class were placed.
 	underserved bool
-	standing    standing
+	// late and ratio are whether the request misses its objective and its response ratio, as of
+	// the last time the queue was sorted.
+	late     bool
+	ratio    float64
+	standing standing
+	// cost is what the request costs its account, as of the last time that shares were updated.
+	cost time.Duration
 	// returned is set for a caller that was refused for lack of room and returns as promised.
 	returned bool
 }
@@ -159,7 +165,7 @@
 			return p.decided(now, &queuedRequest{request: request}, decision)
 		}
 	}
-	if decision := p.refuseLimited(now, request, p.queuedAhead(now, request)); decision != nil {
+	if decision := p.refuseLimited(now, request, func() int { return p.queuedAhead(now, request) }); decision != nil {
 		return p.decided(now, &queuedRequest{request: request}, decision)
 	}
 	if decision := p.refuseByForecast(now, request, returned); decision != nil {
@@ -211,7 +217,7 @@
 			decision = p.shedLate(now, q, ahead.of(q))
 		}
 		if decision == nil {
-			decision = p.refuseLimited(now, q.request, len(p.queue))
+			decision = p.refuseLimited(now, q.request, func() int { return len(p.queue) })
 		}
 		if decision == nil {
 			p.queue = append(p.queue, q)
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -241,7 +241,8 @@
 		a.waiting = 0
 	}
 	for _, q := range p.queue {
-		s.account(now, q.request.account).waiting += p.accountCost(q.request)
+		q.cost = p.accountCost(q.request)
+		s.account(now, q.request.account).waiting += q.cost
 	}
 	for _, request := range next {
 		s.account(now, request.account).waiting += p.accountCost(request)
@@ -288,7 +289,7 @@
 	for _, q := range p.queue {
 		name := q.request.account
 		q.standing.usage, q.standing.waiting, q.standing.share = p.shares.byName[name].used, earlier[name], p.shares.level
-		earlier[name] += p.accountCost(q.request)
+		earlier[name] += q.cost
 		if q.standing.usage+q.standing.waiting < p.shares.level {
 			if !anyWithin {
 				anyWithin, within = true, name
@@ -340,7 +341,7 @@
 	out := standing{usage: p.shares.account(now, request.account).used, share: p.shares.level}
 	for _, q := range p.queue {
 		if q.request.account == request.account {
-			out.waiting += p.accountCost(q.request)
+			out.waiting += q.cost
 		}
 	}
 	out.over = out.usage+out.waiting >= out.share
@@ -353,12 +354,16 @@
 	if !p.standingOf(now, request).over {
 		return false
 	}
+	// Candidates are cached during the trials, which place nothing.
+	p.ticking = true
+	defer func() { p.ticking, p.cachedCandidates = false, nil }()
 	late, tried := p.late(now, request), 0
 	for _, q := range p.queue {
 		if q.standing.over || !late && p.late(now, q.request) {
 			continue
 		}
-		if p.choose(now, p.candidates(now, q.request), q.request, false).server != nil {
+		choice := p.choose(now, p.candidates(now, q.request), q.request, false)
+		if choice.server != nil && p.leavesRoom(now, q.request, choice) {
 			return true
 		}
 		if tried++; tried == maxYieldTrials {
@@ -413,7 +418,8 @@
 		p.queue = slices.Delete(p.queue, i, i+1)
 	}
 	p.queue = append(p.queue, q)
-	p.shares.account(now, request.account).waiting += p.accountCost(request)
+	q.cost = p.accountCost(request)
+	p.shares.account(now, request.account).waiting += q.cost
 	return Queued{}
 }
 
