dispatch: a request that another scheduler placed leaves the queue

A request whose owner turned to another scheduler stayed queued here. Once its owner reported it as running, the queue placed it again, and the first server kept its slot and memory for good. Adopting a request now removes it from the queue, and the charge of a placement that it replaces is refunded.

--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -26,15 +26,20 @@
 }
 
 // Adopt adds a request that another scheduler placed. It replaces a placement of this
-// scheduler on another server: the entry asked another scheduler before it had the answer.
+// scheduler on another server, and a place in the queue: the entry asked another scheduler
+// before it had the answer.
 func (sched *Scheduler) Adopt(now time.Time, owner Owner, request RunningRequest) {
 	if alloc := sched.running[request.id]; alloc != nil {
 		if alloc.server == request.server {
 			return
 		}
+		sched.correctCharge(now, alloc, OutcomeWithdrawn)
 		sched.release(now, alloc)
 	}
 	p := sched.pools[request.service]
+	if p != nil {
+		p.withdraw(request.id)
+	}
 	if p == nil || p.servers[request.server] == nil {
 		return
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -177,10 +177,14 @@
 // Withdraw removes a request from the queue.
 func (sched *Scheduler) Withdraw(id string) {
 	for _, p := range sched.pools {
-		p.queue = slices.DeleteFunc(p.queue, func(q *queuedRequest) bool { return q.request.id == id })
+		p.withdraw(id)
 	}
 }
 
+func (p *pool) withdraw(id string) {
+	p.queue = slices.DeleteFunc(p.queue, func(q *queuedRequest) bool { return q.request.id == id })
+}
+
 // Tick returns the decisions on queued requests that can be made now.
 func (sched *Scheduler) Tick(now time.Time) []Decision {
 	var out []Decision
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -572,3 +572,21 @@
 		f.scheduler.Tick(f.now)
 	}
 }
+
+// Guards against a second placement of a queued request whose owner was served by another
+// scheduler meanwhile: the first one took its slot for good.
+func TestAdoptedRequestLeavesTheQueue(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(3, 0)
+	f.scheduler.Hold("llm", f.now.Add(80*time.Millisecond))
+	request := f.short("r", 4000).WithAccount("a")
+	c.Assert(f.scheduler.Submit(f.now, f.owner, request), qt.Equals, Queued{})
+	f.scheduler.Reconcile(f.now, f.owner, []string{"llm"}, []RunningRequest{NewRunningRequest(request, "e01", nil)})
+	f.now = f.now.Add(80 * time.Millisecond)
+	c.Assert(f.scheduler.Tick(f.now), qt.HasLen, 0)
+	f.scheduler.Ended(f.now, "r", OutcomeComplete)
+	for _, s := range f.scheduler.pools["llm"].order {
+		c.Assert(s.running, qt.HasLen, 0)
+		c.Assert(s.memory, qt.Equals, 0)
+	}
+}
