dispatch: keep accounts with queued requests usable when accounts are dropped

With more than 4,096 accounts, updating the shares could drop the account of a queued request, and marking the queue then dereferenced nil, which ended the process. Refusals by forecast (no_room) count as demand of their account like other refusals for lack of capacity. Tests for both and for the refund of a replaced placement.

--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -288,7 +288,7 @@
 	anyWithin, anyOver := false, false
 	for _, q := range p.queue {
 		name := q.request.account
-		q.standing.usage, q.standing.waiting, q.standing.share = p.shares.byName[name].used, earlier[name], p.shares.level
+		q.standing.usage, q.standing.waiting, q.standing.share = p.shares.account(now, name).used, earlier[name], p.shares.level
 		earlier[name] += q.cost
 		if q.standing.usage+q.standing.waiting < p.shares.level {
 			if !anyWithin {
@@ -304,7 +304,7 @@
 	for _, q := range p.queue {
 		if q.standing.over && q.request.account != within {
 			if q.standing.behind == "" {
-				p.shares.byName[q.request.account].delays++
+				p.shares.account(now, q.request.account).delays++
 			}
 			q.standing.behind = cmp.Or(within, commonAccount)
 		}
@@ -490,7 +490,7 @@
 
 // lacksCapacity reports whether requests are refused for this reason because others take the capacity.
 func (r Reason) lacksCapacity() bool {
-	return r == ReasonBusy || r == ReasonPastDeadline || r == ReasonServersLimited
+	return r == ReasonBusy || r == ReasonNoRoom || r == ReasonPastDeadline || r == ReasonServersLimited
 }
 
 // AccountUsage is what an account uses of a service.
--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -240,3 +240,55 @@
 	}
 	return log
 }
+
+// Guards against a double charge of a request that runs on another server than the one on
+// which this scheduler placed it.
+func TestReplacedPlacementIsRefunded(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(3, 0)
+	request := f.short("r", 4000).WithAccount("a")
+	placed := f.granted(c, request).Server()
+	once := f.scheduler.pools["llm"].shares.account(f.now, "a").used
+	other := "e00"
+	if placed == other {
+		other = "e01"
+	}
+	f.scheduler.Adopt(f.now, f.owner, NewRunningRequest(request, other, nil))
+	c.Assert(f.scheduler.pools["llm"].shares.account(f.now, "a").used, qt.Equals, once)
+}
+
+// Guards against a crash when many accounts that use more push out one whose request is queued.
+func TestQueuedAccountsMayBeDropped(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1, 0)
+	f.submitMany("busy", 16)
+	p := f.scheduler.pools["llm"]
+	waiting := len(p.queue)
+	for i := range maxAccounts - len(p.shares.accounts) - 1 {
+		p.shares.account(f.now, fmt.Sprint("large-", i)).used = time.Hour
+	}
+	for i := range 3 {
+		p.queue = append(p.queue, &queuedRequest{owner: f.owner, request: f.short(fmt.Sprint("q", i), 2000).WithAccount(fmt.Sprint("small-", i))})
+	}
+	decisions := f.scheduler.Tick(f.now)
+	c.Assert(len(decisions)+len(p.queue), qt.Equals, waiting+3)
+}
+
+// Guards against forecast refusals that don't count as demand: the account's share would
+// then be divided as if it did not ask.
+func TestForecastRefusalCountsForTheAccount(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1, 0)
+	f.submitMany("a", 16)
+	f.now = f.now.Add(minObservation)
+	refused := int64(0)
+	for _, d := range f.submitMany("b", 100) {
+		if r, ok := d.(Refused); ok {
+			c.Assert(r.Reason(), qt.Equals, ReasonNoRoom)
+			refused++
+		}
+	}
+	a := f.scheduler.pools["llm"].shares.account(f.now, "b")
+	c.Assert(refused > 0, qt.IsTrue)
+	c.Assert(a.refusals, qt.Equals, refused)
+}
