dispatch: a scheduler beside another places despite what it adopted

Since a takeover asks for what runs, a scheduler that stands in for another one knows requests without a first event whose answers are told to the other one. One of them on each server kept it from placing anything until a load was observed.

--- a/dispatch/observed_test.go
+++ b/dispatch/observed_test.go
@@ -139,3 +139,23 @@
 
 // first returns the lowest key.
 func first(counts map[string]int) string { return slices.Min(slices.Collect(maps.Keys(counts))) }
+
+// Guards against a scheduler beside the one that the others follow that places nothing: the
+// answers to requests that it did not place go to the other one.
+func TestSchedulerBesideAnotherPlacesDespiteWhatIsAdopted(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(4, 0)
+	f.scheduler.SetPrimary(f.now, "llm", false)
+	f.scheduler.SetSeenShare(f.now, "llm", 0.01)
+	var running []RunningRequest
+	for i := range 4 {
+		running = append(running, NewRunningRequest(f.short(fmt.Sprint("other-", i), 2000), fmt.Sprintf("e%02d", i), nil))
+	}
+	f.scheduler.Reconcile(f.now, NewOwner("entry-2", 1), []string{"llm"}, running)
+	f.now = f.now.Add(100 * time.Millisecond)
+	for i := range 4 {
+		f.granted(c, f.short(fmt.Sprint("own-", i), 2000))
+	}
+	_, granted := f.scheduler.Submit(f.now, f.owner, f.short("own-4", 2000)).(Granted)
+	c.Assert(granted, qt.IsFalse)
+}
--- a/dispatch/partial.go
+++ b/dispatch/partial.go
@@ -47,11 +47,12 @@
 		// unless this one places for all.
 		return p.primary || s.placedSince(s.observed.at) < max(1, int((1-p.unseenShare)*float64(s.observed.free)))
 	}
-	fraction := unansweredFraction
+	fraction, unanswered := unansweredFraction, s.unanswered()
 	if !p.primary {
 		fraction = min(fraction, 1-p.unseenShare)
+		unanswered -= s.unansweredAdopted() // their answers are told to the scheduler that placed them
 	}
-	return s.unanswered() < max(1, int(fraction*float64(s.slots())))+s.observed.answersAt(now)
+	return unanswered < max(1, int(fraction*float64(s.slots())))+s.observed.answersAt(now)
 }
 
 // heldBack reports whether a server would be a candidate for a request if the scheduler saw
@@ -89,3 +90,14 @@
 	}
 	return n
 }
+
+// unansweredAdopted returns the number of those that another scheduler placed.
+func (s *server) unansweredAdopted() int {
+	n := 0
+	for _, alloc := range s.running {
+		if !alloc.started && alloc.adopted {
+			n++
+		}
+	}
+	return n
+}
