gateway: no takeover by an entry that has just ceased to schedule

After a planned stop began, prompts of entries that had not noticed made the stopping scheduler ask all entries for what it knew, and waited up to 80 ms for the answers. It now asks only when its knowledge is a heartbeat old, and only for services of its configuration.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -205,8 +205,11 @@
 	for _, service := range c.cache.services() {
 		scheduler := c.members.scheduler(now, service)
 		primary := scheduler == nil
-		if !primary && c.scheduler.Primary(service) && c.members.self.State != memberLeaving {
-			c.handOverTo(now, service, scheduler)
+		if !primary && c.scheduler.Primary(service) {
+			c.noteCeased(now, service)
+			if c.members.self.State != memberLeaving {
+				c.handOverTo(now, service, scheduler)
+			}
 		}
 		share, rateLimitShare := 1.0, 1.0
 		if !primary {
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"greengagedock.example/dispatch"
@@ -25,20 +26,37 @@
 
 // takeover is the state of an entry's last takeover of a service.
 type takeover struct {
+	// askedAt is when the other entries were asked, or when this entry last knew without that.
 	askedAt time.Time
-	heldAt  time.Time
+	// heldAt is when prompts were last queued because of a takeover.
+	heldAt time.Time
 	// unanswered holds the ids of the entries that have not answered.
 	unanswered map[string]bool
 }
 
-// takeOver asks the other entries what they run on the servers of a service, and has prompts
-// queued until they have answered.
-func (c *control) takeOver(now time.Time, service string) {
+// takeoverOf returns the state of the last takeover of a service.
+func (c *control) takeoverOf(service string) *takeover {
 	t := c.takeovers[service]
 	if t == nil {
 		t = &takeover{}
 		c.takeovers[service] = t
 	}
+	return t
+}
+
+// noteCeased records that this entry ceases to schedule a service. If it saw the whole load,
+// it need not ask at once for what runs: entries that have not noticed the change go on to
+// ask it for placements for a while.
+func (c *control) noteCeased(now time.Time, service string) {
+	if r := c.reports[service]; r != nil && !r.since.IsZero() && !r.partial {
+		c.takeoverOf(service).askedAt = now
+	}
+}
+
+// takeOver asks the other entries what they run on the servers of a service, and has prompts
+// queued until they have answered.
+func (c *control) takeOver(now time.Time, service string) {
+	t := c.takeoverOf(service)
 	t.askedAt = now
 	t.unanswered = make(map[string]bool)
 	for _, known := range c.members.live(now, c.members.timeouts.scheduler()) {
@@ -64,7 +82,7 @@
 // placesFor has this entry take over a service for which another entry asks it for a
 // placement, although it takes a third one for the scheduler.
 func (c *control) placesFor(now time.Time, service string) {
-	if c.scheduler.Primary(service) {
+	if c.scheduler.Primary(service) || !slices.Contains(c.cache.services(), service) {
 		return
 	}
 	if t := c.takeovers[service]; t == nil || now.Sub(t.askedAt) >= takeoverRefresh {
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -142,3 +142,33 @@
 	_, granted := beside.scheduler.Submit(now, beside.owner, request).(dispatch.Granted)
 	c.Assert(granted, qt.IsTrue)
 }
+
+// Guards against a wait at a planned stop: an entry that ceases to schedule still gets
+// prompts of entries that have not noticed, and knows what runs.
+func TestEntryThatCeasesToScheduleDoesNotAsk(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	entries := []*control{newSuspicionEntry(1, now), newSuspicionEntry(2, now), newSuspicionEntry(3, now)}
+	meet(now, entries...)
+	leaving := entries[schedulerAmong(now, entries)]
+	asked := 0
+	leaving.askRunning = func(string, string, string) { asked++ }
+	now = now.Add(10 * time.Millisecond)
+	leaving.members.self.State = memberLeaving
+	leaving.updateShares(now)
+	leaving.placesFor(now.Add(takeoverRefresh/2), "llm")
+	c.Assert(asked, qt.Equals, 0)
+	request := leaving.crashingRequest(now, "r").WithParts()
+	_, granted := leaving.scheduler.Submit(now, leaving.owner, request).(dispatch.Granted)
+	c.Assert(granted, qt.IsTrue)
+}
+
+// A prompt for a service that this entry does not know yet must not cause calls to all others.
+func TestUnknownServiceIsNotTakenOver(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	entries := []*control{newSuspicionEntry(1, now), newSuspicionEntry(2, now)}
+	meet(now, entries...)
+	entries[0].placesFor(now, "unknown")
+	c.Assert(entries[0].takeovers["unknown"], qt.IsNil)
+}
