ingress: answer requests that arrive while the entry stops

Cause: http.Server.Shutdown closes a connection without a response if the header of its request is read after the call, and with it connections in the listener's queue; SetKeepAlivesEnabled(false) closed idle connections at the start of the lame-duck period, also those on which a request was on its way. Change: callers are asked to close their connections with each response; idle ones stay open while the entry serves. Shutdown first accepts what is in the queue, then ends the reading of connections without a byte of a next request, and waits for the others within the grace period.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -37,6 +37,8 @@
 	// idleSince is when the connection began to wait for it.
 	awaitingRequest bool
 	idleSince       time.Time
+	// used is set once a byte was read.
+	used bool
 }
 
 // connectionKey is the context key of a request's connection.
@@ -51,9 +53,12 @@
 func (l connectionListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
-		return nil, err
+		return nil, l.acceptError(err)
 	}
-	return &connection{Conn: conn, server: l.server}, nil
+	c := &connection{Conn: conn, server: l.server}
+	c.closeAfter(l.server.limits().IdleTimeout(), true)
+	l.server.open.add(c)
+	return c, nil
 }
 
 func withConnection(ctx context.Context, conn net.Conn) context.Context {
@@ -66,6 +71,7 @@
 	if n > 0 {
 		c.mu.Lock()
 		newRequest := c.awaitingRequest
+		c.used = true
 		c.mu.Unlock()
 		if newRequest {
 			c.closeAfter(c.server.limits().HeaderTimeout(), false)
@@ -131,11 +137,13 @@
 		return
 	}
 	switch state {
-	case http.StateNew, http.StateIdle:
+	case http.StateNew: // its first request is awaited since it was accepted
+	case http.StateIdle:
 		c.closeAfter(s.limits().IdleTimeout(), true)
 	case http.StateActive: // clearHeaderTimeout ends the header timeout once the header is read
 	default:
 		c.closeAfter(0, false)
+		s.open.remove(c)
 	}
 }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -374,6 +374,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if q.buffered != nil {
+		q.server.setClosing(q.w.Header())
 		q.buffered.write(q.w)
 		q.logEnd("served", "outcome", "server error", "status", q.buffered.status)
 		q.recordResult(ResultServed)
@@ -421,6 +422,7 @@
 }
 
 func (q *request) writeError(status int, text string) {
+	q.server.setClosing(q.w.Header())
 	http.Error(q.w, text, status)
 }
 
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -136,6 +136,7 @@
 	if len(a.body.body) > maxBufferedBytes {
 		return q.forwardRest(a.response, a.body)
 	}
+	q.server.setClosing(q.w.Header())
 	a.body.write(q.w)
 	if a.body.status >= http.StatusInternalServerError {
 		return dispatch.OutcomeServerError, nil
@@ -150,6 +151,7 @@
 	if response.ContentLength() >= 0 {
 		q.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength(), 10))
 	}
+	q.server.setClosing(q.w.Header())
 	q.w.WriteHeader(start.status)
 	if _, err := q.w.Write(start.body); err != nil {
 		return dispatch.OutcomeCancelled, err
@@ -261,5 +263,6 @@
 	}
 	q.wroteHeader = true
 	copyHeader(q.w.Header(), response.Header())
+	q.server.setClosing(q.w.Header())
 	q.w.WriteHeader(response.Status())
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -54,7 +53,10 @@
 	reservationHold time.Duration
 	http            *http.Server
 	openRequests    atomic.Int64
-	requestSeq      atomic.Uint64
+	open            openConnections
+	// closing is set once callers are asked to close their connections.
+	closing    atomic.Bool
+	requestSeq atomic.Uint64
 }
 
 // NewServer returns a server that routes requests by views, has the scheduler
@@ -83,22 +85,12 @@
 
 // Serve accepts connections on the listener until Shutdown, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
-	if err := s.http.Serve(connectionListener{listener, s}); err != http.ErrServerClosed {
-		return eris.Wrap(ErrServer, err.Error())
+	if !s.open.listen(listener) {
+		return listener.Close()
 	}
-	return nil
-}
-
-// DisableKeepAlives closes callers' connections after their next response.
-func (s *Server) DisableKeepAlives() {
-	s.http.SetKeepAlivesEnabled(false)
-}
-
-// Shutdown closes the listeners and waits until no request is open or ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
-		s.http.Close()
-		return eris.Wrapf(ErrServer, "%d requests still open: %v", s.openRequests.Load(), err)
+	err := s.http.Serve(connectionListener{listener, s})
+	if err != http.ErrServerClosed && !s.open.isStopping() {
+		return eris.Wrap(ErrServer, err.Error())
 	}
 	return nil
 }
