mesh, gateway: contain panics of calls, of the control loop and of item decoders

Cause: a panic in the handler of another entry's call, in a task of the control loop or in the decoder of a published item ended the process; one failed accept (no file descriptor left) ended the listener for the other entries for good. Change: each is recovered at the goroutine's edge and logged with its stack; the call gets an error, the item is left out, the loop goes on (gauge panics_contained); a failed accept is logged and repeated.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -71,6 +71,9 @@
 	// pendingEvents holds the events to send to schedulers, by peer address.
 	pendingEvents map[string]*eventsMessage
 
+	// panics counts the panics that were contained.
+	panics atomic.Int64
+
 	started time.Time
 	// storeAnsweredAt is when the store last responded to this entry, zero if never.
 	storeAnsweredAt time.Time
@@ -103,7 +106,7 @@
 		owner:         dispatch.NewOwner(settings.ID(), incarnation),
 		tasks:         make(chan func(time.Time), 256),
 		done:          make(chan struct{}),
-		cache:         newStoreCache(decode, log.Named("store")),
+		cache:         newStoreCache(containDecode(decode), log.Named("store")),
 		scheduler:     dispatch.NewScheduler(settings.ID()),
 		waiters:       make(map[string]chan dispatch.Decision),
 		schedulers:    make(map[string]string),
@@ -143,9 +146,9 @@
 	for {
 		select {
 		case f := <-c.tasks:
-			f(c.timers.Now())
+			c.runTask(f)
 		case <-tick.C():
-			c.tick(c.timers.Now())
+			c.runTask(c.tick)
 		case <-stop:
 			return
 		}
@@ -153,20 +156,22 @@
 }
 
 // do runs a function in the control loop and waits for it to return. It reports
-// false if the loop has stopped.
+// false if the function panicked or the loop has stopped.
 func (c *control) do(f func(now time.Time)) bool {
-	returned := make(chan struct{})
+	returned := make(chan bool, 1)
 	select {
 	case c.tasks <- func(now time.Time) {
+		ok := false
+		defer func() { returned <- ok }()
 		f(now)
-		close(returned)
+		ok = true
 	}:
 	case <-c.done:
 		return false
 	}
 	select {
-	case <-returned:
-		return true
+	case ok := <-returned:
+		return ok
 	case <-c.done:
 		return false
 	}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -121,7 +121,7 @@
 	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold())
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
 	p.callerServer = ingress.NewServer(p.control, scheduler, reserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
-	p.peerServer = mesh.NewServer(p.control.handle).WithKinds(callKinds)
+	p.peerServer = mesh.NewServer(p.control.handle).WithKinds(callKinds).WithLog(log)
 	p.peerServer.ServeTunnels(ways.serveTunnel)
 	if err := p.listen(platform); err != nil {
 		for _, listener := range p.listeners {
@@ -184,6 +184,7 @@
 	values := map[string]any{
 		"open": p.callerServer.OpenRequests(), "log_lines_dropped": p.logs.Dropped(),
 		"tunnels_served":     p.peerServer.Tunnels(),
+		"panics_contained":   p.control.panics.Load(),
 		"older_entries":      p.peerClient.Older(),
 		"connections_opened": p.client.ConnectionsOpened(), "connections_reused": p.client.ConnectionsReused(),
 		"control_bytes_sent":     sum(p.peerClient.Traffic().Sent(), p.peerServer.Traffic().Sent()),
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -128,7 +128,9 @@
 	if err != nil {
 		return routing.Revision{}, err
 	}
-	c.do(func(now time.Time) { err = c.applyRead(now, revision, items, next, outage) })
+	if !c.do(func(now time.Time) { err = c.applyRead(now, revision, items, next, outage) }) {
+		return routing.Revision{}, eris.Wrap(errPanic, "items of the store not applied, or stopping")
+	}
 	return next, err
 }
 
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -3,9 +3,21 @@
 import (
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 )
 
+// acceptRetryDelay is how long a server waits after a failed accept, as while the process
+// has no file descriptor left.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// errPanic is wrapped by the error that answers a call whose handler panicked.
+var errPanic = eris.New("mesh: handler panicked")
+
 // Handler handles a call of the given kind and returns the response to encode.
 // Each call runs in its own goroutine.
 type Handler func(kind string, body []byte) (any, error)
@@ -15,6 +27,7 @@
 	handler Handler
 	traffic Traffic
 	kinds   Kinds
+	log     hclog.Logger
 
 	mu         sync.Mutex
 	closed     bool
@@ -25,7 +38,7 @@
 
 // NewServer returns a server that passes calls to the handler.
 func NewServer(handler Handler) *Server {
-	return &Server{handler: handler, conns: make(map[net.Conn]bool)}
+	return &Server{handler: handler, conns: make(map[net.Conn]bool), log: hclog.NewNullLogger()}
 }
 
 // WithKinds has the server state the kinds of calls that it understands to each caller that
@@ -35,6 +48,13 @@
 	return s
 }
 
+// WithLog has the server log panics of its handler and failed accepts. It must be called
+// before Serve.
+func (s *Server) WithLog(log hclog.Logger) *Server {
+	s.log = log
+	return s
+}
+
 // Traffic returns the traffic of the served calls.
 func (s *Server) Traffic() *Traffic { return &s.traffic }
 
@@ -47,7 +67,10 @@
 			return nil
 		}
 		if err != nil {
-			return err
+			// The other entries reach this one only through this listener.
+			s.log.Error("accepting a connection failed; retrying", "error", err)
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		if !s.add(conn) {
 			conn.Close()
@@ -119,7 +142,15 @@
 	}
 }
 
-func (s *Server) respond(call envelope) envelope {
+// respond returns the response to a call, an error if its handler panics: one call must not
+// end the process.
+func (s *Server) respond(call envelope) (response envelope) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.log.Error("call handler panicked", "kind", call.Kind, "bytes", len(call.Body), "panic", cause, "stack", string(debug.Stack()))
+			response = envelope{ID: call.ID, Error: eris.Wrap(errPanic, call.Kind).Error()}
+		}
+	}()
 	reply, err := s.handler(call.Kind, call.Body)
 	if err != nil {
 		return envelope{ID: call.ID, Error: err.Error()}
