--- a/mesh/wiretest/wiretest.go
+++ b/mesh/wiretest/wiretest.go
@@ -1,4 +1,3 @@
-// Package wiretest checks messages between entries against those of an earlier version.
 package wiretest
 
 import (
