--- a/dispatch/partial.go
+++ b/dispatch/partial.go
@@ -32,8 +32,8 @@
 }
 
 // unansweredFraction is the fraction of a server's slots that requests without an answer may
-// take while the load is seen only in part. In simulated losses of power, one request per
-// server built a queue in the first 100 ms that lasted, and half of the slots were too many.
+// take while the load is seen only in part: with one request per server most callers wait
+// while slots are free, and with half of the slots several schedulers overfill a server.
 const unansweredFraction = 0.25
 
 // admitsUnseen reports whether a server may get a request although the scheduler sees only
--- a/dispatch/reach.go
+++ b/dispatch/reach.go
@@ -36,8 +36,8 @@
 	blamedAt time.Time
 }
 
-// set sets the time of an entry, and drops outdated ones from a large map.
-func set(times *map[string]time.Time, entry string, at, outdated time.Time) {
+// setTime sets the time of an entry, and drops outdated ones from a large map.
+func setTime(times *map[string]time.Time, entry string, at, outdated time.Time) {
 	if *times == nil {
 		*times = make(map[string]time.Time)
 	}
@@ -53,7 +53,7 @@
 
 // avoid has the requests of an entry avoid the server until a time.
 func (r *reach) avoid(now time.Time, entry string, until time.Time) {
-	set(&r.avoidedUntil, entry, later(r.avoidedUntil[entry], until), now)
+	setTime(&r.avoidedUntil, entry, later(r.avoidedUntil[entry], until), now)
 }
 
 // avoids reports whether the requests of an entry avoid the server.
@@ -88,7 +88,7 @@
 // others did not reach it, it is so for these alone from then on. Responses that broke off count
 // for all: some fail on a server that others succeed on.
 func (s *server) responded(now time.Time, entry string) {
-	set(&s.reach.respondedAt, entry, now, now.Add(-vouchTime))
+	setTime(&s.reach.respondedAt, entry, now, now.Add(-vouchTime))
 	if !s.unresponsive || len(s.blamers) == 0 || s.blamers[entry] || now.Sub(s.reach.blamedAt) < liftDelay {
 		return
 	}
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -5,8 +5,7 @@
 const (
 	// roomSlackFraction is the fraction of a longer objective during which a request leaves
 	// room for requests with the shortest objective. It then has precedence until its
-	// objective is missed. Leaving room for the whole objective cost long prompts more
-	// worth in the experiments than the short ones gained.
+	// objective is missed: one that left room for all of that time would meet it by chance.
 	roomSlackFraction = 0.5
 	// objectiveMemory is how long an objective counts as in use after its last request.
 	objectiveMemory = 3 * time.Second
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -20,6 +20,7 @@
 		service, _ := table.Service(name)
 		p := sched.pools[name]
 		if p == nil {
+			// Without other entries, and as long as none is known, this scheduler is the only one.
 			p = &pool{servers: make(map[string]*server), coldShare: 1, rateLimitShare: 1, observedFrom: now, primary: true}
 			sched.pools[name] = p
 		}
