dispatch, gateway: names of the scheduler's shares, cached candidates and stand-in

updateShares stood for two things in two packages, ticking had come to mean that candidates are cached, and placesFor is what an entry does that stands in for the scheduler.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -108,7 +108,7 @@
 		return p.cachedCandidates
 	}
 	out := p.findCandidates(now, request)
-	if len(request.exclude) == 0 && p.ticking {
+	if len(request.exclude) == 0 && p.cachesCandidates {
 		p.cachedCandidates = out
 	}
 	return out
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -60,9 +60,10 @@
 	recentSlotTime   time.Duration
 	recentSlotTimeAt time.Time
 	stats            map[objectives]*placementStats
-	// ticking is set during a tick. cachedCandidates then holds the servers that any
-	// request without exclusions may use, until the next request is placed.
-	ticking          bool
+	// cachesCandidates is set while several requests are tried one after the other.
+	// cachedCandidates then holds the servers that any request without exclusions may use,
+	// until the next request is placed.
+	cachesCandidates bool
 	cachedCandidates []*server
 	// primary is set while this scheduler places the requests of all entries.
 	primary bool
@@ -164,14 +165,14 @@
 	}
 	if !p.held(now) && p.mayOvertake(now, request) {
 		if decision := sched.decide(now, p, owner, request, len(p.queue) > 0); decision != nil {
-			return p.decided(now, &queuedRequest{request: request}, decision)
+			return p.recordDecision(now, &queuedRequest{request: request}, decision)
 		}
 	}
 	if decision := p.refuseLimited(now, request, func() int { return p.queuedAhead(now, request) }); decision != nil {
-		return p.decided(now, &queuedRequest{request: request}, decision)
+		return p.recordDecision(now, &queuedRequest{request: request}, decision)
 	}
 	if decision := p.refuseByForecast(now, request, returned); decision != nil {
-		return p.decided(now, &queuedRequest{request: request}, decision)
+		return p.recordDecision(now, &queuedRequest{request: request}, decision)
 	}
 	return p.enqueue(now, &queuedRequest{owner: owner, request: request, returned: returned})
 }
@@ -208,7 +209,7 @@
 		return out
 	}
 	p.sortQueue(now)
-	p.ticking = true
+	p.cachesCandidates = true
 	queue := p.queue
 	p.queue = nil
 	var ahead aheadWork
@@ -230,9 +231,9 @@
 			ahead.add(q, p.queuedPrefill(q))
 			continue
 		}
-		out = append(out, p.decided(now, q, decision))
+		out = append(out, p.recordDecision(now, q, decision))
 	}
-	p.ticking, p.cachedCandidates = false, nil
+	p.cachesCandidates, p.cachedCandidates = false, nil
 	return out
 }
 
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -233,9 +233,9 @@
 	}
 }
 
-// updateShares updates what accounts wait for and the share of those that ask for more, with
+// updateAccountShares updates what accounts wait for and the share of those that ask for more, with
 // requests that are about to be queued.
-func (p *pool) updateShares(now time.Time, next ...Request) {
+func (p *pool) updateAccountShares(now time.Time, next ...Request) {
 	s := &p.shares
 	for _, a := range s.accounts {
 		a.waiting = 0
@@ -279,7 +279,7 @@
 // reports whether there are some beyond their account's share and some within. An account's
 // share goes to its first requests, so that the order within an account stays the same.
 func (p *pool) markShares(now time.Time) bool {
-	p.updateShares(now)
+	p.updateAccountShares(now)
 	if p.shares.level == math.MaxInt64 {
 		return false
 	}
@@ -333,7 +333,7 @@
 		return standing{}
 	}
 	if now.Sub(p.shares.levelAt) >= TickInterval {
-		p.updateShares(now)
+		p.updateAccountShares(now)
 	}
 	if p.shares.level == math.MaxInt64 {
 		return standing{}
@@ -354,9 +354,9 @@
 	if !p.standingOf(now, request).over {
 		return false
 	}
-	// Candidates are cached during the trials, which place nothing.
-	p.ticking = true
-	defer func() { p.ticking, p.cachedCandidates = false, nil }()
+	// Nothing is placed while queued requests are tried, so the candidates stay the same.
+	p.cachesCandidates = true
+	defer func() { p.cachesCandidates, p.cachedCandidates = false, nil }()
 	late, tried := p.late(now, request), 0
 	for _, q := range p.queue {
 		if q.standing.over || !late && p.late(now, q.request) {
@@ -409,12 +409,12 @@
 	if len(p.queue) >= maxQueue && !q.returned {
 		i := p.mostOver(now, request)
 		if i < 0 {
-			return p.decided(now, q, p.refuseForRoom(now, request, ReasonBusy, p.retryAfter(now)))
+			return p.recordDecision(now, q, p.refuseForRoom(now, request, ReasonBusy, p.retryAfter(now)))
 		}
 		displaced := p.queue[i]
 		a := p.shares.account(now, displaced.request.account)
 		displaced.standing = standing{over: true, usage: a.used, waiting: a.waiting, share: p.shares.level, behind: cmp.Or(request.account, commonAccount)}
-		p.shares.undelivered = append(p.shares.undelivered, p.decided(now, displaced, p.refuseForRoom(now, displaced.request, ReasonBusy, p.retryAfter(now))))
+		p.shares.undelivered = append(p.shares.undelivered, p.recordDecision(now, displaced, p.refuseForRoom(now, displaced.request, ReasonBusy, p.retryAfter(now))))
 		p.queue = slices.Delete(p.queue, i, i+1)
 	}
 	p.queue = append(p.queue, q)
@@ -426,7 +426,7 @@
 // mostOver returns the index of the last queued request of the account that is the most over
 // its share, and -1 if that is the account of the new request or there is none.
 func (p *pool) mostOver(now time.Time, request Request) int {
-	p.updateShares(now, request)
+	p.updateAccountShares(now, request)
 	if p.shares.level == math.MaxInt64 {
 		return -1
 	}
@@ -464,8 +464,8 @@
 	return out
 }
 
-// decided records a decision on a request and adds its standing to the explanation.
-func (p *pool) decided(now time.Time, q *queuedRequest, decision Decision) Decision {
+// recordDecision records a decision on a request and adds its standing to the explanation.
+func (p *pool) recordDecision(now time.Time, q *queuedRequest, decision Decision) Decision {
 	switch d := decision.(type) {
 	case Granted:
 		if q.standing.behind == "" {
@@ -525,7 +525,7 @@
 	out := make(map[string][]AccountUsage)
 	for name, p := range sched.pools {
 		if len(p.queue) > 0 {
-			p.updateShares(now)
+			p.updateAccountShares(now)
 		}
 		limited := len(p.queue) > 0 && p.shares.level != math.MaxInt64
 		var usages []AccountUsage
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -20,7 +20,8 @@
 		service, _ := table.Service(name)
 		p := sched.pools[name]
 		if p == nil {
-			// Without other entries, and as long as none is known, this scheduler is the only one.
+			// A fresh scheduler counts as the primary one until it is told of another. So an entry
+			// that starts does not ask others what runs: they report to it with their heartbeats.
 			p = &pool{servers: make(map[string]*server), coldShare: 1, rateLimitShare: 1, observedFrom: now, primary: true}
 			sched.pools[name] = p
 		}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -196,7 +196,7 @@
 		entries = max(entries, startupEntries)
 	}
 	c.entries.Store(int64(entries))
-	c.updateShares(now)
+	c.updateSchedulerShares(now)
 	c.updateCutOff(now)
 	c.scheduler.SetUnreached(now, c.members.self.ID, slices.Sorted(maps.Keys(c.unreached)))
 	c.logSuspicions(now)
@@ -208,10 +208,10 @@
 	}
 }
 
-// updateShares sets, for each service, whether this entry is the scheduler, and the shares
+// updateSchedulerShares sets, for each service, whether this entry is the scheduler, and the shares
 // of the capacity of cold servers and of rate limits that it may grant: all of them as the
 // scheduler, else an equal part of the former per entry.
-func (c *control) updateShares(now time.Time) {
+func (c *control) updateSchedulerShares(now time.Time) {
 	for _, service := range c.cache.services() {
 		scheduler := c.members.scheduler(now, service)
 		primary := scheduler == nil
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -209,7 +209,7 @@
 	owner, request := call.decode(c.timers.Now())
 	c.do(func(now time.Time) {
 		c.mergeNotices(now, call.Entry, call.Notices)
-		c.placesFor(now, call.Service)
+		c.standInFor(now, call.Service)
 	})
 	decision, err := c.schedule(context.Background(), owner, request)
 	if err != nil {
--- a/gateway/suspicions_test.go
+++ b/gateway/suspicions_test.go
@@ -149,12 +149,12 @@
 	other.State, other.CPUCores = memberReady, 10 // enough for this entry not to schedule beside it
 	entry.members.observe(now, other)
 	c.Assert(entry.members.scheduler(now, "llm"), qt.IsNotNil)
-	entry.updateShares(now)
+	entry.updateSchedulerShares(now)
 	crashServers(entry, now, 8)
 	c.Assert(entry.quarantined(), qt.Equals, 0)
 
 	entry.members.byID = make(map[string]*member)
-	entry.updateShares(now)
+	entry.updateSchedulerShares(now)
 	crashServers(entry, now.Add(time.Minute), 8)
 	c.Assert(entry.quarantined(), qt.Equals, 1)
 }
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -79,9 +79,9 @@
 	c.log.Info("taking over as scheduler", "service", service, "entries", len(t.unanswered), "queues_prompts", held)
 }
 
-// placesFor has this entry take over a service for which another entry asks it for a
+// standInFor has this entry take over a service for which another entry asks it for a
 // placement, although it takes a third one for the scheduler.
-func (c *control) placesFor(now time.Time, service string) {
+func (c *control) standInFor(now time.Time, service string) {
 	if c.scheduler.Primary(service) || !slices.Contains(c.cache.services(), service) {
 		return
 	}
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -30,7 +30,7 @@
 		}
 	}
 	for _, e := range entries {
-		e.updateShares(now)
+		e.updateSchedulerShares(now)
 	}
 }
 
@@ -94,7 +94,7 @@
 			others = append(others, e)
 		}
 	}
-	successor.updateShares(now)
+	successor.updateSchedulerShares(now)
 	decision := successor.scheduler.Submit(now, successor.owner, successor.crashingRequest(now, "next").WithParts())
 	c.Assert(decision, qt.Equals, dispatch.Decision(dispatch.Queued{}))
 	waiter := make(chan dispatch.Decision, 1)
@@ -132,11 +132,11 @@
 	beside := entries[(schedulerAmong(now, entries)+1)%len(entries)]
 	asked := 0
 	beside.askRunning = func(string, string, string) { asked++ }
-	beside.placesFor(now, "llm")
-	beside.placesFor(now.Add(takeoverRefresh/2), "llm")
+	beside.standInFor(now, "llm")
+	beside.standInFor(now.Add(takeoverRefresh/2), "llm")
 	c.Assert(asked, qt.Equals, 2)
 	now = now.Add(takeoverRefresh)
-	beside.placesFor(now, "llm")
+	beside.standInFor(now, "llm")
 	c.Assert(asked, qt.Equals, 4)
 	request := beside.crashingRequest(now, "r").WithParts()
 	_, granted := beside.scheduler.Submit(now, beside.owner, request).(dispatch.Granted)
@@ -155,8 +155,8 @@
 	leaving.askRunning = func(string, string, string) { asked++ }
 	now = now.Add(10 * time.Millisecond)
 	leaving.members.self.State = memberLeaving
-	leaving.updateShares(now)
-	leaving.placesFor(now.Add(takeoverRefresh/2), "llm")
+	leaving.updateSchedulerShares(now)
+	leaving.standInFor(now.Add(takeoverRefresh/2), "llm")
 	c.Assert(asked, qt.Equals, 0)
 	request := leaving.crashingRequest(now, "r").WithParts()
 	_, granted := leaving.scheduler.Submit(now, leaving.owner, request).(dispatch.Granted)
@@ -169,6 +169,6 @@
 	now := time.Unix(1000, 0)
 	entries := []*control{newSuspicionEntry(1, now), newSuspicionEntry(2, now)}
 	meet(now, entries...)
-	entries[0].placesFor(now, "unknown")
+	entries[0].standInFor(now, "unknown")
 	c.Assert(entries[0].takeovers["unknown"], qt.IsNil)
 }
