dispatch: serve late prompts beside free slots

Two reasons, from the logs: the estimate of the wait counted one account's queued prompt of hundreds of thousands of tokens as ahead of prompts that need an engine for 30 ms (room in 13 s), and late prompts left room for an expected demand of 312 of 224 slots, which was the same callers, extrapolated.

TestCallersReturnAtOnceToIdleFleet fails without the change (49 prompts queued beside 0.70 of the slots free).

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -13,6 +13,10 @@
 	// maxSlotLoad is the fraction of the slots of the remaining servers that requests
 	// may be expected to take while a late request occupies some servers.
 	maxSlotLoad = 0.75
+	// ampleSlots is the fraction of the slots that must be free for late requests with a
+	// short prefill to leave no room. Callers who return all at once after a fault count as
+	// if more of them went on arriving as fast; they would wait for room beside free slots.
+	ampleSlots = 0.6
 )
 
 // slotTime returns the time for which a request is expected to take a slot of a
@@ -45,6 +49,9 @@
 	if p.service.Engine() == nil || !p.mustLeaveRoom(now, request) {
 		return true
 	}
+	if !now.Before(request.objective) && !p.isLong(now, request) && p.freeSlots(now) >= ampleSlots {
+		return true
+	}
 	slots, others := 0, 0
 	for _, s := range p.order {
 		if !s.usable || s == choice.server || slices.Contains(choice.workers, s) {
@@ -57,3 +64,16 @@
 	}
 	return others == 0 || p.slotDemand(now) <= maxSlotLoad*float64(slots)
 }
+
+// freeSlots returns the fraction of the usable servers' slots that are free. Those of a slow
+// server count for less, since requests take them for longer.
+func (p *pool) freeSlots(now time.Time) float64 {
+	free, total := 0.0, 0
+	for _, s := range p.order {
+		if s.usable {
+			free += float64(max(0, s.slots()-s.occupied(now))) / s.speedFactor()
+			total += s.slots()
+		}
+	}
+	return free / float64(max(1, total))
+}
