ingress: time limit of the tests of short silences

Cause of the two entries of KNOWN-RED.txt (unexpected EOF, once each beside a load of over 20): the server is silent for 1.7 s and the route's time limit is 2 s, so a delay of 0.3 s lets the entry end the stream at its limit, as it must. Shown with a silence of 2.1 s: the same error after 1.98 s, for both subtests; with 1.95 s the stream is answered whole.

Change: these tests use a route with a time limit of 10 s.

--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -402,6 +402,7 @@
 		route("/again/", routing.KindIdempotent),
 		route("/stream/", routing.KindStream).WithResumable(true),
 		route("/stream/fixed/", routing.KindStream),
+		route("/stream/patient/", routing.KindStream).WithTimes(10*time.Second, 300*time.Millisecond, 250*time.Millisecond).WithResumable(true),
 		route("/stream/thrice/", routing.KindStream).WithResumable(true).WithMaxAttempts(3).WithTargets(routing.NewTarget("llm", 1)),
 		route("/stream/quick/", routing.KindStream).WithTimes(10*time.Second, 300*time.Millisecond, fuzzTokenInterval).WithResumable(true),
 		route("/public/", routing.KindNonIdempotent).WithPublic(true),
