dispatch: wait of late prompts counts all that is ahead again

Conclusion: the wait behind shorter prompts only is reverted: it keeps prompts queued that are served late or not at all, in front of others.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -16,7 +16,7 @@
 	// ampleSlots is the fraction of the slots that must be free for late requests with a
 	// short prefill to leave no room. Callers who return all at once after a fault count as
 	// if more of them went on arriving as fast; they would wait for room beside free slots.
-	ampleSlots = 0.6
+	ampleSlots = 0.5
 )
 
 // slotTime returns the time for which a request is expected to take a slot of a
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -121,20 +121,21 @@
 	}
 }
 
-// engineFor returns the time at which the first engine may begin the prefill of a request
-// behind others. Some of those may leave the queue before, so only a part is counted.
+// engineFor returns the time at which the first engine may begin the prefill of a request,
+// if the engines with the least prefill share that of the requests ahead. Some of those may
+// leave the queue before, so only a part is counted.
 func (p *pool) engineFor(now time.Time, ahead []*queuedRequest) time.Time {
 	work := time.Duration(0)
 	for _, q := range ahead {
 		work += time.Duration(earliestRunFraction * float64(p.queuedPrefill(q)))
 	}
-	return p.engineAfter(now, work)
-}
-
-// engineAfter returns the time at which the engines with the least prefill have done that and
-// so much more, which they share.
-func (p *pool) engineAfter(now time.Time, work time.Duration) time.Time {
-	backlogs := p.sortedBacklogs(now)
+	var backlogs []time.Duration
+	for _, s := range p.order {
+		if s.usable {
+			backlogs = append(backlogs, s.backlog(now))
+		}
+	}
+	slices.Sort(backlogs)
 	filled := time.Duration(0) // the sum of the backlogs so far
 	for i, backlog := range backlogs {
 		filled += backlog
@@ -146,24 +147,6 @@
 	return now
 }
 
-// sortedBacklogs returns the backlogs of the usable servers, the shortest first.
-func (p *pool) sortedBacklogs(now time.Time) []time.Duration {
-	if p.cachedBacklogs != nil {
-		return p.cachedBacklogs
-	}
-	var backlogs []time.Duration
-	for _, s := range p.order {
-		if s.usable {
-			backlogs = append(backlogs, s.backlog(now))
-		}
-	}
-	slices.Sort(backlogs)
-	if p.cachesCandidates {
-		p.cachedBacklogs = backlogs
-	}
-	return backlogs
-}
-
 // slotTimes returns the times at which the slots of the usable servers may be free, in the earliest case.
 func (p *pool) slotTimes(now time.Time) timeHeap {
 	var out timeHeap
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -312,7 +312,7 @@
 // place records a placement in the scheduler's state and returns the grant.
 func (sched *Scheduler) place(now time.Time, p *pool, owner Owner, request Request, choice placement) Grant {
 	s := choice.server
-	p.cachedCandidates, p.cachedBacklogs = nil, nil
+	p.cachedCandidates = nil
 	var workerIDs []string
 	var prefillWorkers []PrefillWorker
 	var reservations []reservation
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -72,14 +72,18 @@
 }
 
 // shedLate refuses a request that already misses its objective and would not be
-// placed in time behind the requests ahead of it; its caller had better retry when
-// their prefill is done.
-func (p *pool) shedLate(now time.Time, q *queuedRequest, ahead aheadWork) Decision {
-	if p.service.Engine() == nil || !p.missesObjective(now, q.request) || q.underserved || p.usableServers == 0 {
+// placed in time behind the prefill ahead of it; its caller had better retry when
+// that prefill is done.
+func (p *pool) shedLate(now time.Time, q *queuedRequest, ahead time.Duration) Decision {
+	engine := p.service.Engine()
+	if engine == nil || !p.missesObjective(now, q.request) || q.underserved {
+		return nil
+	}
+	usable, backlog := p.usable(now)
+	if usable == 0 {
 		return nil
 	}
-	engineFree := p.engineAfter(now, time.Duration(earliestRunFraction*float64(ahead.prefill(p, q))))
-	wait := time.Duration(float64(engineFree.Sub(now)) / queueDrainShare)
+	wait := time.Duration(float64(ahead+backlog) / (float64(usable) * queueDrainShare))
 	if now.Add(wait).Before(p.queueDeadline(q.request)) {
 		return nil
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -62,10 +62,9 @@
 	stats            map[objectives]*placementStats
 	// cachesCandidates is set while several requests are tried one after the other.
 	// cachedCandidates then holds the servers that any request without exclusions may use,
-	// until the next request is placed, and cachedBacklogs the backlogs of the usable servers.
+	// until the next request is placed.
 	cachesCandidates bool
 	cachedCandidates []*server
-	cachedBacklogs   []time.Duration
 	// primary is set while this scheduler places the requests of all entries.
 	primary bool
 	// observedFrom is when this scheduler began to place the requests of all entries.
@@ -222,19 +221,19 @@
 		}
 		if decision == nil {
 			misses++
-			decision = p.shedLate(now, q, ahead)
+			decision = p.shedLate(now, q, ahead.of(q))
 		}
 		if decision == nil {
 			decision = p.refuseLimited(now, q.request, func() int { return len(p.queue) })
 		}
 		if decision == nil {
 			p.queue = append(p.queue, q)
-			ahead.add(q)
+			ahead.add(q, p.queuedPrefill(q))
 			continue
 		}
 		out = append(out, p.recordDecision(now, q, decision))
 	}
-	p.cachesCandidates, p.cachedCandidates, p.cachedBacklogs = false, nil, nil
+	p.cachesCandidates, p.cachedCandidates = false, nil
 	return out
 }
 
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -378,25 +378,27 @@
 	return p.service.Engine() != nil && p.missesObjective(now, request)
 }
 
-// aheadWork holds the queued requests that go before another one.
+// aheadWork is the prefill of the queued requests that go before another one.
 type aheadWork struct {
-	requests []*queuedRequest
+	within time.Duration
+	all    time.Duration
 }
 
 // add adds a queued request.
-func (w *aheadWork) add(q *queuedRequest) { w.requests = append(w.requests, q) }
-
-// prefill returns the prefill time that a request may have to wait for. Longer prompts do not
-// count: they wait for several engines, while a shorter one needs a part of one. Neither does
-// what accounts over their share wait for, for a request within its account's share.
-func (w *aheadWork) prefill(p *pool, q *queuedRequest) time.Duration {
-	total := time.Duration(0)
-	for _, ahead := range w.requests {
-		if ahead.request.prompt <= q.request.prompt && (q.standing.over || !ahead.standing.over) {
-			total += p.queuedPrefill(ahead)
-		}
+func (w *aheadWork) add(q *queuedRequest, prefill time.Duration) {
+	w.all += prefill
+	if !q.standing.over {
+		w.within += prefill
+	}
+}
+
+// of returns the prefill that counts for a request: a request within its account's share is
+// not refused because of what accounts over theirs wait for.
+func (w *aheadWork) of(q *queuedRequest) time.Duration {
+	if q.standing.over {
+		return w.all
 	}
-	return total
+	return w.within
 }
 
 // enqueue queues a request. If the queue is full, the last request of the account that is
