--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -13,10 +13,6 @@
 	// maxSlotLoad is the fraction of the slots of the remaining servers that requests
 	// may be expected to take while a late request occupies some servers.
 	maxSlotLoad = 0.75
-	// ampleSlots is the fraction of free slots from which late requests with a short prefill
-	// need not leave room. Callers who all return at once after a fault count as a lasting
-	// demand, for which late requests would wait beside free slots.
-	ampleSlots = 0.5
 )
 
 // slotTime returns the time for which a request is expected to take a slot of a
@@ -46,7 +42,7 @@
 // requests that are expected meanwhile. Those take precedence over it even before
 // they arrive, since a long prefill can't be interrupted.
 func (p *pool) leavesRoom(now time.Time, request Request, choice placement) bool {
-	if p.service.Engine() == nil || !p.mustLeaveRoom(now, request) || p.hasAmpleSlots(now, request) {
+	if p.service.Engine() == nil || !p.mustLeaveRoom(now, request) {
 		return true
 	}
 	slots, others := 0, 0
@@ -61,22 +57,3 @@
 	}
 	return others == 0 || p.slotDemand(now) <= maxSlotLoad*float64(slots)
 }
-
-// hasAmpleSlots reports whether a late request, which takes a slot but occupies its server only
-// briefly, finds enough free slots.
-func (p *pool) hasAmpleSlots(now time.Time, request Request) bool {
-	return !now.Before(request.objective) && !p.isLong(now, request) && p.freeSlots(now) >= ampleSlots
-}
-
-// freeSlots returns the fraction of the usable servers' slots that are free. Those of a slow
-// server count for less, since requests take them for longer.
-func (p *pool) freeSlots(now time.Time) float64 {
-	free, total := 0.0, 0
-	for _, s := range p.order {
-		if s.usable {
-			free += float64(max(0, s.slots()-s.occupied(now))) / s.speedFactor()
-			total += s.slots()
-		}
-	}
-	return free / float64(max(1, total))
-}
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -34,10 +34,3 @@
 	}
 	return shortest
 }
-
-// isLong reports whether the prefill of a prompt on one engine would make requests with the
-// shortest objective late.
-func (p *pool) isLong(now time.Time, request Request) bool {
-	shortest := p.shortestObjective(now)
-	return request.objective.Sub(request.arrived) > shortest && p.prefillTime(request) > time.Duration(targetFraction*float64(shortest))
-}
