review: case 3, a stopping entry takes requests that it can't finish

Cause: a connection that was opened shortly before the listener closes is kept for another second. A request that comes on it more than 3 s after the SIGTERM is passed on, and cut at the end of the grace period (LOST).

Done: a script in which clients open channels 2.4 s after the SIGTERM of an entry and send requests on them 0.75 s later.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -37,12 +37,16 @@
 
 // request sends a request on a new channel and reads the answer to its end.
 func request(address, method, path, id string, deadline time.Duration, header map[string]string, body string) result {
-	r := result{id: id, sentAt: time.Now()}
 	conn, err := net.DialTimeout("tcp4", address, time.Second)
 	if err != nil {
-		r.err, r.endedAt = err, time.Now()
-		return r
+		return result{id: id, sentAt: time.Now(), endedAt: time.Now(), err: err}
 	}
+	return requestOn(conn, method, path, id, deadline, header, body)
+}
+
+// requestOn sends a request on an open channel, reads the answer to its end and closes the channel.
+func requestOn(conn net.Conn, method, path, id string, deadline time.Duration, header map[string]string, body string) result {
+	r := result{id: id}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(deadline))
 	var b strings.Builder
@@ -54,11 +58,11 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
 	b.WriteString("\r\n" + body)
+	r.sentAt = time.Now()
 	if _, err := io.WriteString(conn, b.String()); err != nil {
 		r.err, r.endedAt = err, time.Now()
 		return r
 	}
-	r.sentAt = time.Now()
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
 	if err != nil {
 		r.err, r.endedAt = err, time.Now()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -94,6 +94,8 @@
 	switch os.Args[1] {
 	case "queued":
 		playQueued(dir, trouble)
+	case "late":
+		playLate(dir, trouble)
 	case "relay":
 		playRelay(dir, trouble)
 	default:
