review: case 3, entries that lack their seeds each act as the only scheduler

Cause: an entry that knows no other one grants the whole share of a cold server's capacity that is meant for the only scheduler. After all machines were lost, those that are back before the seeds don't find each other, and each of them does (FAILBACK).

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -94,6 +94,8 @@
 	switch os.Args[1] {
 	case "queued":
 		playQueued(dir, trouble)
+	case "cold":
+		playCold(dir, trouble)
 	case "late":
 		playLate(dir, trouble)
 	case "relay":
@@ -113,7 +115,7 @@
 			"Service": modelService, "Attempts": 2, "Public": false, "Sticky": true, "CanResume": true, "GapAimMs": 1000,
 		}},
 		"Services": []any{map[string]any{
-			"Name": modelService, "HealthPath": "/healthz", "MaxConns": 304, "Proto": "h1", "Tls": false, "ColdS": 0, "ColdPerS": 0,
+			"Name": modelService, "HealthPath": "/healthz", "MaxConns": 304, "Proto": "h1", "Tls": false, "ColdS": coldFor.Seconds(), "ColdPerS": coldPerS,
 			"Engine": map[string]any{
 				"Slots": slots, "KvCapTokens": 405000, "Stride": stride, "Models": []any{map[string]string{"Name": "m"}}, "step_ms": stepMs,
 				"per_seq_ms": 0.000917, "context_per_k": 0.00213, "read_per_s": 154000.0, "pairs_per_m": 0.162, "chunk": 2048, "report_lag_ms": 200.0,
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,10 +28,18 @@
 	address string
 	slots   int
 	stream  stream
+	born    int64 // Unix milliseconds
 
 	mu      sync.Mutex
 	running int
 	runs    map[string]*run // by Attempt-Id
+	arrived []arrival
+}
+
+// arrival is the arrival of a request, also of one that is refused.
+type arrival struct {
+	id string
+	at time.Time
 }
 
 // run is what a runner did for one request.
@@ -43,7 +52,7 @@
 
 // startRunner serves a runner on a free loopback port.
 func startRunner(id string, slots int, s stream) *runner {
-	r := &runner{id: id, slots: slots, stream: s, runs: make(map[string]*run)}
+	r := &runner{id: id, slots: slots, stream: s, born: time.Now().UnixMilli(), runs: make(map[string]*run)}
 	listener := listen()
 	r.address = listener.Addr().String()
 	go func() {
@@ -119,6 +128,7 @@
 func (r *runner) begin(attempt, from string) (*run, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.arrived = append(r.arrived, arrival{attempt, time.Now()})
 	if r.running >= r.slots {
 		return nil, false
 	}
@@ -150,6 +160,13 @@
 	return run{}
 }
 
+// arrivals returns the arrivals of requests so far.
+func (r *runner) arrivals() []arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.arrived)
+}
+
 // cameFrom returns the other end of the channel on which the runner last got a request.
 func (r *runner) cameFrom(attempt string) string { return r.seen(attempt).from }
 
@@ -193,10 +210,13 @@
 }
 
 // publish writes the runner's item in the store, with the address at which it is reached.
-func (r *runner) publish(s *store, address string) {
+func (r *runner) publish(s *store, address string) { r.publishCold(s, address, 0) }
+
+// publishCold is publish for a runner that is cold for a time.
+func (r *runner) publishCold(s *store, address string, coldFor time.Duration) {
 	s.put("servers/"+r.id, map[string]any{
 		"Service": modelService, "Addr": address, "Zone": "zone-a", "Version": "v1", "Slots": r.slots, "State": "ready",
-		"ColdLeftMs": 0, "Stage": "both", "Models": []any{map[string]any{"Name": "m", "Version": 1, "Adapters": []any{}}},
-		"Seq": 0, "born": time.Now().UnixMilli(),
+		"ColdLeftMs": coldFor.Milliseconds(), "Stage": "both", "Models": []any{map[string]any{"Name": "m", "Version": 1, "Adapters": []any{}}},
+		"Seq": 0, "born": r.born,
 	})
 }
