mesh: bytes from a server pass a tunnel in frames

Cause: a response without a length ends with its connection. The system closes the sockets of a killed relay with a FIN, as a server closes its own connection, and Server.Close did so to tunnels that outlast the grace period. The entry took both for the end of the body.

Change: the relay sends the server's bytes in frames, and an empty frame for the clean end of the server's connection; every other end is an error of reading. Both entries state that they understand frames, so that earlier versions get the bytes as before. An end through an earlier relay never counts as clean. A relay that stops resets the tunnels of earlier entries, also on the own interface.

--- a/mesh/paths.go
+++ b/mesh/paths.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -84,7 +85,7 @@
 	Servers() []string
 	// Relays returns the addresses of the entries that may lead to servers, in random order.
 	Relays() []string
-	// Open opens a tunnel to a server through the entry at the address relay.
+	// Open opens a tunnel to a server through the entry at the address relay, as OpenTunnel does.
 	Open(ctx context.Context, relay, address string) (net.Conn, error)
 	// Changed is called when the results of Paths.Lost change, with that of Paths.CutOff.
 	Changed(cutOff bool)
@@ -149,13 +150,25 @@
 
 // relayedConn is a connection through another entry.
 type relayedConn struct {
-	*net.TCPConn
+	tunnel
 	relay string
 }
 
+// tunnel is what Ways.Open returns.
+type tunnel interface {
+	net.Conn
+	syscall.Conn
+}
+
 // Relay implements upstream.Relayed.
 func (c relayedConn) Relay() string { return c.relay }
 
+// HasUnread implements upstream.Relayed.
+func (c relayedConn) HasUnread() bool {
+	framed, ok := c.tunnel.(*framedConn)
+	return ok && framed.HasUnread()
+}
+
 // pathOf returns the direct way to a server; p.mu must be held.
 func (p *Paths) pathOf(address string) *path {
 	known := p.paths[address]
@@ -278,7 +291,7 @@
 		conn, err := p.ways.Open(ctx, relay, address)
 		switch {
 		case err == nil:
-			return relayedConn{conn.(*net.TCPConn), relay}, nil
+			return relayedConn{conn.(tunnel), relay}, nil
 		case ctx.Err() != nil:
 			return nil, err
 		case errors.Is(err, ErrServerUnreachable):
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -29,8 +29,9 @@
 	kinds   Kinds
 	log     hclog.Logger
 
-	mu         sync.Mutex
-	closed     bool
+	mu     sync.Mutex
+	closed bool
+	// conns holds the connections, and whether an entry receives the bytes of a tunnel there.
 	conns      map[net.Conn]bool
 	dialTunnel TunnelDialer
 	tunnels    int
@@ -89,23 +90,36 @@
 	s.serve(conn)
 }
 
-// Close closes all connections and refuses new ones.
+// Close closes all connections and refuses new ones. Tunnels are reset: an entry that does not
+// understand frames would take their end for that of the server's connection.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
+	for conn, tunnel := range s.conns {
+		if tunnel {
+			reset(conn)
+		}
+	}
 	for conn := range s.conns {
 		conn.Close()
 	}
 }
 
+// setTunnel records that an entry receives the bytes of a tunnel on a connection.
+func (s *Server) setTunnel(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[conn] = true
+}
+
 func (s *Server) add(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
-	s.conns[conn] = true
+	s.conns[conn] = false
 	return true
 }
 
--- a/mesh/tunnel.go
+++ b/mesh/tunnel.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -18,7 +19,8 @@
 
 // A tunnel is a connection to a backend server through another entry: the first call on a
 // connection to that entry names the server's address, and after the response the bytes of
-// both connections are passed on unchanged, with their ends and resets.
+// both connections are passed on unchanged, with their ends and resets; see frames.go for
+// those from the server.
 
 // kindTunnel is the kind of the call that opens a tunnel. Its body is the address.
 const kindTunnel = "tunnel"
@@ -74,6 +76,10 @@
 // serveTunnel opens a tunnel on a connection and serves it to its end.
 func (s *Server) serveTunnel(conn net.Conn, call envelope) {
 	response := envelope{ID: call.ID}
+	framed := slices.Contains(call.Understands, understandsFrames)
+	if framed {
+		response.Understands = []string{understandsFrames}
+	}
 	server, err := s.openTunnel(call.Body)
 	if err != nil {
 		response.Error = err.Error()
@@ -89,9 +95,14 @@
 	if err := keepTunnel(conn); err != nil {
 		return
 	}
+	s.setTunnel(conn)
+	toCaller := copyBytes
+	if framed {
+		toCaller = writeFrames
+	}
 	var both sync.WaitGroup
-	both.Go(func() { pass(server, conn) })
-	both.Go(func() { pass(conn, server) })
+	both.Go(func() { pass(server, conn, copyBytes) })
+	both.Go(func() { pass(conn, server, toCaller) })
 	both.Wait()
 }
 
@@ -170,35 +181,46 @@
 	s.tunnels--
 }
 
-// pass copies the bytes of one connection to another one, and then its end: a clean one
+// pass passes the bytes of one connection on to another one, and then its end: a clean one
 // ends only this direction, any other one resets the other connection.
-func pass(to, from net.Conn) {
-	// The structs hide methods by which io.CopyBuffer would use larger buffers.
-	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, tunnelBufferBytes))
+func pass(to, from net.Conn, copyAll func(to io.Writer, from io.Reader) error) {
+	err := copyAll(to, from)
 	if half, ok := to.(interface{ CloseWrite() error }); ok && err == nil {
 		err = half.CloseWrite()
 	}
 	if err == nil {
 		return
 	}
-	for _, conn := range []net.Conn{to, from} {
-		if linger, ok := conn.(interface{ SetLinger(int) error }); ok {
-			_ = linger.SetLinger(0) // fails only if the connection is closed
-		}
-		conn.Close()
+	reset(to)
+	reset(from)
+}
+
+// copyBytes copies bytes up to a clean end.
+func copyBytes(to io.Writer, from io.Reader) error {
+	// The structs hide methods by which io.CopyBuffer would use larger buffers.
+	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, tunnelBufferBytes))
+	return err
+}
+
+// reset closes a connection so that its other end does not take that for a clean end.
+func reset(conn net.Conn) {
+	if linger, ok := conn.(interface{ SetLinger(int) error }); ok {
+		_ = linger.SetLinger(0) // fails only if the connection is closed
 	}
+	conn.Close()
 }
 
 // OpenTunnel connects to a server's address through the entry at an address, on a connection
 // that begins with the opening bytes. Errors wrap ErrServerUnreachable if the entry can't
-// reach the server, and else ErrUnreachable.
+// reach the server, and else ErrUnreachable. A read returns io.EOF only after the clean end of
+// the server's connection, and ErrTunnelCut at any other end.
 func OpenTunnel(ctx context.Context, dialer upstream.Dialer, entry, address string, opening ...byte) (net.Conn, error) {
 	conn, err := dialer.Dial(ctx, entry)
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnreachable, "tunnel through %s: %v", entry, err)
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	err = requestTunnel(conn, address, opening)
+	framed, err := requestTunnel(conn, address, opening)
 	if !stop() && err == nil {
 		err = eris.Wrapf(ErrUnreachable, "tunnel through %s: %v", entry, ctx.Err())
 	}
@@ -206,37 +228,41 @@
 		conn.Close()
 		return nil, err
 	}
-	return conn, nil
+	stream := conn.(streamConn) // as a Dialer's connections are
+	if framed {
+		return newFramedConn(stream), nil
+	}
+	return unframedConn{stream}, nil
 }
 
-// requestTunnel calls for a tunnel on a new connection to an entry. It reads no byte beyond
-// the response.
-func requestTunnel(conn net.Conn, address string, opening []byte) error {
+// requestTunnel calls for a tunnel on a new connection to an entry, and reports whether frames
+// follow. It reads no byte beyond the response.
+func requestTunnel(conn net.Conn, address string, opening []byte) (framed bool, err error) {
 	body, err := encode(address)
 	if err == nil && len(opening) > 0 {
 		_, err = conn.Write(opening)
 	}
 	if err == nil {
-		err = writeEnvelope(conn, envelope{ID: 1, Kind: kindTunnel, Body: body})
+		err = writeEnvelope(conn, envelope{ID: 1, Kind: kindTunnel, Body: body, Understands: []string{understandsFrames}})
 	}
 	if err == nil {
 		err = conn.SetWriteDeadline(time.Time{})
 	}
 	if err != nil {
-		return eris.Wrapf(ErrUnreachable, "tunnel: %v", err)
+		return false, eris.Wrapf(ErrUnreachable, "tunnel: %v", err)
 	}
 	var response envelope
 	single := &byteReader{r: io.LimitReader(conn, maxTunnelReplyBytes)}
 	if err := msgpack.NewDecoder(single).Decode(&response); err != nil {
-		return eris.Wrapf(ErrUnreachable, "tunnel: %v", err)
+		return false, eris.Wrapf(ErrUnreachable, "tunnel: %v", err)
 	}
 	switch {
 	case response.Error == "":
-		return nil
+		return slices.Contains(response.Understands, understandsFrames), nil
 	case response.Kind == kindServerUnreachable:
-		return eris.Wrap(ErrServerUnreachable, response.Error)
+		return false, eris.Wrap(ErrServerUnreachable, response.Error)
 	default:
-		return eris.Wrap(ErrUnreachable, response.Error)
+		return false, eris.Wrap(ErrUnreachable, response.Error)
 	}
 }
 
--- a/mesh/tunnel_test.go
+++ b/mesh/tunnel_test.go
@@ -24,11 +24,18 @@
 	address string // of the entry
 	server  string
 	other   string // another server that the entry knows
+	// closeListener closes the entry's listener.
+	closeListener func()
 }
 
 func newTunnelBed(t *testing.T, serve func(conn *net.TCPConn)) *tunnelBed {
 	c := qt.New(t)
-	b := &tunnelBed{c: c, entry: NewServer(func(string, []byte) (any, error) { return "called", nil })}
+	b := &tunnelBed{c: c, entry: NewServer(func(kind string, _ []byte) (any, error) {
+		if kind == "panic" {
+			panic("called")
+		}
+		return "called", nil
+	})}
 	server := listen(c)
 	b.server = server.Addr().String()
 	go func() {
@@ -47,7 +54,7 @@
 		return upstream.Dialer{}.Dial(ctx, address)
 	})
 	entry := listen(c)
-	b.address = entry.Addr().String()
+	b.address, b.closeListener = entry.Addr().String(), func() { entry.Close() }
 	go func() { _ = b.entry.Serve(entry) }()
 	c.Cleanup(b.entry.Close)
 	return b
@@ -89,7 +96,7 @@
 	b.c.Assert(line, qt.Equals, "hello\n")
 	go func() {
 		_, _ = io.WriteString(conn, long)
-		_ = conn.(*net.TCPConn).CloseWrite()
+		_ = conn.(streamConn).CloseWrite()
 	}()
 	echoed, err := io.ReadAll(reader)
 	b.c.Assert(err, qt.IsNil)
--- a/peer/listener.go
+++ b/peer/listener.go
@@ -162,6 +162,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.closed = true
+	in.tunnels.Close()
 	for conn := range in.conns {
 		conn.Close()
 	}
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -42,6 +42,8 @@
 	net.Conn
 	// Relay returns the IP:PORT address of that entry.
 	Relay() string
+	// HasUnread reports whether bytes were received that Read has not returned.
+	HasUnread() bool
 }
 
 // relayOf returns the address of the entry through which a connection leads, empty if it
@@ -145,6 +147,9 @@
 
 // readable reports whether the peer has closed or reset an idle connection, or sent more.
 func readable(conn net.Conn) bool {
+	if relayed, ok := conn.(Relayed); ok && relayed.HasUnread() {
+		return true
+	}
 	raw, err := conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return true
