ingress, gateway: a stopping entry refuses what arrives too late to be finished

Cause: only Process.Shutdown knew when the grace period ends. Between the accept of a request and its placement nothing asked how much time was left, on connections that were open before the listener closed, and after bodies that arrived slowly.

Change: BeginStop tells the server the time from which callers should know of the stop and the end. A request that has arrived as a whole after the former is refused with 503 unless its deadline comes before the end; a body that is still arriving is refused at that time.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -80,6 +80,8 @@
 	ReasonPastDeadline Reason = "too_late"
 	// ReasonQuarantined means that the same request, or ones with the same part of a prompt, crash servers.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonStopping means that the entry stops before it could finish the request.
+	ReasonStopping Reason = "stopping"
 	// ReasonTooLarge means that no server has enough memory.
 	ReasonTooLarge Reason = "too_large"
 )
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,13 @@
 	lameDuckPeriod = 2500 * time.Millisecond
 	// shutdownMargin is the part of the grace period left for the process to exit.
 	shutdownMargin = 400 * time.Millisecond
+	// finalAnswerMargin is the part before that in which requests that are still open get
+	// their final answers.
+	finalAnswerMargin = 200 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of what a stopping entry refuses while there are
+	// others, and restartTime how long after its end it is back if there are none.
+	stoppingRetryAfter = 50 * time.Millisecond
+	restartTime        = time.Second
 )
 
 // Platform holds the adapters to the platform on which an entry runs.
@@ -279,6 +287,15 @@
 	p.log.Info("settings reloaded", "seeds", len(settings.Seeds()), "processor", settings.CPUCores())
 }
 
+// returnAfter returns after which time a caller may retry that this entry refuses because it
+// stops: soon if there are other entries, else after the stop.
+func (p *Process) returnAfter(stop time.Time) time.Duration {
+	if addresses, _ := p.control.Addresses(""); slices.ContainsFunc(addresses, func(a string) bool { return a != p.settings.CallerAddress() }) {
+		return stoppingRetryAfter
+	}
+	return stop.Sub(p.timers.Now()) + shutdownMargin + restartTime
+}
+
 // Shutdown tells the next schedulers what this entry has learned, leaves the directory,
 // keeps serving for a lame-duck period while callers move to other entries, waits for open
 // requests, and stops the entry within the grace period of the settings.
@@ -287,10 +304,12 @@
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(p.settings.ShutdownGrace()-shutdownMargin))
 	defer cancel()
 	p.log.Info("stopping", "open", p.callerServer.OpenRequests())
+	lameDuck := min(lameDuckPeriod, p.settings.ShutdownGrace()/3)
+	cutAt := started.Add(p.settings.ShutdownGrace() - shutdownMargin - finalAnswerMargin)
+	p.callerServer.BeginStop(ingress.NewGrace(started.Add(lameDuck), cutAt, func() time.Duration { return p.returnAfter(cutAt) }))
 	p.control.handOver(ctx)
 	p.control.leave()
-	p.callerServer.DisableKeepAlives()
-	sleep(ctx, min(lameDuckPeriod, p.settings.ShutdownGrace()/3))
+	sleep(ctx, lameDuck)
 	p.control.handOver(ctx)
 	err := p.callerServer.Shutdown(ctx)
 	p.awaitTunnels(ctx)
--- /dev/null
+++ b/ingress/grace.go
@@ -0,0 +1,146 @@
+package ingress
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"greengagedock.example/dispatch"
+)
+
+// errStopping is the cause with which a stopping server ends what it can't finish.
+var errStopping = eris.New("ingress: server stops")
+
+// Grace is the time that a server has left before it stops as planned.
+type Grace struct {
+	lateAt     time.Time
+	cutAt      time.Time
+	retryAfter func() time.Duration
+}
+
+// NewGrace returns the time left of a server that stops: from lateAt on, callers should know,
+// and a request is taken only if it ends in any case before cutAt. retryAfter returns when a caller that is refused may retry.
+func NewGrace(lateAt, cutAt time.Time, retryAfter func() time.Duration) Grace {
+	return Grace{lateAt: lateAt, cutAt: cutAt, retryAfter: retryAfter}
+}
+
+// graceLimits ends, at the latest time that the grace of a stop leaves for it, what the
+// requests of a server do. Its zero value belongs to a server that does not stop.
+type graceLimits struct {
+	mu     sync.Mutex
+	grace  *Grace // nil while the server does not stop
+	limits map[*graceLimit]struct{}
+}
+
+// graceLimit is the limit of one step of a request.
+type graceLimit struct {
+	latest func(Grace) time.Time
+	end    func()
+	timer  *time.Timer
+}
+
+// begin sets the grace, which applies to all that runs.
+func (l *graceLimits) begin(grace Grace, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.grace = &grace
+	for limit := range l.limits {
+		limit.start(grace, now)
+	}
+}
+
+// current returns the grace, and false while the server does not stop.
+func (l *graceLimits) current() (Grace, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.grace == nil {
+		return Grace{}, false
+	}
+	return *l.grace, true
+}
+
+// add has end called at the latest time, once the server stops, unless remove is called before.
+func (l *graceLimits) add(now time.Time, latest func(Grace) time.Time, end func()) (remove func()) {
+	limit := &graceLimit{latest: latest, end: end}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limits == nil {
+		l.limits = make(map[*graceLimit]struct{})
+	}
+	l.limits[limit] = struct{}{}
+	if l.grace != nil {
+		limit.start(*l.grace, now)
+	}
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.limits, limit)
+		if limit.timer != nil {
+			limit.timer.Stop()
+		}
+	}
+}
+
+func (g *graceLimit) start(grace Grace, now time.Time) {
+	if g.timer == nil {
+		g.timer = time.AfterFunc(g.latest(grace).Sub(now), g.end)
+	}
+}
+
+// BeginStop has the server refuse each request that arrives too late for it to be finished in
+// the time left.
+func (s *Server) BeginStop(grace Grace) {
+	s.DisableKeepAlives()
+	s.grace.begin(grace, s.timers.Now())
+}
+
+// readBody reads the body, as long as the request can be taken after it. It reports false once
+// it has answered the request.
+func (q *request) readBody() (body []byte, reserved int64, ok bool) {
+	stopped := make(chan struct{})
+	remove := q.server.grace.add(q.server.timers.Now(), q.latestArrival, func() {
+		close(stopped)
+		_ = http.NewResponseController(q.w).SetReadDeadline(time.Unix(1, 0)) // else the body is read to its end
+	})
+	body, reserved, err := q.server.bodyMemory.read(q.r, q.table.Limits().BodyBytes())
+	remove()
+	select {
+	case <-stopped:
+		err = errStopping
+	default:
+	}
+	if err == nil && q.arrivedLate() {
+		err = errStopping
+	}
+	if err != nil {
+		q.rejectBody(err)
+		return nil, reserved, false
+	}
+	return body, reserved, true
+}
+
+// latestArrival returns until when the request must have arrived as a whole to be taken.
+func (q *request) latestArrival(grace Grace) time.Time {
+	if q.deadline.After(grace.cutAt) {
+		return grace.lateAt
+	}
+	return grace.cutAt
+}
+
+// arrivedLate reports whether a request that has just arrived as a whole is too late for a
+// server that stops.
+func (q *request) arrivedLate() bool {
+	grace, stopping := q.server.grace.current()
+	return stopping && !q.server.timers.Now().Before(q.latestArrival(grace))
+}
+
+// stoppingRefusal returns the refusal of a request that a stopping server can't finish.
+func (q *request) stoppingRefusal() *Refusal {
+	retryAfter := defaultRetryAfter
+	if grace, stopping := q.server.grace.current(); stopping {
+		retryAfter = grace.retryAfter()
+	}
+	return NewRefusal(dispatch.ReasonStopping, retryAfter)
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -85,11 +85,9 @@
 	if !q.accept() {
 		return
 	}
-	limits := q.table.Limits()
-	body, reservedBytes, err := q.server.bodyMemory.read(q.r, limits.BodyBytes())
+	body, reservedBytes, ok := q.readBody()
 	reserved = reservedBytes
-	if err != nil {
-		q.rejectBody(err)
+	if !ok {
 		return
 	}
 	target := q.r.RequestURI
@@ -327,12 +325,8 @@
 	if priority < 0 || q.account.Name() == "" {
 		priority = q.route.Priority()
 	}
-	answer := q.metadata.answerTokens
-	if engine := q.service.Engine(); engine != nil && answer <= 0 {
-		answer = engine.MeanAnswer()
-	}
 	return dispatch.NewRequest(q.id+"/"+strconv.FormatUint(n, 36), q.service.Name()).
-		WithTokens(q.metadata.promptTokens, answer).
+		WithTokens(q.metadata.promptTokens, q.answerTokens()).
 		WithPriority(priority).
 		WithTimes(q.start, q.start.Add(q.route.Objective()), q.deadline).
 		WithFirstTokenDeadline(q.firstEventDeadline()).
@@ -344,6 +338,14 @@
 		WithResumed(q.stream.count > 0)
 }
 
+// answerTokens returns the length of the answer that is expected.
+func (q *request) answerTokens() int {
+	if engine := q.service.Engine(); engine != nil && q.metadata.answerTokens <= 0 {
+		return engine.MeanAnswer()
+	}
+	return q.metadata.answerTokens
+}
+
 // firstEventDeadline returns the time at which the caller disconnects if no event arrives.
 func (q *request) firstEventDeadline() time.Time {
 	if q.route.Kind() != routing.KindStream {
@@ -431,6 +433,9 @@
 	case errors.Is(err, errTooLarge):
 		q.w.Header().Set("Connection", "close")
 		q.reject(http.StatusRequestEntityTooLarge, err.Error())
+	case errors.Is(err, errStopping):
+		refusal := q.stoppingRefusal()
+		q.refuse(string(refusal.reason), refusal.retryAfter)
 	case errors.Is(err, errNoMemory):
 		q.w.Header().Set("Connection", "close")
 		q.refuse("no memory for the body", defaultRetryAfter)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -54,6 +54,7 @@
 	http            *http.Server
 	openRequests    atomic.Int64
 	open            openConnections
+	grace           graceLimits
 	// closing is set once callers are asked to close their connections.
 	closing    atomic.Bool
 	requestSeq atomic.Uint64
