ingress: tests of a planned stop wait until their connection is accepted

Cause: TestStopServesConnectionsJustMade and TestStopRefusesLateRequests fail now and then with an unexpected EOF: the goroutine that serves the listener has not begun when the test stops the server, which then closes the listener with the connection in its queue.

Change: listenToStop waits until the server has accepted its connection.

--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -133,5 +133,19 @@
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	b.c.Assert(err, qt.IsNil)
 	b.c.Cleanup(func() { conn.Close() })
+	b.awaitAccepted()
 	return conn, listener.Addr().String()
 }
+
+// awaitAccepted waits until the server has accepted a connection: a server that stops before
+// its goroutine has begun to serve closes the listener with the connections in its queue.
+func (b *testbed) awaitAccepted() {
+	accepted := func() bool {
+		b.server.open.mu.Lock()
+		defer b.server.open.mu.Unlock()
+		return len(b.server.open.conns) > 0
+	}
+	for deadline := time.Now().Add(5 * time.Second); !accepted(); time.Sleep(time.Millisecond) {
+		b.c.Assert(time.Now().Before(deadline), qt.IsTrue)
+	}
+}
