ingress, gateway: a stopping entry answers the requests that wait in it

Cause: nothing told waiting requests of the stop. http.Server.Close ended them, and canceled their contexts, so that the entry took their callers for disconnected.

Change: while a server stops, a wait for a placement ends once the answer, by the engine's profile with all slots taken, would take longer than is left, and a placement that does not fit is given back. Both are refused with 503.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -60,14 +60,23 @@
 // acquire gets a placement whose servers are still usable when it is granted.
 func (a *attempt) acquire() error {
 	q := a.request
+	ctx, cancel := a.limitWait()
+	defer cancel()
 	for try := 0; ; try++ {
-		grant, err := q.server.scheduler.Acquire(a.ctx, a.placement)
+		grant, err := q.server.scheduler.Acquire(ctx, a.placement)
+		if err != nil && isStopping(ctx, err) {
+			return errStopping
+		}
 		if err != nil {
 			return err
 		}
 		q.server.log.Info("placed", "id", q.id, "send", a.number, "service", q.service.Name(), "server", grant.Server(),
 			"helpers", workerIDs(grant), "prompt", a.placement.Prompt(), "expected", grant.TimeToFirstToken(), "waited", grant.Waited(), "why", grant.Explanation(),
 			"revision", q.server.views.View().Revision())
+		if !a.canFinish(grant) {
+			q.server.scheduler.Ended(q.service.Name(), grant.ID(), dispatch.OutcomeCancelled)
+			return errStopping
+		}
 		unusable := q.unusable(grant)
 		if len(unusable) == 0 {
 			a.grant = grant
--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -195,9 +195,17 @@
 	excluded    []string // by the last request
 	// ids are the server ids of the grants, in turn; s1, s2 and so on without them.
 	ids []string
+	// queues has requests wait without ever being placed.
+	queues bool
+	// timeToFirstToken is that of all grants.
+	timeToFirstToken time.Duration
 }
 
 func (s *fakeScheduler) Acquire(ctx context.Context, request dispatch.Request) (dispatch.Grant, error) {
+	if s.queues {
+		<-ctx.Done()
+		return dispatch.Grant{}, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.excluded = request.Exclude()
@@ -217,7 +225,7 @@
 	if s.workersOnce && s.next > 1 {
 		workers = nil
 	}
-	return dispatch.NewGrant(request.ID(), id, b.address, workers, 0), nil
+	return dispatch.NewGrant(request.ID(), id, b.address, workers, s.timeToFirstToken), nil
 }
 
 func (s *fakeScheduler) Notice(_ string, notice routing.Notice) { s.notices.Add(time.Now(), notice) }
--- a/ingress/grace.go
+++ b/ingress/grace.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -21,7 +23,8 @@
 }
 
 // NewGrace returns the time left of a server that stops: from lateAt on, callers should know,
-// and a request is taken only if it ends in any case before cutAt. retryAfter returns when a caller that is refused may retry.
+// and a request is taken only if it ends in any case before cutAt, when all that are open are
+// ended. retryAfter returns when a caller that is refused may retry.
 func NewGrace(lateAt, cutAt time.Time, retryAfter func() time.Duration) Grace {
 	return Grace{lateAt: lateAt, cutAt: cutAt, retryAfter: retryAfter}
 }
@@ -89,13 +92,25 @@
 	}
 }
 
-// BeginStop has the server refuse each request that arrives too late for it to be finished in
-// the time left.
+// BeginStop has the server refuse, from now on, each request that it can't finish in the time
+// left: at once when it arrives, and while it waits as soon as that is known. What is open
+// at the end of that time gets a final answer, or is truncated within one.
 func (s *Server) BeginStop(grace Grace) {
 	s.DisableKeepAlives()
 	s.grace.begin(grace, s.timers.Now())
 }
 
+// limitToGrace returns a context that ends with errStopping when a stopping server ends all
+// requests.
+func (q *request) limitToGrace(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	remove := q.server.grace.add(q.server.timers.Now(), func(g Grace) time.Time { return g.cutAt }, func() { cancel(errStopping) })
+	return ctx, func() {
+		remove()
+		cancel(nil)
+	}
+}
+
 // readBody reads the body, as long as the request can be taken after it. It reports false once
 // it has answered the request.
 func (q *request) readBody() (body []byte, reserved int64, ok bool) {
@@ -136,6 +151,49 @@
 	return stopping && !q.server.timers.Now().Before(q.latestArrival(grace))
 }
 
+// limitWait returns a context that ends with errStopping when a stopping server can't finish the
+// request any more if it is placed later. A caller that has a part of its response is served
+// for as long as possible.
+func (a *attempt) limitWait() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(a.ctx)
+	if a.continues {
+		return ctx, func() { cancel(nil) }
+	}
+	q := a.request
+	remove := q.server.grace.add(q.server.timers.Now(), q.latestPlacement, func() { cancel(errStopping) })
+	return ctx, func() {
+		remove()
+		cancel(nil)
+	}
+}
+
+// latestPlacement returns until when the request must be placed to be finished.
+func (q *request) latestPlacement(grace Grace) time.Time {
+	if !q.deadline.After(grace.cutAt) {
+		return grace.cutAt
+	}
+	return grace.cutAt.Add(-q.answerTime())
+}
+
+// answerTime returns how long the server's response is expected to take from its first byte.
+func (q *request) answerTime() time.Duration {
+	engine := q.service.Engine()
+	if engine == nil {
+		return 0
+	}
+	return engine.AnswerTime(q.metadata.promptTokens, q.answerTokens())
+}
+
+// canFinish reports whether the request can be finished by the placement before the server stops.
+func (a *attempt) canFinish(grant dispatch.Grant) bool {
+	q := a.request
+	grace, stopping := q.server.grace.current()
+	if !stopping || a.continues {
+		return true
+	}
+	return !q.server.timers.Now().Add(grant.TimeToFirstToken()).After(q.latestPlacement(grace))
+}
+
 // stoppingRefusal returns the refusal of a request that a stopping server can't finish.
 func (q *request) stoppingRefusal() *Refusal {
 	retryAfter := defaultRetryAfter
@@ -144,3 +202,8 @@
 	}
 	return NewRefusal(dispatch.ReasonStopping, retryAfter)
 }
+
+// isStopping reports whether a step of the request failed because the server stops.
+func isStopping(ctx context.Context, err error) bool {
+	return errors.Is(err, errStopping) || errors.Is(context.Cause(ctx), errStopping)
+}
--- a/ingress/grace_test.go
+++ b/ingress/grace_test.go
@@ -4,11 +4,15 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengagedock.example/dispatch"
+	"greengagedock.example/routing"
 )
 
 // stopIn has the server stop as planned: late requests are refused after one time, and what is
@@ -74,3 +78,82 @@
 		})
 	}
 }
+
+// Guards against LOST: requests that wait for a placement are closed without an answer at the
+// end of the grace period. They are refused once they can't be finished.
+func TestStopRefusesWaitingRequests(t *testing.T) {
+	engine := routing.NewEngineProfile(1, 1000).WithDecode(10*time.Millisecond, 0, 0, 1)
+	for _, test := range []struct {
+		name   string
+		answer int // in tokens
+		within time.Duration
+	}{
+		{"long", 500, 200 * time.Millisecond},
+		{"short", 20, 700 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newTestbed(t)
+			conn, _ := b.listenToStop()
+			b.serveEngine(engine.WithMeanAnswer(test.answer))
+			b.scheduler.queues = true
+			fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h.example\r\nId: a1\r\nLeft: 9s\r\nContent-Length: 0\r\n\r\n")
+			time.Sleep(30 * time.Millisecond) // it waits
+			begun := time.Now()
+			b.stopIn(300*time.Millisecond, 800*time.Millisecond)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			took := time.Since(begun)
+			c.Assert(took < test.within, qt.IsTrue, qt.Commentf("%v", took))
+		})
+	}
+}
+
+// A request that is placed too late to be finished before the stop is refused, and its place
+// is free again.
+func TestStopRefusesPlacementThatEndsTooLate(t *testing.T) {
+	c := qt.New(t)
+	server := newBackend(c, fullResponse(http.StatusOK, "x"))
+	b := newTestbed(t, server)
+	b.scheduler.timeToFirstToken = 5 * time.Second
+	conn, _ := b.listenToStop()
+	b.stopIn(500*time.Millisecond, time.Second)
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h.example\r\nId: a1\r\nLeft: 9s\r\nContent-Length: 0\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(server.seen(), qt.HasLen, 0)
+	c.Assert(b.scheduler.ended(), qt.DeepEquals, []dispatch.Outcome{dispatch.OutcomeCancelled})
+}
+
+// Guards against LOST: a request that a server has not answered gets a final answer when the
+// grace period ends, which does not say that it has not run, and a stream is truncated.
+func TestStopAnswersWhatItCutsOff(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbed(t, newBackend(c, hang))
+	conn, _ := b.listenToStop()
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h.example\r\nId: a1\r\nLeft: 9s\r\nContent-Length: 0\r\n\r\n")
+	time.Sleep(30 * time.Millisecond)
+	b.stopIn(100*time.Millisecond, 300*time.Millisecond)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+
+	b = newTestbed(t, newBackend(c, streamResponse("id: 1\n\n", false)+silence+silence))
+	streaming, err := b.http.Client().Do(b.request(http.MethodPost, "/stream/patient/x", ""))
+	c.Assert(err, qt.IsNil)
+	defer streaming.Body.Close()
+	b.stopIn(100*time.Millisecond, 300*time.Millisecond)
+	body, err := io.ReadAll(streaming.Body)
+	c.Assert(string(body), qt.Equals, "id: 1\n\n")
+	c.Assert(err, qt.IsNotNil)
+}
+
+// serveEngine makes the server's service one of model engines.
+func (b *testbed) serveEngine(engine routing.EngineProfile) {
+	view := b.view.Load()
+	services := []routing.Service{routing.NewService("desk").WithEngine(engine)}
+	table := routing.NewTable(2, []routing.Route{connectionRoute.WithTargets(routing.NewTarget("desk", 1))}, services, nil, routing.NewLimits(0, 0, 0, 0))
+	b.view.Store(routing.NewView(view.Revision(), table, view.Servers(), nil))
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -96,8 +96,10 @@
 	}
 	q.fingerprint = quarantine.NewFingerprint(q.account.Name(), q.r.Method, hostName(q.r.Host), target, q.metadata.prompt, body)
 	q.outgoing = upstream.NewRequest(q.metadata.attemptID, q.r.Method, target, q.r.Host, q.r.Header, body)
-	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	ctx, cancel := q.limitToGrace(q.r.Context())
 	defer cancel()
+	ctx, cancelDeadline := context.WithDeadline(ctx, q.deadline)
+	defer cancelDeadline()
 	q.sendWithRetries(ctx)
 }
 
@@ -384,7 +386,7 @@
 	}
 	if q.ran > 0 {
 		status := http.StatusBadGateway
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && !isStopping(ctx, err) {
 			status = http.StatusGatewayTimeout
 		}
 		q.logEnd("outcome unknown", "error", err, "status", status)
@@ -394,6 +396,9 @@
 	}
 	retryAfter := defaultRetryAfter
 	reason, why := reasonNotTaken, ""
+	if isStopping(ctx, err) {
+		err = q.stoppingRefusal()
+	}
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
 		retryAfter, reason, why = refusal.retryAfter, string(refusal.reason), refusal.explanation
--- a/routing/service.go
+++ b/routing/service.go
@@ -122,6 +122,14 @@
 	return time.Duration(alone * share)
 }
 
+// AnswerTime returns the time in which an answer of so many tokens to a prompt is decoded, on an
+// engine whose slots are all taken by such requests and whose passes also prefill other prompts.
+func (e EngineProfile) AnswerTime(prompt, answer int) time.Duration {
+	passes := (answer + e.stepsPerPass - 1) / max(1, e.stepsPerPass)
+	pass := e.DecodePassTime(e.slots, min(e.slots*prompt, e.memory)) + e.PrefillTime(min(e.prefillChunk, prompt), 1)
+	return time.Duration(passes) * pass
+}
+
 // DecodePassTime returns the time that the decode steps of one pass take.
 func (e EngineProfile) DecodePassTime(sequences, contextTokens int) time.Duration {
 	step := float64(e.step) + float64(sequences)*float64(e.stepPerSequence) + float64(contextTokens)/1000*float64(e.stepPerContext)
