gateway: an entry that may not be alone grants a part of the fleet-wide limits

Cause: entries learn of each other only through seeds. One that knew no other scheduler took itself for the only one and granted the whole share. So did each part of a partition, and each entry for a new service until the next tick.

Change: while the settings name other seeds, an entry grants a hundredth until a second after it first heard another entry, and a seed until a second after its start. One that knows others grants at most twice the fraction of them that it hears; those that vanished count for ten minutes. Rate limits follow, and the retry budget is divided among a hundred meanwhile.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -126,6 +126,14 @@
 	return &Scheduler{entry: entry, pools: make(map[string]*pool), running: make(map[string]*allocation)}
 }
 
+// ColdShare returns the fraction of the capacity of a service's cold servers that this scheduler may use.
+func (sched *Scheduler) ColdShare(service string) float64 {
+	if p := sched.pools[service]; p != nil {
+		return p.coldShare
+	}
+	return 0
+}
+
 // SetColdShare sets the fraction of the capacity of a service's cold servers that this scheduler may use, up to 1.
 func (sched *Scheduler) SetColdShare(service string, share float64) {
 	if p := sched.pools[service]; p != nil {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -52,6 +52,9 @@
 	// askRunning asks an entry at a peer address what it runs on the servers of a service;
 	// nil in tests without connections.
 	askRunning func(entry, address, service string)
+	// fleetShare is the fraction of the fleet-wide limits that this entry may grant while it
+	// knows no other scheduler.
+	fleetShare float64
 	// takeovers holds this entry's last takeover of each service.
 	takeovers map[string]*takeover
 	// caller calls other entries, nil in tests without connections. tell sends a handover
@@ -192,7 +195,7 @@
 		c.scheduler.ReleaseEntry(now, expired.ID, 0)
 	}
 	entries := max(minEntries, len(c.members.byID)+1)
-	if now.Sub(c.started) < startupPeriod {
+	if now.Sub(c.started) < startupPeriod || !c.members.knowsFleet(now, c.started) {
 		entries = max(entries, startupEntries)
 	}
 	c.entries.Store(int64(entries))
@@ -209,9 +212,15 @@
 }
 
 // updateSchedulerShares sets, for each service, whether this entry is the scheduler, and the shares
-// of the capacity of cold servers and of rate limits that it may grant: all of them as the
-// scheduler, else an equal part of the former per entry.
+// of the capacity of cold servers and of rate limits that it may grant: as the scheduler all of
+// them, unless there may be others that it does not know, and else an equal part of the former
+// per entry.
 func (c *control) updateSchedulerShares(now time.Time) {
+	fleetShare := c.members.fleetShare(now, c.started)
+	if (fleetShare < 1) != (c.fleetShare < 1) {
+		c.log.Info("share of fleet-wide limits", "share", fleetShare, "before", c.fleetShare, "entries", len(c.members.byID)+1, "lost", len(c.members.lost))
+	}
+	c.fleetShare = fleetShare
 	for _, service := range c.cache.services() {
 		scheduler := c.members.scheduler(now, service)
 		primary := scheduler == nil
@@ -221,7 +230,7 @@
 				c.handOverTo(now, service, scheduler)
 			}
 		}
-		share, rateLimitShare := 1.0, 1.0
+		share, rateLimitShare := fleetShare, fleetShare
 		if !primary {
 			share = 1 / float64(c.entries.Load())
 			rateLimitShare = c.members.rateLimitShare(now, service)
@@ -257,6 +266,7 @@
 	view := c.newView()
 	c.view.Store(view)
 	c.scheduler.SetView(now, view)
+	c.updateSchedulerShares(now) // of services that are new
 	if c.members.self.State == memberStarting && view.Table() != nil && len(view.Servers()) > 0 {
 		c.setState(memberReady)
 		c.log.Info("ready", "revision", view.Revision(), "version", view.Table().Version(), "servers", len(view.Servers()))
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -92,6 +92,10 @@
 	byID     map[string]*member
 	byKey    map[uint64]*member
 	seeds    []string
+	// firstHeard is when a message of another entry first arrived, zero before.
+	firstHeard time.Time
+	// lost holds when entries were removed that had not said that they leave, by ID.
+	lost map[string]time.Time
 	// random selects heartbeat targets and orders the directory's addresses.
 	random *rand.Rand
 }
@@ -102,6 +106,9 @@
 	if from.ID == m.self.ID {
 		return false
 	}
+	if m.firstHeard.IsZero() {
+		m.firstHeard = now
+	}
 	known := m.byID[from.ID]
 	if known == nil || known.Incarnation < from.Incarnation {
 		m.add(from).lastHeard = now
@@ -124,6 +131,7 @@
 	if earlier := m.byID[entry.ID]; earlier != nil {
 		delete(m.byKey, earlier.key)
 	}
+	delete(m.lost, entry.ID)
 	added := &member{memberMessage: entry, key: entry.incarnationKey()}
 	m.byID[entry.ID] = added
 	m.byKey[added.key] = added
@@ -154,6 +162,7 @@
 		if now.Sub(known.lastHeard) > memberTimeout {
 			delete(m.byID, id)
 			delete(m.byKey, known.key)
+			m.forget(now, known)
 			expired = append(expired, known)
 		}
 	}
--- a/gateway/powerloss_test.go
+++ b/gateway/powerloss_test.go
@@ -123,6 +123,7 @@
 	view := routing.NewView(routing.NewRevision(0, 1), c.cache.table, servers, nil)
 	c.view.Store(view)
 	c.scheduler.SetView(w.time(), view)
+	c.updateSchedulerShares(w.time())
 	return c
 }
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -211,6 +211,7 @@
 		values["speed_factors"] = p.control.speedFactors(now)
 		admission := p.control.scheduler.Admission(now)
 		values["forecast_wait_seconds"], values["promised_returns"] = admission.Wait().Seconds(), admission.Promised()
+		values["fleet_share"] = p.control.fleetShare
 		values["room_slots"] = admission.Room()
 		values["processor"] = p.control.members.self.CPUCores
 		values["entries"] = len(p.control.members.live(now, p.settings.timeouts.listed())) + 1
