--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -60,6 +60,10 @@
 // configuration is long enough; for the items of servers it is not worth the time.
 const minCompressBytes = 8 << 10
 
+// maxUnusedBytes is the longest value that is kept of an item that is not used: all items must
+// fit into one message to a peer.
+const maxUnusedBytes = 4 << 10
+
 // maxRemovals is the maximum number of removals that are kept for peers.
 const maxRemovals = 512
 
@@ -134,7 +138,11 @@
 	defer c.review(item.key)
 	decoded, err := c.decode(item)
 	if err != nil {
-		c.log.Warn("malformed item is not used", "key", item.key, "revision", item.revision, "error", err)
+		c.log.Warn("malformed item is not used", "key", item.key, "revision", item.revision, "bytes", len(item.value), "error", err)
+		if len(item.value) > maxUnusedBytes {
+			item.value = nil // malformed for peers as well
+			c.items[item.key] = item
+		}
 		// The last valid configuration stays active.
 		delete(c.decoded, item.key)
 		return
