upstream: connections remember the attempts that were refused on them

Operators of a similar system reported that a server wrote an earlier refusal once more on a kept connection, so that requests it ran were reported as not run.

Cause: a refused request is sent again with the same attempt id, also to the same server if there is no other. It does not use a connection that has carried it, but a connection remembered its last eight attempts only, and a request may wait for longer than that.

Change: refused attempts are remembered as long as the connection, which is not reused after 256 of them.

Evidence: TestStrayRefusalIsNoResponseManyAttemptsLater fails on the code before.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -115,6 +115,9 @@
 		}
 		return nil, eris.Wrapf(ErrNoResponse, "%s: %v", address, err)
 	}
+	if metadata.NotRun() {
+		conn.refuse(r.attemptID)
+	}
 	return &Response{client: c, conn: conn, raw: raw, metadata: metadata, stop: stop}, nil
 }
 
@@ -173,7 +176,7 @@
 // release keeps the connection for reuse if it is sound and the response is complete, and
 // closes it otherwise.
 func (r *Response) release(sound bool) {
-	reusable := sound && r.complete && !r.raw.Close && r.conn.requestWritten()
+	reusable := sound && r.complete && !r.raw.Close && r.conn.requestWritten() && len(r.conn.refused) < maxRefusedKept
 	if reusable && r.conn.reserved {
 		r.conn.reserved = false
 		reusable = r.client.dialer.limitSilence(r.conn.tcp, false) == nil // else another one is opened
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -23,6 +23,8 @@
 	defaultIdleTimeout = 8 * time.Second
 	// maxAttemptsKept is the number of attempts that a connection remembers.
 	maxAttemptsKept = 2 * maxStrayResponses
+	// maxRefusedKept is the number of refused attempts after which a connection is not reused.
+	maxRefusedKept = 256
 	// idleMargin is subtracted from the server's keep-alive timeout, so that the
 	// server does not close the connection while a request is sent.
 	idleMargin = 600 * time.Millisecond
@@ -43,6 +45,9 @@
 	// attempts holds the ids of the last attempts, in a ring of maxAttemptsKept.
 	attempts []string
 	next     int
+	// refused holds the ids of the attempts that the server refused here. They are sent again
+	// at any later time, unlike others, and the refusal may arrive once more.
+	refused map[string]bool
 	// reserved is set while the connection's request holds memory at other servers.
 	reserved bool
 }
@@ -125,9 +130,19 @@
 	c.next = (c.next + 1) % maxAttemptsKept
 }
 
-// carried reports whether the connection has carried an attempt lately. A second response
-// to it may still arrive, so that it can't be sent there again.
-func (c *connection) carried(attemptID string) bool { return slices.Contains(c.attempts, attemptID) }
+// refuse records that the server has refused an attempt.
+func (c *connection) refuse(attemptID string) {
+	if c.refused == nil {
+		c.refused = make(map[string]bool)
+	}
+	c.refused[attemptID] = true
+}
+
+// carried reports whether the connection has carried an attempt lately, or ever if the server
+// refused it. A second response to it may still arrive, so that it can't be sent there again.
+func (c *connection) carried(attemptID string) bool {
+	return c.refused[attemptID] || slices.Contains(c.attempts, attemptID)
+}
 
 // readResponse reads the header of the next response, skipping interim (1xx) ones.
 func (c *connection) readResponse(method string) (*http.Response, error) {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -183,6 +183,42 @@
 	response.Close()
 }
 
+// Guards against REFUSED and TWICE: the same after the connection has carried many other
+// attempts, as while the refused one waits for the only server to have room.
+func TestStrayRefusalIsNoResponseManyAttemptsLater(t *testing.T) {
+	c := qt.New(t)
+	refusal := "HTTP/1.1 503 X\r\nAttempt: a1\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
+	first := ""
+	server := newRawServer(c, func(number int, r *http.Request, _ string) string {
+		switch {
+		case number == 1:
+			first = r.RemoteAddr
+			return refusal
+		case r.Header.Get("Attempt") == "a1" && r.RemoteAddr == first:
+			return refusal + responseText("a1", "ran")
+		default:
+			return responseText(r.Header.Get("Attempt"), "ran")
+		}
+	})
+	client := NewClient(testHeaders{}, &timer.Service{}, Dialer{})
+	send := func(attempt string) bool {
+		r := NewRequest(attempt, http.MethodPost, "/", "h", http.Header{"Attempt": {attempt}}, []byte("in"))
+		response, err := client.Send(context.Background(), server.address, r, NewRequestMetadata("i-1", "", time.Second))
+		c.Assert(err, qt.IsNil)
+		defer response.Close()
+		_, err = io.ReadAll(response)
+		c.Assert(err, qt.IsNil)
+		return response.Metadata().NotRun()
+	}
+	c.Assert(send("a1"), qt.IsTrue)
+	for i := range 2 * maxAttemptsKept {
+		c.Assert(send(fmt.Sprint("b", i)), qt.IsFalse)
+	}
+	c.Assert(server.connections.Load(), qt.Equals, int64(1))
+	c.Assert(send("a1"), qt.IsFalse)
+	c.Assert(server.connections.Load(), qt.Equals, int64(2))
+}
+
 func TestResponseToAnotherRequestIsNoResponse(t *testing.T) {
 	c := qt.New(t)
 	server := newRawServer(c, func(int, *http.Request, string) string {
