ingress: only a response of the same type continues a stream

Operators of a similar system found an error's text, at times with its whole head, in the middle of a stream that had broken off, or the stream ended as if it were complete.

Cause: a response with status 200 continued a stream whatever its type. A body with a blank line was forwarded as an event, and an empty one ended the stream. The head of another response in a body without a length was an event as well.

Change: a response must have the type of the stream that it continues, if that states one; a line that begins a head ends a stream as broken; a truncated stream is flushed first.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -127,6 +127,9 @@
 		return dispatch.OutcomeServerError, eris.Wrapf(errFalsePromise, "status %d", status)
 	}
 	a.silence.received()
+	if a.continues && q.streamType != "" && mediaType(a.response.Header()) != q.streamType {
+		return dispatch.OutcomeServerError, eris.Wrapf(errOtherType, "status %d, %q", a.response.Status(), mediaType(a.response.Header()))
+	}
 	if q.route.Kind() == routing.KindStream && a.response.Status() == http.StatusOK {
 		a.events = newEventReader(a.response)
 		a.firstEvent, a.firstErr = a.events.next()
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -30,6 +30,10 @@
 	return &eventReader{r: bufio.NewReader(r)}
 }
 
+// statusLine is the beginning of the head of a response. A server that sends one within a body
+// has begun another response.
+var statusLine = []byte("HTTP/1.")
+
 // next returns the next complete event, or io.EOF at the end of the body.
 func (e *eventReader) next() (event, error) {
 	var out event
@@ -46,6 +50,9 @@
 		if err != nil {
 			return event{}, err
 		}
+		if bytes.HasPrefix(e.buf, statusLine) {
+			return event{}, errSecondResponse
+		}
 		trimmed := bytes.TrimRight(line, "\r\n")
 		if len(trimmed) == 0 {
 			out.raw = e.buf
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -63,6 +63,8 @@
 	firstResponse time.Time
 	lastGrant     dispatch.Grant
 	wroteHeader   bool
+	// streamType is the type of the stream whose header the caller has, "" if it states none.
+	streamType string
 	// committed is set once a part of a response that can't be resumed was forwarded.
 	committed bool
 
@@ -375,6 +377,7 @@
 	if q.wroteHeader {
 		q.logEnd("response truncated", "error", err, "after_event", q.stream.lastID)
 		q.recordResult(ResultTruncated)
+		_ = http.NewResponseController(q.w).Flush() // fails only if the caller has disconnected
 		panic(http.ErrAbortHandler)
 	}
 	if q.buffered != nil {
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,13 +19,15 @@
 
 // Errors of one send.
 var (
-	errServerTimeout = eris.New("ingress: server sent nothing in time")
-	errTruncated     = eris.New("ingress: response truncated")
-	errNotRun        = eris.New("ingress: server did not run the request")
-	errNotSent       = eris.New("ingress: a server of the placement takes no more requests")
-	errServerError   = eris.New("ingress: server returned an error")
-	errEndless       = eris.New("ingress: response goes on without end")
-	errFalsePromise  = eris.New("ingress: server may have run the request, and its status promises the opposite")
+	errServerTimeout  = eris.New("ingress: server sent nothing in time")
+	errTruncated      = eris.New("ingress: response truncated")
+	errNotRun         = eris.New("ingress: server did not run the request")
+	errNotSent        = eris.New("ingress: a server of the placement takes no more requests")
+	errServerError    = eris.New("ingress: server returned an error")
+	errEndless        = eris.New("ingress: response goes on without end")
+	errOtherType      = eris.New("ingress: response has another type than the stream that it continues")
+	errSecondResponse = eris.New("ingress: another response within a stream")
+	errFalsePromise   = eris.New("ingress: server may have run the request, and its status promises the opposite")
 )
 
 const (
@@ -69,6 +72,12 @@
 	}
 }
 
+// mediaType returns the type of a response without its parameters, "" if there is none.
+func mediaType(header http.Header) string {
+	value, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(value))
+}
+
 // promisesNotRun reports whether callers take a status as the promise that their request
 // has not run and never will. A server that gives that promise says so beside the status;
 // from one that does not, the status can't be passed on.
@@ -262,6 +271,7 @@
 		return
 	}
 	q.wroteHeader = true
+	q.streamType = mediaType(response.Header())
 	copyHeader(q.w.Header(), response.Header())
 	q.server.setClosing(q.w.Header())
 	q.w.WriteHeader(response.Status())
