ingress: release reservations after renewals that are on their way

TestReservationExpiresUnlessRenewed waited once for a release until the test's timeout.

Cause: a renewal that is on its way as its request ends may reach the engine after the release, and reserves the memory again until the reservation expires.

Change: the release waits until no renewal is on its way. The end of the request cancels them.

--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -327,7 +327,9 @@
 	// reserveCalls counts Reserve calls, and longestHold is the longest hold time of any.
 	reserveCalls int
 	// failCalls is the number of Reserve calls that fail after the first one.
-	failCalls   int
+	failCalls int
+	// renewalTime is how long an engine takes to carry out a renewal, even if the call ends.
+	renewalTime time.Duration
 	longestHold time.Duration
 }
 
@@ -335,6 +337,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reserveCalls++
+	if m.reserveCalls > 1 && m.renewalTime > 0 {
+		m.mu.Unlock()
+		time.Sleep(m.renewalTime)
+		m.mu.Lock()
+	}
 	if m.reserveCalls > 1 && m.failCalls > 0 {
 		m.failCalls--
 		return upstream.ResponseMetadata{}, errNotRun
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -341,6 +341,20 @@
 	c.Assert(b.reserver.reserveCalls > 1, qt.IsTrue)
 }
 
+// Guards against LEAK: the renewal of a reservation that is on its way as the request ends
+// arrives after the release, and reserves the memory again.
+func TestReservationIsReleasedAfterRenewal(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbed(t, newBackend(c, hang))
+	b.reserver.renewalTime = 150 * time.Millisecond // renewals are due each 41 ms
+	b.scheduler.workers = []dispatch.PrefillWorker{dispatch.NewPrefillWorker("s1", "10.0.0.1:1", 5000)}
+	r := b.request("POST", "/once/", "")
+	r.Header.Set("Left", "120ms")
+	_, _, _ = b.do(r)
+	time.Sleep(400 * time.Millisecond)
+	c.Assert(b.reserver.count(), qt.Equals, 0)
+}
+
 // Guards against LOST: a prefill worker that is silent as its reservation is renewed keeps
 // it, since the renewal is repeated well before it expires.
 func TestFailedRenewalIsRepeatedSoon(t *testing.T) {
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"greengagedock.example/dispatch"
@@ -29,6 +30,8 @@
 	active  []kvReservation
 	hold    time.Duration
 	stop    chan struct{}
+	// renewing ends once no renewal is on its way.
+	renewing sync.WaitGroup
 }
 
 type kvReservation struct {
@@ -58,7 +61,7 @@
 	if len(r.active) > 0 {
 		q.server.log.Info("KV memory reserved", "id", q.id, "tickets", len(r.active), "ticket", r.active[0].id)
 		for _, res := range r.active {
-			go r.renew(ctx, res)
+			r.renewing.Go(func() { r.renew(ctx, res) })
 		}
 	}
 	return r, nil
@@ -108,13 +111,15 @@
 	}
 }
 
-// release ends the reservations in the background.
+// release ends the reservations in the background, after renewals that are on their way: an
+// engine that gets one after the release reserves the memory again.
 func (r *reservations) release() {
 	close(r.stop)
 	for _, res := range r.active {
 		r.server.openRequests.Add(1)
 		go func() {
 			defer r.server.openRequests.Add(-1)
+			r.renewing.Wait()
 			r.releaseOne(res)
 		}()
 	}
