--- a/cmd/soak/stop.go
+++ b/cmd/soak/stop.go
@@ -17,6 +17,10 @@
 	// heldTime is how long its response is held back after the signal: an entry
 	// accepts requests for 2.5 s more, and must then wait for the open ones.
 	heldTime = 4500 * time.Millisecond
+	// slowBodyTime is how long a slow body takes: until after an entry that stops meanwhile has
+	// left the directory.
+	slowBodyTime  = 3500 * time.Millisecond
+	slowBodyParts = 7
 )
 
 // stopWithOpenRequest sends the entry a request whose response is held back, then
@@ -33,7 +37,14 @@
 	for time.Since(start) < maxStartTime && f.runs.Count(id) == 0 {
 		time.Sleep(time.Millisecond)
 	}
+	slow := make(chan error, 1)
+	go func() { slow <- f.sendSlowly(e) }()
 	e.signal(syscall.SIGTERM)
+	defer func() {
+		if err := <-slow; err != nil && e.undisturbed(start, time.Now()) {
+			f.checker.report("no answer: %s closed the connection of a slow request: %v", e.name, err)
+		}
+	}()
 	timer := time.NewTimer(heldTime)
 	defer timer.Stop()
 	var err error
@@ -49,6 +60,37 @@
 	}
 }
 
+// sendSlowly sends a request whose body ends after the entry has left the directory, and returns
+// an error unless it is answered, in any way.
+func (f *fleet) sendSlowly(e *entry) error {
+	ctx, cancel := context.WithTimeout(context.Background(), platformtest.HeldTimeout)
+	defer cancel()
+	id := fmt.Sprintf("s-%d", requestCount.Add(1))
+	q, err := platformtest.NewRequest(ctx, e.callerAddress, http.MethodPost, "/held/x", id, 0, platformtest.HeldTimeout)
+	if err != nil {
+		return err
+	}
+	body, sent := io.Pipe()
+	q.Body, q.ContentLength = body, -1
+	go func() {
+		for range slowBodyParts {
+			if _, err := io.WriteString(sent, "part of a body"); err != nil {
+				return // the entry has answered
+			}
+			time.Sleep(slowBodyTime / slowBodyParts)
+		}
+		sent.Close()
+	}()
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(q)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	return err
+}
+
 // sendHeld sends a request whose response is held back, and returns an error unless
 // a complete response arrived.
 func (f *fleet) sendHeld(e *entry, id string) error {
