--- a/cmd/soak/stop.go
+++ b/cmd/soak/stop.go
@@ -81,14 +81,7 @@
 		}
 		sent.Close()
 	}()
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Do(q)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	_, err = io.ReadAll(response.Body)
-	return err
+	return awaitResponse(q)
 }
 
 // sendHeld sends a request whose response is held back, and returns an error unless
@@ -100,6 +93,12 @@
 	if err != nil {
 		return err
 	}
+	return awaitResponse(q)
+}
+
+// awaitResponse sends a request on a connection of its own, and returns an error unless a complete
+// response arrived.
+func awaitResponse(q *http.Request) error {
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(q)
 	if err != nil {
