cmd/soak: a slow request that finds no listener is not lost

Cause: the check of slow requests in a planned stop reported a connection that was refused: a second stop hits an entry that has closed its listener already and reads nothing.

Change: only requests whose connection was made must be answered.

--- a/cmd/soak/stop.go
+++ b/cmd/soak/stop.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -41,7 +43,11 @@
 	go func() { slow <- f.sendSlowly(e) }()
 	e.signal(syscall.SIGTERM)
 	defer func() {
-		if err := <-slow; err != nil && e.undisturbed(start, time.Now()) {
+		err := <-slow
+		if dial, ok := errors.AsType[*net.OpError](err); ok && dial.Op == "dial" {
+			return // the entry was stopping already and had read nothing
+		}
+		if err != nil && e.undisturbed(start, time.Now()) {
 			f.checker.report("no answer: %s closed the connection of a slow request: %v", e.name, err)
 		}
 	}()
