--- a/cmd/soak/stop.go
+++ b/cmd/soak/stop.go
@@ -42,15 +42,7 @@
 	slow := make(chan error, 1)
 	go func() { slow <- f.sendSlowly(e) }()
 	e.signal(syscall.SIGTERM)
-	defer func() {
-		err := <-slow
-		if dial, ok := errors.AsType[*net.OpError](err); ok && dial.Op == "dial" {
-			return // the entry was stopping already and had read nothing
-		}
-		if err != nil && e.undisturbed(start, time.Now()) {
-			f.checker.report("no answer: %s closed the connection of a slow request: %v", e.name, err)
-		}
-	}()
+	defer func() { f.checkSlow(e, start, <-slow) }()
 	timer := time.NewTimer(heldTime)
 	defer timer.Stop()
 	var err error
@@ -102,6 +94,16 @@
 	return awaitResponse(q)
 }
 
+// checkSlow reports a slow request, begun at a time, that an entry left without an answer. An
+// entry that was stopping already may have closed its listener and read nothing.
+func (f *fleet) checkSlow(e *entry, start time.Time, err error) {
+	dial, ok := errors.AsType[*net.OpError](err)
+	notConnected := ok && dial.Op == "dial"
+	if err != nil && !notConnected && e.undisturbed(start, time.Now()) {
+		f.checker.report("no answer: %s closed the connection of a slow request: %v", e.name, err)
+	}
+}
+
 // awaitResponse sends a request on a connection of its own, and returns an error unless a complete
 // response arrived.
 func awaitResponse(q *http.Request) error {
