--- a/review/rig-2/leave.go
+++ b/review/rig-2/leave.go
@@ -44,6 +44,7 @@
 	if before < callsBefore {
 		return false, fmt.Errorf("only %d of %d calls served before the trouble", before, callsBefore)
 	}
+	s.record.setBrief(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	var others sync.WaitGroup
 	for i := range otherClients {
@@ -61,6 +62,7 @@
 	cancel()
 	others.Wait()
 	time.Sleep(recoverTime)
+	s.record.setBrief(false)
 	running, _ := s.running("desk")
 	s.record.say("%v after the last of %d crowds: %d requests run at desk", recoverTime, crowds, running)
 	after := s.probe("after", callsAfter)
