--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -10,7 +10,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"greengagedock.example/platform/platformtest"
@@ -138,6 +140,32 @@
 	os.Exit(status)
 }
 
+// maxRunTime bounds a scenario, whose processes end with it.
+const maxRunTime = 116 * time.Second
+
+// within runs the scenario, and gives it up after a time or at a signal.
+func (s *system) within(scenario func(*system) (bool, error), limit time.Duration) (bool, error) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	type result struct {
+		broken bool
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		broken, err := scenario(s)
+		done <- result{broken, err}
+	}()
+	select {
+	case r := <-done:
+		return r.broken, r.err
+	case <-time.After(limit):
+		return false, fmt.Errorf("not done after %v", limit)
+	case got := <-signals:
+		return false, fmt.Errorf("given up: %v", got)
+	}
+}
+
 func run(scenario func(*system) (bool, error), daemon, path string) (int, error) {
 	r, err := openRecord(path)
 	if err != nil {
@@ -156,7 +184,7 @@
 	}
 	defer s.stop()
 	s.publishConfig(clientKey)
-	broken, err := scenario(s)
+	broken, err := s.within(scenario, maxRunTime)
 	switch {
 	case err != nil:
 		return 2, err
--- a/review/rig-2/record.go
+++ b/review/rig-2/record.go
@@ -17,6 +17,8 @@
 	file  *os.File
 	inUse map[string]bool
 	hang  bool // the runner that gets the next request hangs
+	// brief is set while single runs are not recorded, but their number.
+	brief bool
 }
 
 func openRecord(path string) (*record, error) {
@@ -65,3 +67,20 @@
 	r.hang = false
 	return hang
 }
+
+// ran records a run.
+func (r *record) ran(runner, id string) {
+	r.mu.Lock()
+	brief := r.brief
+	r.mu.Unlock()
+	if !brief {
+		r.line("%s runs %s", runner, id)
+	}
+}
+
+// setBrief sets whether single runs are not recorded.
+func (r *record) setBrief(brief bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.brief = brief
+}
--- a/review/rig-2/runner.go
+++ b/review/rig-2/runner.go
@@ -111,6 +111,7 @@
 		defer r.mu.Unlock()
 		r.running--
 	}()
+	r.record.ran(r.id, id)
 	select {
 	case <-time.After(r.work):
 	case <-q.Context().Done():
