http1, ingress: the memory of request heads is reserved before they are parsed

Callers saw an entry end: it ran out of memory.

Cause: net/http parses a head while it arrives, and a head of short lines takes some 16 times its size on the wire, 94 bytes a line in the request and as much in the copy that is sent to a server. The limit on a head is looked at once it is parsed, and nothing bounds all heads together: those whose rest or whose body is awaited, and those of requests that wait for a place.

Change: package http1 counts the bytes and lines of each head before net/http gets them, and reserves the memory from an eighth of the process's. A head that is over the limit of the configuration is refused at that byte. If no memory is left, the head that has waited longest for its rest makes room, and a head for which there is still none gets 503. What a head takes up to 8 KiB belongs to its connection, so ordinary requests are served while large heads take all of the reserved memory. A head that arrived together with the request before is reckoned once it is parsed.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"greengagedock.example/http1"
 	"greengagedock.example/ingress"
 	"greengagedock.example/mesh"
 	"greengagedock.example/timer"
@@ -82,6 +83,7 @@
 	paths        *mesh.Paths
 	client       *upstream.Client
 	peerClient   *mesh.Client
+	clients      *http1.Clients
 	callerServer *ingress.Server
 	peerServer   *mesh.Server
 	metrics      metrics
@@ -130,7 +132,9 @@
 	p.control.caller = p.peerClient
 	p.control.tell = func(h handover) { go p.control.sendHandover(context.Background(), h) }
 	retries := ingress.NewRetryBudget(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
-	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold())
+	p.clients = http1.NewClients(clientLimits(settings), log)
+	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold()).
+		WithClients(p.clients)
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
 	p.callerServer = ingress.NewServer(p.control, scheduler, reserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
 	p.peerServer = mesh.NewServer(p.control.handle).WithKinds(callKinds).WithLog(log)
@@ -195,7 +199,7 @@
 // gauges returns the metrics of the entry's current state.
 func (p *Process) gauges() map[string]any {
 	values := map[string]any{
-		"open": p.callerServer.OpenRequests(), "log_lines_dropped": p.logs.Dropped(),
+		"open": p.callerServer.OpenRequests(), "log_lines_dropped": p.logs.Dropped(), "clients": p.clientGauges(),
 		"tunnels_served":     p.peerServer.Tunnels(),
 		"panics_contained":   p.control.panics.Load(),
 		"older_entries":      p.peerClient.Older(),
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -20,6 +20,7 @@
 	retryWindow      time.Duration
 	timeouts         Timeouts
 	memoryBytes      int64
+	maxDescriptors   int
 	cpuCores         float64
 }
 
@@ -75,6 +76,13 @@
 	return s
 }
 
+// WithMaxDescriptors returns the settings with the number of descriptors that the process may
+// have open, 0 for no limit.
+func (s Settings) WithMaxDescriptors(limit int) Settings {
+	s.maxDescriptors = limit
+	return s
+}
+
 // WithCPUCores returns the settings with the CPU time that the process may use,
 // in cores.
 func (s Settings) WithCPUCores(cores float64) Settings {
@@ -134,5 +142,8 @@
 // MemoryBytes returns the memory limit of the process.
 func (s Settings) MemoryBytes() int64 { return s.memoryBytes }
 
+// MaxDescriptors returns the number of descriptors that the process may have open, 0 for no limit.
+func (s Settings) MaxDescriptors() int { return s.maxDescriptors }
+
 // CPUCores returns the CPU time that the process may use, in cores; 0 if unknown.
 func (s Settings) CPUCores() float64 { return s.cpuCores }
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -123,6 +123,9 @@
 	c.logError(c.Conn.SetReadDeadline(time.Unix(1, 0)))
 }
 
+// NetConn returns the connection that was accepted.
+func (c *connection) NetConn() net.Conn { return c.Conn }
+
 // logError logs an error of the connection, which its next use also returns.
 func (c *connection) logError(err error) {
 	if err != nil {
@@ -162,6 +165,10 @@
 	return routing.Limits{}
 }
 
+// HeadLimit returns the size of the largest request head of the active configuration in bytes,
+// 0 if it states none.
+func (s *Server) HeadLimit() int { return s.limits().HeaderBytes() }
+
 // headerSize returns the size of a request's header on the wire in bytes.
 func headerSize(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + headerLineOverhead
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"greengagedock.example/http1"
 	"greengagedock.example/timer"
 	"greengagedock.example/upstream"
 )
@@ -25,6 +26,7 @@
 	workerStall time.Duration
 	// reservationHold is how long a KV reservation lasts unless it is renewed.
 	reservationHold time.Duration
+	clients         *http1.Clients // nil for no limits
 }
 
 // NewLimits returns limits with the retry budget of all entries, the bytes that
@@ -34,6 +36,12 @@
 	return Limits{retries: retries, bodyMemory: bodyMemory, workerStall: workerStall, reservationHold: reservationHold}
 }
 
+// WithClients returns the limits with those of all clients of the process.
+func (l Limits) WithClients(clients *http1.Clients) Limits {
+	l.clients = clients
+	return l
+}
+
 // Server answers the callers of one entry.
 type Server struct {
 	views        Views
@@ -52,6 +60,7 @@
 	// reservationHold is how long a KV reservation lasts unless it is renewed.
 	reservationHold time.Duration
 	http            *http.Server
+	clients         *http1.Clients
 	openRequests    atomic.Int64
 	open            openConnections
 	grace           graceLimits
@@ -78,6 +87,10 @@
 		ConnContext:       withConnection,
 		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
+	if s.clients = limits.clients; s.clients == nil {
+		s.clients = new(http1.Clients)
+	}
+	s.clients.Bound(s.http)
 	return s
 }
 
@@ -89,7 +102,7 @@
 	if !s.open.listen(listener) {
 		return listener.Close()
 	}
-	err := s.http.Serve(connectionListener{listener, s})
+	err := s.http.Serve(connectionListener{s.clients.Listen(listener, s.HeadLimit), s})
 	if err != http.ErrServerClosed && !s.open.isStopping() {
 		return eris.Wrap(ErrServer, err.Error())
 	}
