gateway: the limits of clients hold at all listeners for HTTP

Callers saw an entry end: it ran out of memory by what was sent to another listener than theirs.

Cause: the directory, the readiness check and the metrics take heads of up to 1 MB, the default of net/http, and nothing bounds them together; 400 clients reached 1084 MB. Their responses have no time limit.

Change: they share the callers' limits, the largest head and the memory of heads, and a response that is not read ends after 5 s.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -43,6 +43,12 @@
 	// others, and restartTime how long after its end it is back if there are none.
 	stoppingRetryAfter = 50 * time.Millisecond
 	restartTime        = time.Second
+	// httpTimeout bounds the reading of a request's head, and the writing of its response, by the
+	// directory, the readiness check and the metrics; httpIdleTimeout bounds an idle connection.
+	httpTimeout     = 5 * time.Second
+	httpIdleTimeout = 20 * time.Second
+	// maxHeaderBytes bounds a request's head there, as at the callers' listener.
+	maxHeaderBytes = 64 << 10
 )
 
 // Platform holds the adapters to the platform on which an entry runs.
@@ -170,9 +176,9 @@
 	}{
 		{"callers", p.settings.CallerAddress(), p.callerServer.Serve},
 		{"peers", p.settings.PeerAddress(), p.peerServer.Serve},
-		{"directory", p.settings.DirectoryAddress(), newHTTPServer(directory).Serve},
-		{"readiness", p.settings.ReadinessAddress(), newHTTPServer(directory).Serve},
-		{"metrics", p.settings.MetricsAddress(), newHTTPServer(p.metrics.handler(p.gauges)).Serve},
+		{"directory", p.settings.DirectoryAddress(), p.serveHTTP(directory)},
+		{"readiness", p.settings.ReadinessAddress(), p.serveHTTP(directory)},
+		{"metrics", p.settings.MetricsAddress(), p.serveHTTP(p.metrics.handler(p.gauges))},
 	} {
 		if endpoint.address == "" {
 			continue
@@ -191,9 +197,16 @@
 	return nil
 }
 
-// newHTTPServer returns a server for short responses.
-func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 20 * time.Second}
+// serveHTTP returns a function that serves a handler, within the limits of clients.
+func (p *Process) serveHTTP(handler http.Handler) func(net.Listener) error {
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: httpIdleTimeout,
+	}
+	p.clients.Bound(server)
+	return func(listener net.Listener) error {
+		return server.Serve(p.clients.Listen(listener, p.callerServer.HeadLimit))
+	}
 }
 
 // gauges returns the metrics of the entry's current state.
