gateway, ingress: the number of clients' connections is limited

Callers saw an entry with no descriptor left: it could reach neither servers nor other entries, and accepted nobody.

Cause: nothing bounds the connections of clients. 1500 connections on which nothing is sent took 1516 descriptors of 1200, at each listener for HTTP.

Change: all listeners but that for other entries share a number of connections that follows from the descriptors and the memory of the settings. Beyond it the connection that has waited longest for a request, or the rest of one, is closed for the new one, so that a client that behaves is served beside a crowd; a request that has arrived as a whole is never dropped for another one. While nearly all connections have requests, further ones are refused with 503.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -2,13 +2,30 @@
 
 import "greengagedock.example/http1"
 
-// headMemoryDivisor is the memory of the process divided by the part that the heads of requests
-// may take beyond ordinary ones.
-const headMemoryDivisor = 8
+// Parts of the process's memory and descriptors that its clients may take together.
+const (
+	// headMemoryDivisor is the memory divided by the part for request heads beyond the ordinary.
+	headMemoryDivisor = 8
+	// connectionMemoryFraction is the part of the memory for connections.
+	connectionMemoryFraction = 0.375
+	// fileDescriptors is the number of descriptors that are no connections, and
+	// clientDescriptorFraction the part of the others for clients. The rest is for connections
+	// to servers, to other entries and to the store.
+	fileDescriptors          = 200
+	clientDescriptorFraction = 0.625
+)
 
 // clientLimits returns what the clients of the process may take together.
 func clientLimits(s Settings) http1.Limits {
-	return http1.NewLimits(0, s.MemoryBytes()/headMemoryDivisor)
+	connections := int(connectionMemoryFraction * float64(s.MemoryBytes()) / http1.ConnectionBytes)
+	if s.MaxDescriptors() > 0 {
+		others := max(s.MaxDescriptors()-fileDescriptors, s.MaxDescriptors()/2)
+		byDescriptors := max(1, int(clientDescriptorFraction*float64(others)))
+		if connections == 0 || byDescriptors < connections {
+			connections = byDescriptors
+		}
+	}
+	return http1.NewLimits(connections, s.MemoryBytes()/headMemoryDivisor)
 }
 
 // clientGauges returns what the clients take, and how many were refused for it.
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"greengagedock.example/dispatch"
+	"greengagedock.example/http1"
 	"greengagedock.example/quarantine"
 	"greengagedock.example/routing"
 	"greengagedock.example/upstream"
@@ -89,7 +90,7 @@
 	}
 	body, reservedBytes, ok := q.readBody()
 	reserved = reservedBytes
-	if !ok {
+	if !ok || !q.received() {
 		return
 	}
 	target := q.r.RequestURI
@@ -105,6 +106,21 @@
 	q.sendWithRetries(ctx)
 }
 
+// received records that the request has arrived as a whole. If its connection was closed, or
+// too many requests are open, it ends the request and reports false.
+func (q *request) received() bool {
+	switch err := q.server.clients.Received(q.r); {
+	case err == nil:
+		return true
+	case errors.Is(err, http1.ErrClosed):
+		q.callerDisconnected(err)
+	default:
+		q.w.Header().Set("Connection", "close")
+		q.refuse(err.Error(), defaultRetryAfter)
+	}
+	return false
+}
+
 // accept sets the route, account, service and deadline. If the request is
 // refused or not allowed, it writes the response and reports false.
 func (q *request) accept() bool {
@@ -370,9 +386,7 @@
 func (q *request) giveUp(ctx context.Context, err error) {
 	q.endAttempts()
 	if q.r.Context().Err() != nil {
-		q.logEnd("caller disconnected", "error", err)
-		q.recordResult(ResultCallerGone)
-		panic(http.ErrAbortHandler)
+		q.callerDisconnected(err)
 	}
 	if q.wroteHeader {
 		q.logEnd("response truncated", "error", err, "after_event", q.stream.lastID)
@@ -448,12 +462,17 @@
 		q.w.Header().Set("Connection", "close")
 		q.refuse("no memory for the body", defaultRetryAfter)
 	default:
-		q.logEnd("caller disconnected", "error", err)
-		q.recordResult(ResultCallerGone)
-		panic(http.ErrAbortHandler)
+		q.callerDisconnected(err)
 	}
 }
 
+// callerDisconnected ends a request without a response.
+func (q *request) callerDisconnected(err error) {
+	q.logEnd("caller disconnected", "error", err)
+	q.recordResult(ResultCallerGone)
+	panic(http.ErrAbortHandler)
+}
+
 // logEnd logs the end of the request with its result.
 func (q *request) logEnd(message string, pairs ...any) {
 	version := int64(0)
