ingress: memory for bodies of callers that leave is given back

Callers with a body saw every request refused with "no memory for the body" once enough clients had left while they sent one, for good.

Cause: a body that ends early is handled with a panic that closes the connection, and readBody returns the reserved bytes only by its result, so the deferred release had none to give back.

Change: the request itself holds what is reserved for its body.

--- a/ingress/grace.go
+++ b/ingress/grace.go
@@ -113,13 +113,14 @@
 
 // readBody reads the body, as long as the request can be taken after it. It reports false once
 // it has answered the request.
-func (q *request) readBody() (body []byte, reserved int64, ok bool) {
+func (q *request) readBody() (body []byte, ok bool) {
 	stopped := make(chan struct{})
 	remove := q.server.grace.add(q.server.timers.Now(), q.latestArrival, func() {
 		close(stopped)
 		_ = http.NewResponseController(q.w).SetReadDeadline(time.Unix(1, 0)) // else the body is read to its end
 	})
 	body, reserved, err := q.server.bodyMemory.read(q.r, q.table.Limits().BodyBytes())
+	q.bodyMemory = reserved
 	remove()
 	select {
 	case <-stopped:
@@ -131,9 +132,9 @@
 	}
 	if err != nil {
 		q.rejectBody(err)
-		return nil, reserved, false
+		return nil, false
 	}
-	return body, reserved, true
+	return body, true
 }
 
 // latestArrival returns until when the request must have arrived as a whole to be taken.
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -56,6 +56,8 @@
 	account  routing.Account
 	service  routing.Service
 	outgoing upstream.Request
+	// bodyMemory is what is reserved for the body in bytes, until the request ends.
+	bodyMemory int64
 	deadline time.Time
 	parts    []quarantine.Part
 	// fingerprint identifies what comes again if a caller repeats the request.
@@ -83,13 +85,11 @@
 
 // serve answers the request, and logs and records its result.
 func (q *request) serve() {
-	reserved := int64(0)
-	defer func() { q.server.bodyMemory.release(reserved) }()
+	defer func() { q.server.bodyMemory.release(q.bodyMemory) }()
 	if !q.accept() {
 		return
 	}
-	body, reservedBytes, ok := q.readBody()
-	reserved = reservedBytes
+	body, ok := q.readBody()
 	if !ok || !q.received() {
 		return
 	}
