ingress: a body is awaited until the deadline of its request

Callers with a body saw every request refused with "no memory for the body" as long as a crowd stayed connected that had sent parts of bodies.

Cause: the deadline of a request begins to count once its body has arrived. A client that stays connected and sends no more keeps a connection and the memory for its body for ever.

Change: reading a body ends at the request's deadline, with 408: the request has not run. Beyond the head's time limits no other limit is new, and a client that keeps its own does not meet it.

TestBodyIsAwaitedUntilDeadline guards both framings.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -1,9 +1,11 @@
 package ingress
 
 import (
+	"errors"
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"slices"
 	"sync/atomic"
 
@@ -15,6 +17,7 @@
 	errTooLarge      = eris.New("ingress: body over the limit")
 	errNoMemory      = eris.New("ingress: request body memory exhausted")
 	errBodyTruncated = eris.New("ingress: request body truncated")
+	errBodyTimeout   = eris.New("ingress: request body not received in time")
 )
 
 // initialBufferBytes is the first buffer size for a body of unknown length; the buffer then doubles.
@@ -69,6 +72,8 @@
 			return nil, reserved, errTooLarge
 		case err == io.EOF:
 			return body, reserved, nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, reserved, errBodyTimeout
 		case err != nil:
 			return nil, reserved, eris.Wrap(errBodyTruncated, err.Error())
 		}
--- a/ingress/body_test.go
+++ b/ingress/body_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -43,3 +44,23 @@
 	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
 	b.awaitBodyMemory(all)
 }
+
+// Guards against a body that is awaited for ever: at the deadline of its request, which has not
+// run, its caller is told so, and its memory is there for others.
+func TestBodyIsAwaitedUntilDeadline(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbed(t, newBackend(c, fullResponse(200, "x")))
+	all := b.server.bodyMemory.available.Load()
+	for _, framing := range []string{"Content-Length: 900\r\n\r\nstove", "Transfer-Encoding: chunked\r\n\r\n5\r\nstove\r\n"} {
+		conn, err := net.Dial("tcp", b.http.Listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		_, err = fmt.Fprint(conn, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nId: a1\r\nKey: k1\r\nLeft: 100ms\r\n"+framing)
+		c.Assert(err, qt.IsNil)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusRequestTimeout)
+		c.Assert(response.Close, qt.IsTrue)
+		b.awaitBodyMemory(all)
+	}
+}
--- a/ingress/grace.go
+++ b/ingress/grace.go
@@ -111,13 +111,17 @@
 	}
 }
 
-// readBody reads the body, as long as the request can be taken after it. It reports false once
-// it has answered the request.
+// readBody reads the body until the request's deadline, as long as the request can be taken after
+// it. It reports false once it has answered the request.
 func (q *request) readBody() (body []byte, ok bool) {
+	control := http.NewResponseController(q.w)
+	if q.r.Body != http.NoBody {
+		_ = control.SetReadDeadline(q.deadline) // if it fails, so does reading
+	}
 	stopped := make(chan struct{})
 	remove := q.server.grace.add(q.server.timers.Now(), q.latestArrival, func() {
 		close(stopped)
-		_ = http.NewResponseController(q.w).SetReadDeadline(time.Unix(1, 0)) // else the body is read to its end
+		_ = control.SetReadDeadline(time.Unix(1, 0)) // else the body is read to its end
 	})
 	body, reserved, err := q.server.bodyMemory.read(q.r, q.table.Limits().BodyBytes())
 	q.bodyMemory = reserved
@@ -134,6 +138,9 @@
 		q.rejectBody(err)
 		return nil, false
 	}
+	if q.r.Body != http.NoBody {
+		_ = control.SetReadDeadline(time.Time{}) // from now on, reading tells whether the caller has left
+	}
 	return body, true
 }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -58,6 +58,8 @@
 	outgoing upstream.Request
 	// bodyMemory is what is reserved for the body in bytes, until the request ends.
 	bodyMemory int64
+	// answer is the memory of the responses of servers.
+	answer   answer
 	deadline time.Time
 	parts    []quarantine.Part
 	// fingerprint identifies what comes again if a caller repeats the request.
@@ -86,6 +88,7 @@
 // serve answers the request, and logs and records its result.
 func (q *request) serve() {
 	defer func() { q.server.bodyMemory.release(q.bodyMemory) }()
+	defer q.answer.release()
 	if !q.accept() {
 		return
 	}
@@ -396,7 +399,7 @@
 	}
 	if q.buffered != nil {
 		q.server.setClosing(q.w.Header())
-		q.buffered.write(q.w)
+		q.buffered.write(q.w, &q.answer)
 		q.logEnd("served", "outcome", "server error", "status", q.buffered.status)
 		q.recordResult(ResultServed)
 		return
@@ -461,6 +464,11 @@
 	case errors.Is(err, errNoMemory):
 		q.w.Header().Set("Connection", "close")
 		q.refuse("no memory for the body", defaultRetryAfter)
+	case errors.Is(err, errBodyTimeout):
+		q.w.Header().Set("Connection", "close")
+		q.logEnd("refused", "reason", err.Error())
+		q.recordResult(ResultRefused)
+		q.writeError(http.StatusRequestTimeout, "not run: "+err.Error())
 	default:
 		q.callerDisconnected(err)
 	}
