ingress: responses that are not read keep no server and little memory

Callers got no answers beside clients that read none of theirs: all places of a server were taken, for as long as these clients stayed.

Cause: a response that has been read whole is written to its caller before the placement ends and the connection to the server is free, and the write has no time limit. Each such response also takes up to 256 KiB that nothing bounds.

Change: the placement ends as soon as the response is whole. A caller must read 32 KiB in 5 s; streams have their deadline as before. The memory of responses that are read whole is limited: if there is none, those whose callers have read nothing for a second are given up, and after a second the response is forwarded as it arrives.

--- a/gateway/process.go
+++ b/gateway/process.go
@@ -31,6 +31,9 @@
 	// bodyMemoryDivisor is the memory of the process divided by the part that
 	// request bodies may take.
 	bodyMemoryDivisor = 4
+	// answerMemoryDivisor is the memory divided by the part for responses of servers that are
+	// read whole before they are forwarded.
+	answerMemoryDivisor = 8
 	// lameDuckPeriod is how long a stopping entry keeps accepting requests: about
 	// as long as callers cache a directory response.
 	lameDuckPeriod = 2500 * time.Millisecond
@@ -140,6 +143,7 @@
 	retries := ingress.NewRetryBudget(settings.RetryRatio(), settings.RetrySlack(), settings.RetryWindow())
 	p.clients = http1.NewClients(clientLimits(settings), log)
 	limits := ingress.NewLimits(retries, settings.MemoryBytes()/bodyMemoryDivisor, settings.timeouts.prefillWorker(), settings.timeouts.reservationHold()).
+		WithAnswerMemory(settings.MemoryBytes() / answerMemoryDivisor).
 		WithClients(p.clients)
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
 	p.callerServer = ingress.NewServer(p.control, scheduler, reserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -40,6 +40,7 @@
 	body       *bufferedResponse
 
 	silence silenceTimer
+	closed  bool
 }
 
 // newAttempt returns an attempt that continues the response where it is now; q.mu must
@@ -154,13 +155,13 @@
 
 // readBody reads the body of a response that is no stream, up to maxBufferedBytes.
 func (a *attempt) readBody() (dispatch.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(a.response, maxBufferedBytes+1))
+	body, more, err := a.request.answer.readWhole(a.ctx, a.response)
 	if err != nil {
 		return a.brokenOutcome(), eris.Wrapf(errTruncated, "%v", err)
 	}
 	status := a.response.Status()
-	a.body = &bufferedResponse{status: status, header: a.response.Header(), body: body}
-	failed := status >= http.StatusInternalServerError && len(body) <= maxBufferedBytes && a.request.route.Repeatable()
+	a.body = &bufferedResponse{status: status, header: a.response.Header(), body: body, more: more}
+	failed := status >= http.StatusInternalServerError && !more && a.request.route.Repeatable()
 	if failed || a.continues {
 		return dispatch.OutcomeServerError, eris.Wrapf(errServerError, "status %d", status)
 	}
@@ -168,8 +169,12 @@
 	return dispatch.OutcomeComplete, nil
 }
 
-// close ends the attempt and its placement.
+// close ends the attempt and its placement, unless it was closed before.
 func (a *attempt) close(outcome dispatch.Outcome) {
+	if a.closed {
+		return
+	}
+	a.closed = true
 	a.silence.stop()
 	if a.response != nil {
 		a.response.Close()
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -54,14 +54,16 @@
 	status int
 	header http.Header
 	body   []byte
+	// more is whether only the beginning was read.
+	more bool
 }
 
 // write forwards the response.
-func (b *bufferedResponse) write(w http.ResponseWriter) {
+func (b *bufferedResponse) write(w http.ResponseWriter, a *answer) {
 	copyHeader(w.Header(), b.header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	w.WriteHeader(b.status)
-	_, _ = w.Write(b.body) // fails only if the caller has disconnected
+	_, _ = newAnswerWriter(w, a).Write(b.body) // fails only if the caller has disconnected or reads nothing
 }
 
 // copyHeader sets a response's header and keeps net/http from adding a detected Content-Type.
@@ -142,15 +144,17 @@
 // rest of one over maxBufferedBytes is forwarded as it arrives.
 func (q *request) forwardBuffered(a *attempt) (dispatch.Outcome, error) {
 	q.firstResponse = q.server.timers.Now()
-	if len(a.body.body) > maxBufferedBytes {
+	if a.body.more {
 		return q.forwardRest(a.response, a.body)
 	}
-	q.server.setClosing(q.w.Header())
-	a.body.write(q.w)
+	outcome := dispatch.OutcomeComplete
 	if a.body.status >= http.StatusInternalServerError {
-		return dispatch.OutcomeServerError, nil
+		outcome = dispatch.OutcomeServerError
 	}
-	return dispatch.OutcomeComplete, nil
+	a.close(outcome) // the server is free for others, however slowly the caller reads
+	q.server.setClosing(q.w.Header())
+	a.body.write(q.w, &q.answer)
+	return outcome, nil
 }
 
 // forwardRest forwards a long response, of which start was read already, as it arrives.
@@ -162,22 +166,23 @@
 	}
 	q.server.setClosing(q.w.Header())
 	q.w.WriteHeader(start.status)
-	if _, err := q.w.Write(start.body); err != nil {
+	to := newAnswerWriter(q.w, &q.answer)
+	if _, err := to.Write(start.body); err != nil {
 		return dispatch.OutcomeCancelled, err
 	}
-	if err := q.copyRest(response, int64(len(start.body))); err != nil {
+	if err := copyRest(to, response, int64(len(start.body))); err != nil {
 		return dispatch.OutcomeBroken, eris.Wrapf(errTruncated, "%v", err)
 	}
 	return dispatch.OutcomeComplete, nil
 }
 
 // copyRest forwards the body of a response after the bytes that were forwarded already.
-func (q *request) copyRest(response *upstream.Response, forwarded int64) error {
+func copyRest(to io.Writer, response *upstream.Response, forwarded int64) error {
 	if response.ContentLength() >= 0 {
-		_, err := io.Copy(q.w, response)
+		_, err := io.Copy(to, response)
 		return err
 	}
-	n, err := io.Copy(q.w, io.LimitReader(response, maxUnframedBytes-forwarded))
+	n, err := io.Copy(to, io.LimitReader(response, maxUnframedBytes-forwarded))
 	if err == nil && forwarded+n == maxUnframedBytes {
 		err = errEndless
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -26,6 +26,7 @@
 	workerStall time.Duration
 	// reservationHold is how long a KV reservation lasts unless it is renewed.
 	reservationHold time.Duration
+	answerMemory    int64          // 0 for no limit
 	clients         *http1.Clients // nil for no limits
 }
 
@@ -36,6 +37,13 @@
 	return Limits{retries: retries, bodyMemory: bodyMemory, workerStall: workerStall, reservationHold: reservationHold}
 }
 
+// WithAnswerMemory returns the limits with the bytes that responses may occupy which are read
+// whole before they are forwarded, 0 for no limit.
+func (l Limits) WithAnswerMemory(bytes int64) Limits {
+	l.answerMemory = bytes
+	return l
+}
+
 // WithClients returns the limits with those of all clients of the process.
 func (l Limits) WithClients(clients *http1.Clients) Limits {
 	l.clients = clients
@@ -54,6 +62,7 @@
 	timers       *timer.Service
 	retryLimiter retryLimiter
 	bodyMemory   bodyMemory
+	answerMemory answerMemory
 	workerStall  time.Duration
 	// minSilence is minSilenceTimeout, or less in tests.
 	minSilence time.Duration
@@ -75,6 +84,7 @@
 	s := &Server{views: views, scheduler: scheduler, kvReserver: kvReserver, client: client, headers: headers, recorder: recorder, log: log, timers: timers}
 	s.retryLimiter.budget = limits.retries
 	s.bodyMemory.available.Store(limits.bodyMemory)
+	s.answerMemory.limit = limits.answerMemory
 	s.workerStall = limits.workerStall
 	s.minSilence = minSilenceTimeout
 	s.reservationHold = limits.reservationHold
@@ -115,7 +125,7 @@
 	defer s.openRequests.Add(-1)
 	defer s.logPanic(r)
 	clearHeaderTimeout(r)
-	q := &request{server: s, w: w, r: r, start: s.timers.Now()}
+	q := &request{server: s, w: w, r: r, start: s.timers.Now(), answer: answer{memory: &s.answerMemory}}
 	q.serve()
 }
 
