cmd/greengagedockd: the runtime knows the memory of the process

Callers would see an entry end that keeps each of its limits on memory.

Cause: the heap grows to twice what is in use before garbage is collected, and nothing tells the runtime the memory of the settings. Parts that fit one by one are too large together.

Change: the gateway sets the runtime's memory limit, at the start and when the settings change. Below it nothing changes.

--- a/cmd/greengagedockd/gateway.go
+++ b/cmd/greengagedockd/gateway.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -20,6 +21,13 @@
 // has been modified, which may happen without a SIGHUP.
 const settingsPollInterval = 2 * time.Second
 
+// memoryReserve and memoryReserveDivisor bound the part of the process's memory that is not the
+// Go runtime's: the program itself, libraries and thread stacks.
+const (
+	memoryReserve        = 16 << 20
+	memoryReserveDivisor = 6
+)
+
 // newGatewayCommand returns the command that runs an entry on the users' platform.
 // It sets status if the entry fails.
 func newGatewayCommand(status *int) *cobra.Command {
@@ -66,6 +74,7 @@
 		Directory:  platform.DirectoryHandler,
 		HealthPath: platform.HealthPath,
 	}
+	limitMemory(settings)
 	process, err := gateway.Start(settings, adapters, output, log)
 	if err != nil {
 		return err
@@ -91,10 +100,19 @@
 			log.Error("settings reload failed", "error", err)
 			continue
 		}
+		limitMemory(reloaded)
 		process.Reload(reloaded)
 	}
 }
 
+// limitMemory tells the runtime the memory of the process, so that garbage is collected more often
+// when little is left: else the heap grows to twice what is in use.
+func limitMemory(settings gateway.Settings) {
+	if memory := settings.MemoryBytes(); memory > 0 {
+		debug.SetMemoryLimit(memory - min(memoryReserve, memory/memoryReserveDivisor))
+	}
+}
+
 // modTime returns the modification time of a file, zero if it can't be read.
 func modTime(path string) time.Time {
 	info, err := os.Stat(path)
--- a/crowdtest/gateway_test.go
+++ b/crowdtest/gateway_test.go
@@ -322,6 +322,27 @@
 	}
 }
 
+// Guards against parts of the memory that are bounded one by one but too large together: bodies,
+// heads, requests that wait for a place and connections at once, again and again.
+func TestCrowdGatewayAllAtOnce(t *testing.T) {
+	g := startGateway(t)
+	for range 4 {
+		g.process.play(crowd{clients: 2 * gatewayClients, servers: true, send: func(conn net.Conn, n int) error {
+			switch n % 4 {
+			case 0:
+				head := "POST /call/x HTTP/1.1\r\nHost: " + host + "\r\n" + strings.Join(fields(heldLimit), "\r\n") + "\r\nContent-Length: " + strconv.Itoa(gatewayBodyBytes)
+				return errorsOf(write(conn, head, "\r\n\r\n"), write(conn, strings.Repeat("b", gatewayBodyBytes-1)))
+			case 1:
+				return write(conn, legalHead(lineValued, "GET", "/held/x", fields(heldLimit)...), "\r\n")
+			case 2:
+				return write(conn, legalHead(lineShort, "GET", "/call/x", fields(heldLimit)...))
+			default:
+				return nil
+			}
+		}}, g.address(portCallers), gatewayBounds, g.call)
+	}
+}
+
 // Guards against bodies that are awaited for ever: their memory is there again once the time
 // that their callers stated is over, although these stay connected.
 func TestCrowdGatewayAwaitedBodiesEnd(t *testing.T) {
