ingress: heads of short lines inside the limit are not refused

Callers saw 431 for a head of a legal size.

Cause: the size of a parsed head was reckoned with four bytes a line beyond name and value, as for "name: value" and CRLF. A line without a space, or that ends with LF, is shorter on the wire.

What is reckoned from a parsed head, for one that arrived together with the request before, is the least that it can have been.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -17,8 +17,9 @@
 	// connection while no configuration sets a timeout.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 30 * time.Second
-	// headerLineOverhead is the size of a colon, a space and CRLF in bytes.
-	headerLineOverhead = 4
+	// headerLineOverhead is the least size of a line beyond name and value, a colon and LF, in
+	// bytes.
+	headerLineOverhead = 2
 )
 
 // connection is a caller's connection; it is closed when it is idle, or a header
@@ -169,7 +170,9 @@
 // 0 if it states none.
 func (s *Server) HeadLimit() int { return s.limits().HeaderBytes() }
 
-// headerSize returns the size of a request's header on the wire in bytes.
+// headerSize returns the least size that a request's header has on the wire in bytes. Connections
+// of Serve count the exact one before net/http parses the header; this is for one that arrived
+// together with the request before.
 func headerSize(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + headerLineOverhead
 	size += len("Host") + len(r.Host) + headerLineOverhead
