mesh: the memory of messages and calls is limited

Other entries and callers saw an entry end: it ran out of memory by what was sent to the listener for other entries.

Cause: a message of up to 8 MB is buffered for each connection until it is whole, and one of many short values takes many times its size once it is decoded. Calls are handled as fast as they are read, each in a goroutine of its own, so a client that reads no answers has them pile up.

Change: a server with limits reserves memory for a message while it is read, by its bytes and values, and for each call that is handled. The message that has waited longest for its rest makes room, with its connection; a call for which there is no memory is refused by the reading goroutine, so that no further one is read before its answer is written. Ordinary messages, up to 8 KiB, need no memory to be read.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "greengagedock.example/http1"
+import (
+	"greengagedock.example/http1"
+	"greengagedock.example/mesh"
+)
 
 // Parts of the process's memory and descriptors that its clients may take together.
 const (
@@ -13,21 +16,32 @@
 	// to servers, to other entries and to the store.
 	fileDescriptors          = 200
 	clientDescriptorFraction = 0.625
+	// peerMemoryDivisor is the memory divided by the part for their messages and calls.
+	peerMemoryDivisor = 6
 )
 
 // clientLimits returns what the clients of the process may take together.
 func clientLimits(s Settings) http1.Limits {
 	connections := int(connectionMemoryFraction * float64(s.MemoryBytes()) / http1.ConnectionBytes)
-	if s.MaxDescriptors() > 0 {
-		others := max(s.MaxDescriptors()-fileDescriptors, s.MaxDescriptors()/2)
-		byDescriptors := max(1, int(clientDescriptorFraction*float64(others)))
-		if connections == 0 || byDescriptors < connections {
-			connections = byDescriptors
-		}
+	if byDescriptors := connectionShare(s, clientDescriptorFraction); connections == 0 || byDescriptors > 0 && byDescriptors < connections {
+		connections = byDescriptors
 	}
 	return http1.NewLimits(connections, s.MemoryBytes()/headMemoryDivisor)
 }
 
+// peerLimits returns what may be taken at the listener for other entries.
+func peerLimits(s Settings) mesh.Limits {
+	return mesh.NewLimits(0, s.MemoryBytes()/peerMemoryDivisor)
+}
+
+// connectionShare returns a fraction of the descriptors for connections, 0 if there is no limit.
+func connectionShare(s Settings, fraction float64) int {
+	if s.MaxDescriptors() <= 0 {
+		return 0
+	}
+	return max(1, int(fraction*float64(max(s.MaxDescriptors()-fileDescriptors, s.MaxDescriptors()/2))))
+}
+
 // clientGauges returns what the clients take, and how many were refused for it.
 func (p *Process) clientGauges() map[string]int64 {
 	connections, headMemory := p.clients.Open()
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -147,7 +147,7 @@
 		WithClients(p.clients)
 	scheduler := &schedulerClient{control: p.control, client: p.peerClient}
 	p.callerServer = ingress.NewServer(p.control, scheduler, reserver, p.client, platform.Headers, limits, &p.metrics, log, &p.timers)
-	p.peerServer = mesh.NewServer(p.control.handle).WithKinds(callKinds).WithLog(log)
+	p.peerServer = mesh.NewServer(p.control.handle).WithKinds(callKinds).WithLog(log).WithLimits(peerLimits(settings))
 	p.peerServer.ServeTunnels(ways.serveTunnel)
 	p.control.tunnels = p.peerServer.Tunnels
 	if err := p.listen(platform); err != nil {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -70,6 +70,10 @@
 type messageReader struct {
 	limit *limitedReader
 	from  *bufio.Reader
+	// reserve reserves memory for a message as far as it was read, and reports whether there
+	// is any; nil if there always is.
+	reserve func(bytes int64) bool
+	last    int64
 }
 
 func newMessageReader(r io.Reader) *messageReader {
@@ -77,13 +81,19 @@
 	return &messageReader{limit: limit, from: bufio.NewReader(limit)}
 }
 
+// memory returns the memory of the last message in bytes.
+func (r *messageReader) memory() int64 { return r.last }
+
 func (r *messageReader) next() (envelope, error) {
 	var e envelope
 	var message bytes.Buffer
 	r.limit.remaining = maxMessageBytes
-	if err := readValue(r.from, &message); err != nil {
+	value := newValueReader(r.from, &message)
+	value.reserve, value.reserved = r.reserve, ordinaryMessageBytes
+	if err := value.read(); err != nil {
 		return e, err
 	}
+	r.last = value.memory
 	err := msgpack.Unmarshal(message.Bytes(), &e)
 	return e, err
 }
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"container/list"
 	"errors"
 	"net"
 	"runtime/debug"
@@ -28,18 +29,24 @@
 	traffic Traffic
 	kinds   Kinds
 	log     hclog.Logger
+	limits  Limits
 
 	mu     sync.Mutex
 	closed bool
-	// conns holds the connections, and whether an entry receives the bytes of a tunnel there.
-	conns      map[net.Conn]bool
+	// conns holds the connections, those to servers without an inbound.
+	conns map[net.Conn]*inbound
+	// accepted is the number of accepted connections, waiting holds those that wait for a
+	// message, and messages is the memory of messages and calls.
+	accepted   int
+	waiting    list.List
+	messages   int64
 	dialTunnel TunnelDialer
 	tunnels    int
 }
 
 // NewServer returns a server that passes calls to the handler.
 func NewServer(handler Handler) *Server {
-	return &Server{handler: handler, conns: make(map[net.Conn]bool), log: hclog.NewNullLogger()}
+	return &Server{handler: handler, conns: make(map[net.Conn]*inbound), log: hclog.NewNullLogger()}
 }
 
 // WithKinds has the server state the kinds of calls that it understands to each caller that
@@ -73,21 +80,23 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		if !s.add(conn) {
+		in := s.accept(conn)
+		if in == nil {
 			conn.Close()
-			return nil
+			continue
 		}
-		go s.serve(conn)
+		go s.serve(in)
 	}
 }
 
 // ServeConn serves the calls on one connection until it ends.
 func (s *Server) ServeConn(conn net.Conn) {
-	if !s.add(conn) {
+	in := s.accept(conn)
+	if in == nil {
 		conn.Close()
 		return
 	}
-	s.serve(conn)
+	s.serve(in)
 }
 
 // Close closes all connections and refuses new ones. Tunnels are reset: an entry that does not
@@ -96,8 +105,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	for conn, tunnel := range s.conns {
-		if tunnel {
+	for conn, in := range s.conns {
+		if in != nil && in.tunnel {
 			reset(conn)
 		}
 	}
@@ -107,51 +116,63 @@
 }
 
 // setTunnel records that an entry receives the bytes of a tunnel on a connection.
-func (s *Server) setTunnel(conn net.Conn) {
+func (s *Server) setTunnel(in *inbound) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conns[conn] = true
+	in.tunnel = true
 }
 
-func (s *Server) add(conn net.Conn) bool {
+// addServer adds the connection of a tunnel to its server.
+func (s *Server) addServer(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
-	s.conns[conn] = false
+	s.conns[conn] = nil
 	return true
 }
 
-func (s *Server) serve(conn net.Conn) {
+func (s *Server) serve(in *inbound) {
+	conn := in.conn
 	var writeMu sync.Mutex
 	defer func() {
-		conn.Close()
 		s.mu.Lock()
-		delete(s.conns, conn)
-		s.mu.Unlock()
+		defer s.mu.Unlock()
+		s.remove(in)
 	}()
 	r := newMessageReader(conn)
+	r.reserve = func(bytes int64) bool { return s.reserveMessage(in, bytes) }
+	answer := func(call, response envelope) {
+		if len(call.Understands) > 0 {
+			response.Understands = s.kinds.all()
+		}
+		s.traffic.count(call.Kind, len(response.Body), len(call.Body))
+		writeMu.Lock()
+		defer writeMu.Unlock()
+		if err := writeEnvelope(conn, response); err != nil {
+			conn.Close()
+		}
+	}
 	for {
 		call, err := r.next()
 		if err != nil {
 			return
 		}
+		memory := callBytes + r.memory()
+		if !s.beginCall(in, memory) {
+			// Written here, so that no further call is read before it is.
+			answer(call, envelope{ID: call.ID, Error: errBusy.Error()})
+			continue
+		}
 		if call.Kind == kindTunnel {
-			s.serveTunnel(conn, call)
+			defer s.endCall(in, memory)
+			s.serveTunnel(in, call)
 			return
 		}
 		go func() {
-			response := s.respond(call)
-			if len(call.Understands) > 0 {
-				response.Understands = s.kinds.all()
-			}
-			s.traffic.count(call.Kind, len(response.Body), len(call.Body))
-			writeMu.Lock()
-			defer writeMu.Unlock()
-			if err := writeEnvelope(conn, response); err != nil {
-				conn.Close()
-			}
+			defer s.endCall(in, memory)
+			answer(call, s.respond(call))
 		}()
 	}
 }
--- a/mesh/tunnel.go
+++ b/mesh/tunnel.go
@@ -74,7 +74,8 @@
 }
 
 // serveTunnel opens a tunnel on a connection and serves it to its end.
-func (s *Server) serveTunnel(conn net.Conn, call envelope) {
+func (s *Server) serveTunnel(in *inbound, call envelope) {
+	conn := in.conn
 	response := envelope{ID: call.ID}
 	framed := slices.Contains(call.Understands, understandsFrames)
 	if framed {
@@ -95,7 +96,7 @@
 	if err := keepTunnel(conn); err != nil {
 		return
 	}
-	s.setTunnel(conn)
+	s.setTunnel(in)
 	toCaller := copyBytes
 	if framed {
 		toCaller = writeFrames
@@ -159,7 +160,7 @@
 	server, err := dial(context.Background(), address)
 	if err != nil && !errors.Is(err, ErrRefused) {
 		err = eris.Wrap(ErrServerUnreachable, err.Error())
-	} else if err == nil && !s.add(server) {
+	} else if err == nil && !s.addServer(server) {
 		server.Close()
 		err = errNoTunnels
 	}
--- a/mesh/value.go
+++ b/mesh/value.go
@@ -30,6 +30,11 @@
 	to   *bytes.Buffer // nil to copy nothing
 	// left holds the number of values that each open array or map still has.
 	left []uint64
+	// memory is about the memory that the value takes once it is decoded, of which reserve was
+	// asked for reserved bytes; nil to ask for none.
+	memory   int64
+	reserved int64
+	reserve  func(bytes int64) bool
 }
 
 // CheckNesting returns an error that wraps ErrMalformed unless an encoded body consists of
@@ -45,8 +50,17 @@
 
 // readValue reads one encoded value and copies its bytes to a buffer unless that is nil.
 func readValue(from byteSource, to *bytes.Buffer) error {
+	r := newValueReader(from, to)
+	return r.read()
+}
+
+func newValueReader(from byteSource, to *bytes.Buffer) valueReader {
 	r := valueReader{from: from, to: to, left: make([]uint64, 1, maxNesting+1)}
 	r.left[0] = 1
+	return r
+}
+
+func (r *valueReader) read() error {
 	for len(r.left) > 0 {
 		top := len(r.left) - 1
 		if r.left[top] == 0 {
@@ -67,6 +81,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.grow(elementBytes + messageByteFactor); err != nil {
+		return err
+	}
 	if r.to != nil {
 		r.to.WriteByte(code)
 	}
@@ -148,6 +165,28 @@
 	if r.to != nil {
 		to = r.to
 	}
-	_, err := io.CopyN(to, r.from, int64(n))
-	return err
+	for n > 0 {
+		part := min(n, reserveStep)
+		if err := r.grow(messageByteFactor * int64(part)); err != nil {
+			return err
+		}
+		if _, err := io.CopyN(to, r.from, int64(part)); err != nil {
+			return err
+		}
+		n -= part
+	}
+	return nil
+}
+
+// grow reserves more memory for the value.
+func (r *valueReader) grow(bytes int64) error {
+	r.memory += bytes
+	if r.reserve == nil || r.memory <= r.reserved {
+		return nil
+	}
+	r.reserved = r.memory + reserveStep
+	if !r.reserve(r.reserved) {
+		return errMessageMemory
+	}
+	return nil
 }
