gateway: the number of connections from other entries is limited

Callers saw an entry with no descriptor left.

Cause: nothing bounds the connections to the listener for other entries: 1500 on which nothing is sent took 1516 descriptors of 1200.

Change: they may take a quarter of the descriptors for connections.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -16,8 +16,10 @@
 	// to servers, to other entries and to the store.
 	fileDescriptors          = 200
 	clientDescriptorFraction = 0.625
-	// peerMemoryDivisor is the memory divided by the part for their messages and calls.
-	peerMemoryDivisor = 6
+	// peerDescriptorFraction is the part of them for connections from other entries, and
+	// peerMemoryDivisor the memory divided by the part for their messages and calls.
+	peerDescriptorFraction = 0.25
+	peerMemoryDivisor      = 6
 )
 
 // clientLimits returns what the clients of the process may take together.
@@ -31,7 +33,7 @@
 
 // peerLimits returns what may be taken at the listener for other entries.
 func peerLimits(s Settings) mesh.Limits {
-	return mesh.NewLimits(0, s.MemoryBytes()/peerMemoryDivisor)
+	return mesh.NewLimits(connectionShare(s, peerDescriptorFraction), s.MemoryBytes()/peerMemoryDivisor)
 }
 
 // connectionShare returns a fraction of the descriptors for connections, 0 if there is no limit.
