caller: the memory of request headers is limited

Callers of the own interface saw what callers of the gateway did: an entry that ends without memory.

Cause: as there; max_header bounds each header in bytes of the wire, and nothing bounds all of them in bytes of memory.

Change: the callers' listener has the limits of package http1 too, with a new setting, max_header_memory, 32 MB unless it is set. A refusal there is a plain 503; its text promises nothing about a call that another entry may run.

--- a/caller/body.go
+++ b/caller/body.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"greengagedock.example/backend"
+	"greengagedock.example/http1"
 )
 
 const (
@@ -57,9 +58,21 @@
 		return nil, nil, bodyFailure(err)
 	}
 	q.control.SetReadDeadline(time.Time{})
+	if err := q.server.clients.Received(q.r); err != nil {
+		release()
+		return nil, nil, receivedFailure(err)
+	}
 	return body, release, nil
 }
 
+// receivedFailure returns the failure of a request that is not handled, although it has arrived.
+func receivedFailure(err error) *Failure {
+	if errors.Is(err, http1.ErrClosed) {
+		return callerGone
+	}
+	return newFailure(http.StatusServiceUnavailable, OutcomeNotRun, ReasonBusy, "the entry has too many requests").withRetryAfter(memoryRetryAfter)
+}
+
 func bodyFailure(err error) *Failure {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return newFailure(http.StatusRequestTimeout, OutcomeNotRun, ReasonBodyTimeout, "the body did not arrive in time")
--- a/caller/limits.go
+++ b/caller/limits.go
@@ -16,6 +16,7 @@
 	writeStallTimeout time.Duration
 	eventStallTimeout time.Duration
 	maxCallRecords    int
+	maxHeaderMemory   int64
 }
 
 // The defaults of Limits.
@@ -31,6 +32,7 @@
 	defaultWriteStallTimeout = 10 * time.Second
 	defaultEventStallTimeout = 5 * time.Second
 	defaultMaxCallRecords    = 100_000
+	defaultMaxHeaderMemory   = 32 << 20
 
 	accountMemoryDivisor = 4
 )
@@ -70,6 +72,10 @@
 // streamed.
 func (l Limits) MaxAnswer() int64 { return orDefault(l.maxAnswer, defaultMaxAnswer) }
 
+// MaxHeaderMemory returns the maximum number of bytes that the headers of all open requests take
+// together beyond ordinary ones.
+func (l Limits) MaxHeaderMemory() int64 { return orDefault(l.maxHeaderMemory, defaultMaxHeaderMemory) }
+
 // WriteStallTimeout returns how long a caller may take to read up to 64 KiB of
 // its response.
 func (l Limits) WriteStallTimeout() time.Duration {
@@ -115,6 +121,13 @@
 	return l
 }
 
+// WithMaxHeaderMemory returns a copy with another number of bytes for the headers of all open
+// requests.
+func (l Limits) WithMaxHeaderMemory(bytes int64) Limits {
+	l.maxHeaderMemory = bytes
+	return l
+}
+
 // WithMaxAnswer returns a copy with another length in bytes of responses that
 // are not streamed.
 func (l Limits) WithMaxAnswer(bytes int64) Limits {
--- a/caller/listener.go
+++ b/caller/listener.go
@@ -57,3 +57,6 @@
 	c.once.Do(func() { <-c.sem })
 	return err
 }
+
+// NetConn returns the connection that was accepted.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"greengagedock.example/backend"
+	"greengagedock.example/http1"
 	"greengagedock.example/timer"
 )
 
@@ -34,6 +35,7 @@
 	accountLimiter   accountLimiter
 	accountBudgets   retryBudgets[accountKey]
 	serverBudgets    retryBudgets[string]
+	clients          *http1.Clients
 	bodyMemory       bodyMemory
 	requestCount     atomic.Uint64
 	tracker          workTracker
@@ -61,6 +63,8 @@
 		MaxHeaderBytes:    limits.MaxHeader(),
 		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Error}),
 	}
+	s.clients = http1.NewClients(http1.NewLimits(0, limits.MaxHeaderMemory()), log)
+	s.clients.Bound(s.http)
 	return s
 }
 
@@ -72,7 +76,7 @@
 
 // Serve serves callers on the listener until Shutdown, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.http.Serve(newLimitedListener(listener, s.limits.MaxConnections()))
+	err := s.http.Serve(newLimitedListener(s.clients.Listen(listener, http1.NoHeadLimit), s.limits.MaxConnections()))
 	if err == http.ErrServerClosed {
 		return nil
 	}
--- a/entry/process.go
+++ b/entry/process.go
@@ -106,6 +106,7 @@
 		WithHeader(int(l.MaxHeader()), l.HeaderTimeout()).
 		WithBody(l.MaxBody(), l.BodyTimeout()).
 		WithMaxBodyMemory(l.MaxBodyMemory()).
+		WithMaxHeaderMemory(l.MaxHeaderMemory()).
 		WithMaxAnswer(l.MaxAnswer()).
 		WithStallTimeouts(l.WriteStallTimeout(), l.EventStallTimeout()).
 		WithMaxCallRecords(l.MaxCallRecords())
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -137,7 +137,7 @@
 	if c.SetDeadline(end) != nil {
 		return
 	}
-	status, header, text := http.StatusServiceUnavailable, "Retry-After: "+retryAfter+"\r\n", "not run: "+reason.Error()
+	status, header, text := http.StatusServiceUnavailable, "Retry-After: "+retryAfter+"\r\n", reason.Error()
 	if errors.Is(reason, ErrHeadTooLarge) {
 		status, header, text = http.StatusRequestHeaderFieldsTooLarge, "", "header over the limit"
 	}
--- a/http1/server.go
+++ b/http1/server.go
@@ -19,6 +19,9 @@
 	headLimit func() int
 }
 
+// NoHeadLimit is for listeners whose server limits heads by itself.
+func NoHeadLimit() int { return 0 }
+
 // Listen returns a listener whose connections count among the clients. headLimit returns the
 // size of the largest head in bytes without the empty line at its end, 0 for no limit.
 func (c *Clients) Listen(l net.Listener, headLimit func() int) net.Listener {
@@ -90,7 +93,7 @@
 	}
 	w.Header().Set("Connection", "close")
 	w.Header().Set("Retry-After", retryAfter)
-	http.Error(w, "not run: "+reason.Error(), http.StatusServiceUnavailable)
+	http.Error(w, reason.Error(), http.StatusServiceUnavailable)
 }
 
 // setState records that the connection waits for a request, or has ended.
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -11,6 +11,7 @@
 	maxConnections    int
 	maxQueued         int
 	maxCallRecords    int
+	maxHeaderMemory   int64
 	headerTimeout     time.Duration
 	bodyTimeout       time.Duration
 	idleTimeout       time.Duration
@@ -27,6 +28,9 @@
 // MaxHeader returns the size of the largest request header in bytes.
 func (l Limits) MaxHeader() int64 { return l.maxHeader }
 
+// MaxHeaderMemory returns the memory that the headers of all open requests may occupy together, beyond ordinary ones, in bytes.
+func (l Limits) MaxHeaderMemory() int64 { return l.maxHeaderMemory }
+
 // MaxAnswer returns the size of the largest response that is not streamed, in bytes.
 func (l Limits) MaxAnswer() int64 { return l.maxAnswer }
 
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -18,6 +18,7 @@
 	defaultMaxBodyMemory    = 512_000_000 // bytes
 	defaultMaxHeader        = 16_000      // bytes
 	defaultMaxAnswer        = 4_000_000   // bytes
+	defaultMaxHeaderMemory  = 32_000_000  // bytes
 	defaultMaxConnections   = 4096
 	defaultMaxQueued        = 1000
 	defaultMaxCallRecords   = 100_000
@@ -75,6 +76,7 @@
 	l := Limits{
 		maxHeader:         parseSize(o, "max_header", maxSize, defaultMaxHeader),
 		maxAnswer:         parseSize(o, "max_answer", maxSize, defaultMaxAnswer),
+		maxHeaderMemory:   parseSize(o, "max_header_memory", maxBodyMemory, defaultMaxHeaderMemory),
 		maxConnections:    parseCount(o, "max_connections", defaultMaxConnections),
 		maxQueued:         parseCount(o, "max_queued", defaultMaxQueued),
 		maxCallRecords:    parseCount(o, "max_call_records", defaultMaxCallRecords),
--- a/settings/parse_test.go
+++ b/settings/parse_test.go
@@ -45,6 +45,7 @@
 	c.Check(s.Limits().MaxBodyMemory(), qt.Equals, int64(512_000_000))
 	c.Check(s.Limits().MaxHeader(), qt.Equals, int64(16_000))
 	c.Check(s.Limits().MaxAnswer(), qt.Equals, int64(4_000_000))
+	c.Check(s.Limits().MaxHeaderMemory(), qt.Equals, int64(32_000_000))
 	c.Check(s.Limits().MaxCallRecords(), qt.Equals, 100_000)
 	c.Check(s.Limits().BodyTimeout(), qt.Equals, 30*time.Second)
 	c.Check(s.Limits().EventStallTimeout(), qt.Equals, 5*time.Second)
@@ -61,7 +62,7 @@
 		"limits": {
 			"max_body": "32MiB", "max_connections": 10, "max_queued": 20, "header_timeout": "1s",
 			"idle_timeout": "2s", "body_timeout": "3s", "write_stall": "4s", "event_stall": "5s",
-			"max_body_memory": "1GB", "max_header": "8KB", "max_answer": "1MiB", "max_call_records": 30,
+			"max_body_memory": "1GB", "max_header": "8KB", "max_answer": "1MiB", "max_call_records": 30, "max_header_memory": "3MB",
 		},
 	}`))
 	c.Assert(err, qt.IsNil)
@@ -82,6 +83,7 @@
 	c.Check(s.Limits().MaxBodyMemory(), qt.Equals, int64(1_000_000_000))
 	c.Check(s.Limits().MaxHeader(), qt.Equals, int64(8000))
 	c.Check(s.Limits().MaxAnswer(), qt.Equals, int64(1<<20))
+	c.Check(s.Limits().MaxHeaderMemory(), qt.Equals, int64(3_000_000))
 	c.Check(s.Limits().MaxCallRecords(), qt.Equals, 30)
 }
 
