caller: silent callers make room for others

Callers got no answer, not even a refusal, while others held all connections without a request on them.

Cause: the listener does not accept beyond max_connections, so whoever sends nothing keeps everybody else out, for as long as idle_timeout and again after.

Change: the limits of package http1 hold for the number of connections too: the one that has waited longest for a request, or the rest of one, is closed for the new one. While nearly all have requests, further ones are refused with 503.

--- a/caller/server.go
+++ b/caller/server.go
@@ -63,7 +63,7 @@
 		MaxHeaderBytes:    limits.MaxHeader(),
 		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Error}),
 	}
-	s.clients = http1.NewClients(http1.NewLimits(0, limits.MaxHeaderMemory()), log)
+	s.clients = http1.NewClients(http1.NewLimits(limits.MaxConnections(), limits.MaxHeaderMemory()), log)
 	s.clients.Bound(s.http)
 	return s
 }
@@ -76,7 +76,7 @@
 
 // Serve serves callers on the listener until Shutdown, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.http.Serve(newLimitedListener(s.clients.Listen(listener, http1.NoHeadLimit), s.limits.MaxConnections()))
+	err := s.http.Serve(s.clients.Listen(listener, http1.NoHeadLimit))
 	if err == http.ErrServerClosed {
 		return nil
 	}
