peer: the memory of long frames is limited

Callers and other entries would see an entry end by what is sent to the listener for other entries of an own interface.

Cause: the length that a connection states is allocated, up to 2 MB, before anything is known of who sends it, and nothing bounds all connections together.

Change: the first frame of a connection has 64 KiB at most; a greeting has some hundred bytes.

--- a/peer/control.go
+++ b/peer/control.go
@@ -97,7 +97,7 @@
 	c.acceptor = &acceptor{
 		listener: listener, region: self.Location().Region(), deliver: c.Deliver, log: log,
 		conns: make(map[net.Conn]struct{}), newest: make(map[string]net.Conn),
-		tunnels: mesh.NewServer(refuseCalls),
+		tunnels: mesh.NewServer(refuseCalls), frames: newFrameMemory(),
 	}
 	for _, seed := range seeds {
 		c.ensureLink(seedPrefix+seed, seed)
--- a/peer/listener.go
+++ b/peer/listener.go
@@ -39,6 +39,7 @@
 	deliver  func(Event)
 	log      hclog.Logger
 	tunnels  *mesh.Server
+	frames   frameMemory
 
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
@@ -99,12 +100,12 @@
 // receive delivers the messages of one connection until it ends.
 func (in *acceptor) receive(conn net.Conn) {
 	defer in.remove(conn)
-	reader := bufio.NewReader(conn)
+	reader := frameReader{from: bufio.NewReader(conn), conn: conn, memory: in.frames}
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	from, understands, err := in.readHello(reader)
 	if errors.Is(err, errTunnel) {
 		_ = conn.SetReadDeadline(time.Time{})
-		in.tunnels.ServeConn(&bufferedConn{TCPConn: conn.(*net.TCPConn), reader: reader})
+		in.tunnels.ServeConn(&bufferedConn{TCPConn: conn.(*net.TCPConn), reader: reader.from})
 		return
 	}
 	if err != nil {
@@ -117,7 +118,7 @@
 	in.replaceConnection(from.Entry(), conn)
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
-		m, err := readFrame(reader)
+		m, err := reader.next()
 		if errors.Is(err, errUnknownKind) {
 			in.log.Debug("message from peer skipped", "peer", from.Entry(), "reason", err)
 			continue
@@ -132,8 +133,8 @@
 
 // readHello reads the hello message and returns the sender that it names and the kinds of
 // messages that this understands.
-func (in *acceptor) readHello(reader *bufio.Reader) (backend.Owner, []messageKind, error) {
-	m, err := readFrame(reader)
+func (in *acceptor) readHello(reader frameReader) (backend.Owner, []messageKind, error) {
+	m, err := reader.first()
 	if err != nil {
 		return backend.Owner{}, nil, err
 	}
--- a/peer/versions_test.go
+++ b/peer/versions_test.go
@@ -32,7 +32,7 @@
 	received := make(chan Received, 8)
 	in := &acceptor{
 		listener: listener, region: "r", deliver: func(e Event) { received <- e.(Received) }, log: hclog.NewNullLogger(),
-		conns: make(map[net.Conn]struct{}), newest: make(map[string]net.Conn), tunnels: mesh.NewServer(refuseCalls),
+		conns: make(map[net.Conn]struct{}), newest: make(map[string]net.Conn), tunnels: mesh.NewServer(refuseCalls), frames: newFrameMemory(),
 	}
 	go in.serve()
 	defer in.close()
