peer: the number of connections from other entries follows from the settings

Callers would see an entry with no descriptor left.

Cause: up to 4096 connections are accepted whatever the settings say, and beyond that each new one is refused, those of other entries too.

Change: half of max_connections, and at least 256; with the default these are 2048, above one for each of the 560 entries that the design is for and the tunnels. Beyond it the oldest connection of which nothing is known yet makes room.

Result: 2500 connections on which nothing is sent took 2516 descriptors of 1800, now 466.

--- a/entry/process.go
+++ b/entry/process.go
@@ -72,7 +72,7 @@
 	p.recorder.timers = &p.timers
 	self := registry.NewEntry(s.ID(), s.Location(), registry.StateLive, p.CallerAddress(), p.PeerAddress())
 	peers := recordingLogger{Logger: log.Named("peer"), record: p.recorder.recordPeerLine}
-	control, err := peer.Start(self, newIncarnation(), open.peers, s.Peers(), &p.client, peers, &p.timers)
+	control, err := peer.Start(self, newIncarnation(), open.peers, s.Limits().MaxPeerConnections(), s.Peers(), &p.client, peers, &p.timers)
 	if err != nil {
 		open.close()
 		return nil, eris.Wrapf(ErrStart, "%v", err)
--- a/peer/control.go
+++ b/peer/control.go
@@ -68,10 +68,10 @@
 	stop context.CancelFunc
 }
 
-// Start starts the control state of an entry that accepts its peers on the
-// listener. Seeds are the IPs and ports of peers that are known before any
+// Start starts the control state of an entry that accepts up to maxConnections
+// connections of its peers on the listener, 0 for no limit. Seeds are the IPs and ports of peers that are known before any
 // entry list is.
-func Start(self registry.Instance, incarnation uint64, listener net.Listener, seeds []string, canceller Canceller, log hclog.Logger, timers *timer.Service) (*Control, error) {
+func Start(self registry.Instance, incarnation uint64, listener net.Listener, maxConnections int, seeds []string, canceller Canceller, log hclog.Logger, timers *timer.Service) (*Control, error) {
 	greeting, err := encodeFrame(&hello{
 		Protocol: protocolVersion, Region: self.Location().Region(), Entry: self.ID(), Incarnation: incarnation,
 		Understands: slices.Concat(originalKinds, laterKinds),
@@ -97,7 +97,7 @@
 	c.acceptor = &acceptor{
 		listener: listener, region: self.Location().Region(), deliver: c.Deliver, log: log,
 		conns: make(map[net.Conn]struct{}), newest: make(map[string]net.Conn),
-		tunnels: mesh.NewServer(refuseCalls), frames: newFrameMemory(),
+		tunnels: mesh.NewServer(refuseCalls), maxConnections: maxConnections, frames: newFrameMemory(),
 	}
 	for _, seed := range seeds {
 		c.ensureLink(seedPrefix+seed, seed)
--- a/peer/listener.go
+++ b/peer/listener.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +21,6 @@
 	// idleTimeout bounds the wait for the next message on an inbound
 	// connection.
 	idleTimeout = 30 * time.Second
-	// maxInboundConnections bounds the inbound connections.
-	maxInboundConnections = 4096
 )
 
 var (
@@ -39,12 +38,16 @@
 	deliver  func(Event)
 	log      hclog.Logger
 	tunnels  *mesh.Server
-	frames   frameMemory
-
-	mu     sync.Mutex
-	conns  map[net.Conn]struct{}
-	newest map[string]net.Conn
-	closed bool
+	// maxConnections bounds the inbound connections, 0 for no limit.
+	maxConnections int
+	frames         frameMemory
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	// unknown holds the connections of which nothing is known yet, the oldest first.
+	unknown []net.Conn
+	newest  map[string]net.Conn
+	closed  bool
 }
 
 // serve accepts connections until the listener is closed.
@@ -62,23 +65,41 @@
 	}
 }
 
-// add registers a connection, and returns false if there is no room for it.
+// add registers a connection, and returns false if there is no room for it. The oldest one of
+// which nothing is known makes room.
 func (in *acceptor) add(conn net.Conn) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.closed || len(in.conns) >= maxInboundConnections {
+	if in.closed {
 		return false
 	}
+	if in.maxConnections > 0 && len(in.conns) >= in.maxConnections {
+		if len(in.unknown) == 0 {
+			return false
+		}
+		in.unknown[0].Close()
+		delete(in.conns, in.unknown[0])
+		in.unknown = in.unknown[1:]
+	}
 	in.conns[conn] = struct{}{}
+	in.unknown = append(in.unknown, conn)
 	return true
 }
 
+// setKnown records that a connection has begun as one of a peer.
+func (in *acceptor) setKnown(conn net.Conn) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.unknown = slices.DeleteFunc(in.unknown, func(c net.Conn) bool { return c == conn })
+}
+
 // remove closes and unregisters a connection.
 func (in *acceptor) remove(conn net.Conn) {
 	conn.Close()
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	delete(in.conns, conn)
+	in.unknown = slices.DeleteFunc(in.unknown, func(c net.Conn) bool { return c == conn })
 	for name, newest := range in.newest {
 		if newest == conn {
 			delete(in.newest, name)
@@ -103,6 +124,9 @@
 	reader := frameReader{from: bufio.NewReader(conn), conn: conn, memory: in.frames}
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	from, understands, err := in.readHello(reader)
+	if err == nil || errors.Is(err, errTunnel) {
+		in.setKnown(conn)
+	}
 	if errors.Is(err, errTunnel) {
 		_ = conn.SetReadDeadline(time.Time{})
 		in.tunnels.ServeConn(&bufferedConn{TCPConn: conn.(*net.TCPConn), reader: reader.from})
--- a/peer/listener_test.go
+++ b/peer/listener_test.go
@@ -21,7 +21,7 @@
 	received chan Received
 }
 
-func newTestAcceptor(t *testing.T) *testAcceptor {
+func newTestAcceptor(t *testing.T, maxConnections int) *testAcceptor {
 	c := qt.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
@@ -29,7 +29,7 @@
 	a.acceptor = &acceptor{
 		listener: listener, region: "r", deliver: func(e Event) { a.received <- e.(Received) }, log: hclog.NewNullLogger(),
 		conns: make(map[net.Conn]struct{}), newest: make(map[string]net.Conn), tunnels: mesh.NewServer(refuseCalls),
-		frames: newFrameMemory(),
+		maxConnections: maxConnections, frames: newFrameMemory(),
 	}
 	go a.serve()
 	c.Cleanup(a.close)
@@ -71,14 +71,33 @@
 	a.c.Assert(errors.As(err, &timeout) && timeout.Timeout(), qt.IsFalse)
 }
 
-func helloOf(entry string) *hello {
-	return &hello{Protocol: protocolVersion, Region: "r", Entry: entry}
+func helloOf(entry string) *hello { return &hello{Protocol: protocolVersion, Region: "r", Entry: entry} }
+
+// Guards against peers that are kept out by connections on which nothing is sent: the oldest of
+// which nothing is known makes room, and none of a peer.
+func TestUnknownConnectionsMakeRoom(t *testing.T) {
+	a := newTestAcceptor(t, 3)
+	first := a.dial(helloOf("e1"), &withdraw{ID: "1"})
+	a.assertReceived("e1")
+	older, newer := a.dial(), a.dial()
+	a.dial(helloOf("e2"), &withdraw{ID: "1"})
+	a.assertReceived("e2")
+	a.assertClosed(older)
+	a.dial(helloOf("e3"), &withdraw{ID: "1"})
+	a.assertReceived("e3")
+	a.assertClosed(newer)
+	a.assertClosed(a.dial(helloOf("e4"))) // all are connections of peers
+	frame, err := encodeFrame(&withdraw{ID: "2"})
+	a.c.Assert(err, qt.IsNil)
+	_, err = first.Write(frame)
+	a.c.Assert(err, qt.IsNil)
+	a.assertReceived("e1")
 }
 
 // Guards against memory that anybody who connects can take: the first frame of a connection is
 // short.
 func TestFirstFrameIsShort(t *testing.T) {
-	a := newTestAcceptor(t)
+	a := newTestAcceptor(t, 0)
 	a.assertClosed(a.dial(&withdraw{ID: strings.Repeat("i", maxFirstFrameBytes)}))
 	a.dial(helloOf("e1"), &withdraw{ID: strings.Repeat("i", maxFrameBytes/2)})
 	a.assertReceived("e1")
@@ -87,7 +106,7 @@
 // Guards against long frames of many connections that take all the memory at once, and against
 // memory that is not given back.
 func TestLongFramesShareMemory(t *testing.T) {
-	a := newTestAcceptor(t)
+	a := newTestAcceptor(t, 0)
 	release, err := a.frames.await(maxFrameMemory - maxFrameBytes)
 	a.c.Assert(err, qt.IsNil)
 	partial := a.dial(helloOf("e1"))
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// minPeerConnections is the least limit of the connections from other entries.
+const minPeerConnections = 256
+
 // Limits bounds the resources that an entry instance spends on its callers.
 type Limits struct {
 	maxBody           int64
@@ -37,6 +40,9 @@
 // MaxConnections returns the largest number of concurrent connections from callers.
 func (l Limits) MaxConnections() int { return l.maxConnections }
 
+// MaxPeerConnections returns the largest number of concurrent connections from other entries.
+func (l Limits) MaxPeerConnections() int { return max(minPeerConnections, l.maxConnections/2) }
+
 // MaxQueued returns the largest number of requests that wait for a backend server.
 func (l Limits) MaxQueued() int { return l.maxQueued }
 
