peer: an acceptor goes on after a failed accept

Callers would see an entry that no other entry reaches any more.

Cause: the acceptor ends with the first error of its listener, also with one that passes, as while the process has no descriptor left.

Change: only a closed listener ends it; after any other error it tries again 50 ms later, as the gateway's does.

Result: TestAcceptorGoesOnAfterFailedAccept receives nothing in 20 s without the change.

--- a/peer/listener.go
+++ b/peer/listener.go
@@ -21,6 +21,9 @@
 	// idleTimeout bounds the wait for the next message on an inbound
 	// connection.
 	idleTimeout = 30 * time.Second
+	// acceptRetryDelay is how long an acceptor waits after a failed accept, as while the process
+	// has no file descriptor left.
+	acceptRetryDelay = 50 * time.Millisecond
 )
 
 var (
@@ -54,9 +57,15 @@
 func (in *acceptor) serve() {
 	for {
 		conn, err := in.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// The peers reach this entry only through this listener.
+			in.log.Error("accepting a connection failed; retrying", "error", err)
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if !in.add(conn) {
 			conn.Close()
 			continue
--- a/peer/listener_test.go
+++ b/peer/listener_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,6 +15,20 @@
 	"greengagedock.example/mesh"
 )
 
+// failingListener fails once to accept, as while the process has no descriptor left.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
 // testAcceptor is an acceptor that serves on loopback until the test ends.
 type testAcceptor struct {
 	*acceptor
@@ -27,7 +42,7 @@
 	c.Assert(err, qt.IsNil)
 	a := &testAcceptor{c: c, received: make(chan Received, 100)}
 	a.acceptor = &acceptor{
-		listener: listener, region: "r", deliver: func(e Event) { a.received <- e.(Received) }, log: hclog.NewNullLogger(),
+		listener: &failingListener{Listener: listener}, region: "r", deliver: func(e Event) { a.received <- e.(Received) }, log: hclog.NewNullLogger(),
 		conns: make(map[net.Conn]struct{}), newest: make(map[string]net.Conn), tunnels: mesh.NewServer(refuseCalls),
 		maxConnections: maxConnections, frames: newFrameMemory(),
 	}
@@ -71,7 +86,16 @@
 	a.c.Assert(errors.As(err, &timeout) && timeout.Timeout(), qt.IsFalse)
 }
 
-func helloOf(entry string) *hello { return &hello{Protocol: protocolVersion, Region: "r", Entry: entry} }
+func helloOf(entry string) *hello {
+	return &hello{Protocol: protocolVersion, Region: "r", Entry: entry}
+}
+
+// Guards against an entry that accepts no peers any more once an accept has failed.
+func TestAcceptorGoesOnAfterFailedAccept(t *testing.T) {
+	a := newTestAcceptor(t, 0)
+	a.dial(helloOf("e1"), &withdraw{ID: "1"})
+	a.assertReceived("e1")
+}
 
 // Guards against peers that are kept out by connections on which nothing is sent: the oldest of
 // which nothing is known makes room, and none of a peer.
