operator: the connections and header memory of operators are limited

Callers would see an entry end by what is sent to the operators' listener.

Cause: nothing bounds its connections, nor the memory of its headers together: 800 clients with short lines took 259 MB of 160, and 2500 silent connections as many descriptors.

Change: the limits of package http1 hold there too, apart from the callers', so that operators can look at an entry that callers crowd.

--- a/operator/server.go
+++ b/operator/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
+
+	"greengagedock.example/http1"
 )
 
 // ErrServer is wrapped by every error of a Server.
@@ -21,6 +23,9 @@
 	requestTimeout = 30 * time.Second
 	idleTimeout    = time.Minute
 	maxHeaderBytes = 16 << 10
+	// maxConnections and maxHeaderMemory bound all operators together.
+	maxConnections  = 256
+	maxHeaderMemory = 4 << 20
 )
 
 // Server is the admin server of an entry instance.
@@ -30,6 +35,7 @@
 	decisions *DecisionLog
 	log       hclog.Logger
 	http      *http.Server
+	clients   *http1.Clients
 }
 
 // boundAddressKey is the context key of the address of the listener that accepted a request.
@@ -49,6 +55,8 @@
 		BaseContext:       withBoundAddress,
 		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
+	s.clients = http1.NewClients(http1.NewLimits(maxConnections, maxHeaderMemory), log)
+	s.clients.Bound(s.http)
 	return s
 }
 
@@ -69,7 +77,7 @@
 
 // Serve serves operators on the listener until Shutdown, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.clients.Listen(listener, http1.NoHeadLimit)); !errors.Is(err, http.ErrServerClosed) {
 		return eris.Wrap(ErrServer, err.Error())
 	}
 	return nil
