ingress: bodies that are awaited make room for others

Callers with a body saw every request refused with "no memory for the body" beside clients that had sent parts of bodies, until the deadlines of these, and again with the next ones: 18 bodies of 4 MB are all the memory of an entry.

Cause: what is reserved for a body stays reserved until its request ends, however slowly the rest comes.

Change: if there is no memory for a body, the connection of the body that has been awaited longest is closed, as for heads. Its request has not run. Bodies that have arrived are not touched, and a client that sends its body at once is behind all others.

Result: beside 400 clients that hold the memory of all bodies, of a known length or in chunks, TestCrowdGatewayBodiesMakeRoom had no request with a body of 1 MiB served in 20 s, in both cases; now one is.

--- a/crowdtest/gateway_test.go
+++ b/crowdtest/gateway_test.go
@@ -343,6 +343,24 @@
 	}
 }
 
+// Guards against bodies that are awaited and keep those of others out: one of the largest size is
+// served beside a crowd that holds the memory of all bodies.
+func TestCrowdGatewayBodiesMakeRoom(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 1000", "Transfer-Encoding: chunked"} {
+		name, _, _ := strings.Cut(framing, "-")
+		t.Run(name, func(t *testing.T) {
+			g := startGateway(t)
+			g.process.play(crowd{clients: gatewayClients, send: func(conn net.Conn, n int) error {
+				head := "POST /call/x HTTP/1.1\r\nHost: " + host + "\r\n" + strings.Join(fields(heldLimit), "\r\n") + "\r\n"
+				if n%4 == 0 {
+					return write(conn, head+framing+"\r\n\r\n")
+				}
+				return errorsOf(write(conn, head+"Content-Length: "+strconv.Itoa(gatewayBodyBytes)+"\r\n\r\n"), write(conn, strings.Repeat("b", gatewayBodyBytes/2)))
+			}}, g.address(portCallers), gatewayBounds, func() error { return g.callWith(nil, strings.Repeat("b", gatewayBodyBytes)) })
+		})
+	}
+}
+
 // Guards against bodies that are awaited for ever: their memory is there again once the time
 // that their callers stated is over, although these stay connected.
 func TestCrowdGatewayAwaitedBodiesEnd(t *testing.T) {
--- a/http1/clients.go
+++ b/http1/clients.go
@@ -199,7 +199,7 @@
 		return nil, true
 	}
 	for c.limits.headMemory > 0 && c.heads-conn.reserved+bytes > c.limits.headMemory {
-		holder := c.longestHolding(conn)
+		holder := c.longestWaiting(conn, func(other *Conn) bool { return other.reserved > 0 })
 		if holder == nil {
 			return evicted, false
 		}
@@ -209,12 +209,12 @@
 	return evicted, true
 }
 
-// longestHolding returns the connection that has waited longest of those with reserved memory,
-// nil if none has waited longer than conn.
-func (c *Clients) longestHolding(conn *Conn) *Conn {
+// longestWaiting returns the connection that has waited longest of those for which holds is true,
+// nil if none of them has waited longer than conn; the caller holds c.mu.
+func (c *Clients) longestWaiting(conn *Conn, holds func(*Conn) bool) *Conn {
 	for e := c.waiting.Front(); e != nil && e != conn.place; e = e.Next() {
-		if holder := e.Value.(*Conn); holder.reserved > 0 {
-			return holder
+		if other := e.Value.(*Conn); holds(other) {
+			return other
 		}
 	}
 	return nil
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -45,8 +45,10 @@
 	// place is the connection's place among those that wait, nil while its request runs.
 	place    *list.Element
 	reserved int64
-	evicted  bool
-	removed  bool
+	// holdsBody is whether memory is reserved for the body of the request.
+	holdsBody bool
+	evicted   bool
+	removed   bool
 }
 
 // SyscallConn implements syscall.Conn.
--- a/http1/server.go
+++ b/http1/server.go
@@ -104,6 +104,7 @@
 	case http.StateIdle:
 		c.inHead, c.headBytes, c.lines, c.lineBytes, c.started = true, 0, 0, 0, false
 		c.clients.setReserved(c, 0)
+		c.holdsBody = false
 		if !c.removed {
 			c.clients.setWaiting(c, true)
 		}
@@ -133,6 +134,36 @@
 	return nil
 }
 
+// HoldsBody records that memory is reserved for the body of a request.
+func (c *Clients) HoldsBody(r *http.Request) {
+	if conn := requestConn(r); conn != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		conn.holdsBody = true
+	}
+}
+
+// EvictBody closes the connection that has waited longest for the rest of a body for which memory
+// is reserved. It reports false if none has waited longer than that of the request.
+func (c *Clients) EvictBody(r *http.Request) bool {
+	conn := requestConn(r)
+	if conn == nil {
+		return false
+	}
+	c.mu.Lock()
+	evicted := c.longestWaiting(conn, func(other *Conn) bool { return other.holdsBody })
+	if evicted != nil {
+		c.evict(evicted)
+	}
+	c.mu.Unlock()
+	if evicted == nil {
+		return false
+	}
+	evicted.Conn.Close()
+	c.logRefusals()
+	return true
+}
+
 // Received records that a request has arrived as a whole, so that its connection is not closed
 // in favour of another one any more. It returns a reason to refuse the request instead. A
 // request that is answered from what is at hand need not call it.
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -8,8 +8,11 @@
 	"os"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
+
+	"greengagedock.example/http1"
 )
 
 // Errors of reading a request body.
@@ -20,6 +23,10 @@
 	errBodyTimeout   = eris.New("ingress: request body not received in time")
 )
 
+// evictionWait is how long a body waits for the memory of another one whose connection was closed
+// for it.
+const evictionWait = 100 * time.Millisecond
+
 // initialBufferBytes is the first buffer size for a body of unknown length; the buffer then doubles.
 const initialBufferBytes = 32 << 10
 
@@ -39,9 +46,25 @@
 
 func (b *bodyMemory) release(n int64) { b.available.Add(n) }
 
+// acquire reserves n bytes, for which evict may close the connection of another body that is
+// awaited. It reports false if there are still too few.
+func (b *bodyMemory) acquire(n int64, evict func() bool) bool {
+	for !b.reserve(n) {
+		if !evict() {
+			return false
+		}
+		for end := time.Now().Add(evictionWait); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if b.reserve(n) {
+				return true
+			}
+		}
+	}
+	return true
+}
+
 // read reads a whole body of at most limit bytes, 0 for no limit; the caller
 // must release the reserved bytes, also after an error.
-func (b *bodyMemory) read(r *http.Request, limit int64) (body []byte, reserved int64, err error) {
+func (b *bodyMemory) read(r *http.Request, limit int64, clients *http1.Clients) (body []byte, reserved int64, err error) {
 	if limit <= 0 {
 		limit = math.MaxInt64
 	}
@@ -58,9 +81,10 @@
 	}
 	for {
 		if len(body) == cap(body) {
-			if !b.reserve(size) {
+			if !b.acquire(size, func() bool { return clients.EvictBody(r) }) {
 				return nil, reserved, errNoMemory
 			}
+			clients.HoldsBody(r)
 			reserved += size
 			body = slices.Grow(body, int(size))
 			size = int64(cap(body))
--- a/ingress/grace.go
+++ b/ingress/grace.go
@@ -123,7 +123,7 @@
 		close(stopped)
 		_ = control.SetReadDeadline(time.Unix(1, 0)) // else the body is read to its end
 	})
-	body, reserved, err := q.server.bodyMemory.read(q.r, q.table.Limits().BodyBytes())
+	body, reserved, err := q.server.bodyMemory.read(q.r, q.table.Limits().BodyBytes(), q.server.clients)
 	q.bodyMemory = reserved
 	remove()
 	select {
