gateway: the buffered log is bounded by its bytes

Only suspected as a part of what callers saw: an entry that ends without memory.

Cause: the log buffers 2048 lines for a slow reader, and a line holds what a client sent: its id, its target. 2048 lines of 16 KiB are 32 MB.

Change: beyond 2 MB of buffered lines further ones are dropped and counted, as beyond 2048 lines.

--- a/gateway/logwriter.go
+++ b/gateway/logwriter.go
@@ -5,15 +5,21 @@
 	"sync/atomic"
 )
 
-// logBufferLines is the maximum number of buffered log lines.
-const logBufferLines = 2048
+// logBufferLines is the maximum number of buffered log lines, and logBufferBytes that of their
+// bytes: a line may hold a part of what a client sent.
+const (
+	logBufferLines = 2048
+	logBufferBytes = 2 << 20
+)
 
 // AsyncLogWriter writes log lines in a goroutine of its own. It drops lines when
 // its buffer is full, so that a slow log reader never blocks the entry.
 type AsyncLogWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	// buffered is the number of bytes in lines.
+	buffered atomic.Int64
+	done     chan struct{}
 }
 
 // NewAsyncLogWriter returns a writer to w that runs until Close.
@@ -25,11 +31,15 @@
 
 // Write buffers one log line. It never blocks and never fails.
 func (o *AsyncLogWriter) Write(line []byte) (int, error) {
-	select {
-	case o.lines <- append([]byte(nil), line...):
-	default:
-		o.dropped.Add(1)
+	if o.buffered.Add(int64(len(line))) <= logBufferBytes {
+		select {
+		case o.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	o.buffered.Add(-int64(len(line)))
+	o.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -52,6 +62,7 @@
 		for len(batch) < 32<<10 && len(o.lines) > 0 {
 			batch = append(batch, <-o.lines...)
 		}
+		o.buffered.Add(-int64(len(batch)))
 		if _, err := w.Write(batch); err != nil {
 			o.dropped.Add(1)
 		}
