cmd/greengagedockd: more memory is left beside the Go runtime's

Cause: the runtime's limit is a soft one, and the program itself takes some 10 MB. 16 MiB leave little of 284 MB for what it goes beyond its limit.

Change: 32 MiB, still a sixth if that is less.

--- a/cmd/greengagedockd/gateway.go
+++ b/cmd/greengagedockd/gateway.go
@@ -24,7 +24,7 @@
 // memoryReserve and memoryReserveDivisor bound the part of the process's memory that is not the
 // Go runtime's: the program itself, libraries and thread stacks.
 const (
-	memoryReserve        = 16 << 20
+	memoryReserve        = 32 << 20
 	memoryReserveDivisor = 6
 )
 
