--- a/caller/server.go
+++ b/caller/server.go
@@ -64,7 +64,7 @@
 		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Error}),
 	}
 	s.clients = http1.NewClients(http1.NewLimits(limits.MaxConnections(), limits.MaxHeaderMemory()), log)
-	s.clients.Bound(s.http)
+	s.clients.Attach(s.http)
 	return s
 }
 
--- a/crowdtest/crowd_test.go
+++ b/crowdtest/crowd_test.go
@@ -74,22 +74,6 @@
 	p.readers.Wait()
 }
 
-// awaitRefused waits until the process has closed the connections of all clients, and returns
-// false if it has not after a time.
-func (p *present) awaitRefused() bool {
-	done := make(chan struct{})
-	go func() {
-		p.readers.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-time.After(awaitTimeout):
-		return false
-	}
-}
-
 // timedConn bounds each write.
 type timedConn struct{ net.Conn }
 
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -207,7 +207,7 @@
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: httpIdleTimeout,
 	}
-	p.clients.Bound(server)
+	p.clients.Attach(server)
 	return func(listener net.Listener) error {
 		return server.Serve(p.clients.Listen(listener, p.callerServer.HeadLimit))
 	}
--- a/http1/clients_test.go
+++ b/http1/clients_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -29,7 +29,7 @@
 	s.c.Assert(err, qt.IsNil)
 	s.address = listener.Addr().String()
 	server := &http.Server{Handler: s}
-	s.clients.Bound(server)
+	s.clients.Attach(server)
 	go func() { _ = server.Serve(s.clients.Listen(listener, func() int { return headLimit })) }() // ends with Close
 	s.c.Cleanup(func() {
 		close(s.ended)
@@ -39,6 +39,11 @@
 }
 
 func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/evict" {
+		fmt.Fprint(w, s.clients.EvictBody(r))
+		return
+	}
+	s.clients.HoldsBody(r)
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -67,7 +72,7 @@
 	s.c.Assert(conn.SetReadDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		s.c.Assert(errors.Is(err, context.DeadlineExceeded), qt.IsFalse)
+		s.c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse)
 		return 0
 	}
 	_, err = io.Copy(io.Discard, response.Body)
@@ -103,6 +108,26 @@
 	s.c.Fatalf("%d requests", running)
 }
 
+// awaitHolding waits until so many connections wait for the rest of bodies that hold memory.
+func (s *testServer) awaitHolding(bodies int) {
+	s.c.Helper()
+	holding := 0
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		holding = 0
+		s.clients.mu.Lock()
+		for e := s.clients.waiting.Front(); e != nil; e = e.Next() {
+			if e.Value.(*Conn).holdsBody {
+				holding++
+			}
+		}
+		s.clients.mu.Unlock()
+		if holding == bodies {
+			return
+		}
+	}
+	s.c.Fatalf("%d bodies", holding)
+}
+
 func none(headMemory int64) bool { return headMemory == 0 }
 
 func some(headMemory int64) bool { return headMemory > 0 }
@@ -223,6 +248,31 @@
 	s.c.Assert(err, qt.ErrorMatches, ".*timeout")
 }
 
+// Guards against bodies that are awaited and keep others out: the one that has waited longest makes
+// room, unless the request that needs it has waited longer.
+func TestLongestAwaitedBodyMakesRoom(t *testing.T) {
+	s := newTestServer(t, Limits{}, 0)
+	body := func(path string) string { return "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nb" }
+	alone := s.dial(body("/evict") + "bb")
+	s.c.Assert(s.status(alone), qt.Equals, http.StatusOK)
+	s.c.Assert(s.clients.Counts().Evicted(), qt.Equals, int64(0))
+	alone.Close()
+	s.await(0, none)
+	running := s.dial(body("/wait") + "bb")
+	s.awaitRunning(1)
+	first := s.dial(body("/"))
+	s.awaitHolding(1)
+	second := s.dial(body("/"))
+	s.awaitHolding(2)
+	s.c.Assert(s.status(s.dial(body("/evict")+"bb")), qt.Equals, http.StatusOK)
+	s.c.Assert(s.status(first), qt.Equals, 0)
+	_, err := io.WriteString(second, "bb")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(s.status(second), qt.Equals, http.StatusOK)
+	running.Close()
+	s.c.Assert(s.clients.Counts().Evicted(), qt.Equals, int64(1))
+}
+
 // Guards against clients that get no answer, rather than a refusal, while all but a few
 // connections have requests.
 func TestRequestsBeyondTheLimitAreRefused(t *testing.T) {
--- a/http1/server.go
+++ b/http1/server.go
@@ -50,9 +50,9 @@
 	return errors.ErrUnsupported
 }
 
-// Bound has a server tell the clients what its connections do. It must be called before the
+// Attach has a server tell the clients what its connections do. It must be called before the
 // server serves, on listeners of Listen.
-func (c *Clients) Bound(server *http.Server) {
+func (c *Clients) Attach(server *http.Server) {
 	connState, connContext, handler := server.ConnState, server.ConnContext, server.Handler
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if added := connOf(conn); added != nil {
--- a/ingress/answer_memory.go
+++ b/ingress/answer_memory.go
@@ -85,7 +85,7 @@
 // reports whether there were any; m.mu must be held.
 func (m *answerMemory) giveUpStalled() bool {
 	now := time.Now()
-	any := false
+	found := false
 	for e := m.writing.Front(); e != nil; {
 		stalled := e.Value.(*answer)
 		e = e.Next()
@@ -93,10 +93,10 @@
 			stalled.givenUp = true
 			stalled.giveUp()
 			stalled.releaseLocked()
-			any = true
+			found = true
 		}
 	}
-	return any
+	return found
 }
 
 // release gives the memory back.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -100,7 +100,7 @@
 	if s.clients = limits.clients; s.clients == nil {
 		s.clients = new(http1.Clients)
 	}
-	s.clients.Bound(s.http)
+	s.clients.Attach(s.http)
 	return s
 }
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -56,7 +56,7 @@
 		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	s.clients = http1.NewClients(http1.NewLimits(maxConnections, maxHeaderMemory), log)
-	s.clients.Bound(s.http)
+	s.clients.Attach(s.http)
 	return s
 }
 
