mesh, ingress, http1, peer, gateway: comments of the limits

Cause: some functions of the limits have no comment, and others say it badly.

Change: comments alone.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -9,7 +9,7 @@
 const (
 	// headMemoryDivisor is the memory divided by the part for request heads beyond the ordinary.
 	headMemoryDivisor = 8
-	// connectionMemoryFraction is the part of the memory for connections.
+	// connectionMemoryFraction is the part of the memory for connections of clients.
 	connectionMemoryFraction = 0.375
 	// fileDescriptors is the number of descriptors that are no connections, and
 	// clientDescriptorFraction the part of the others for clients. The rest is for connections
--- a/http1/clients.go
+++ b/http1/clients.go
@@ -152,6 +152,7 @@
 	return c.evict(first.Value.(*Conn))
 }
 
+// evict takes a connection out in favour of another one; the caller holds c.mu and closes it.
 func (c *Clients) evict(conn *Conn) *Conn {
 	c.counts.evicted++
 	conn.evicted = true
--- a/ingress/answer_memory.go
+++ b/ingress/answer_memory.go
@@ -35,7 +35,7 @@
 
 	mu   sync.Mutex
 	used int64
-	// writing holds the answers that are being forwarded, the one that was begun first first.
+	// writing holds the answers that are being forwarded, in the order in which they were begun.
 	writing list.List
 	// freed is closed when memory is given back.
 	freed chan struct{}
@@ -106,6 +106,7 @@
 	a.releaseLocked()
 }
 
+// releaseLocked is release with the mutex of the memory held.
 func (a *answer) releaseLocked() {
 	m := a.memory
 	if a.place != nil {
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -103,6 +103,7 @@
 	}
 }
 
+// setReserved sets the memory of the message that is read on a connection; s.mu must be held.
 func (s *Server) setReserved(in *inbound, bytes int64) {
 	s.messages += bytes - in.reserved
 	in.reserved = bytes
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -73,7 +73,8 @@
 	// reserve reserves memory for a message as far as it was read, and reports whether there
 	// is any; nil if there always is.
 	reserve func(bytes int64) bool
-	last    int64
+	// last is the estimated memory of the last message.
+	last int64
 }
 
 func newMessageReader(r io.Reader) *messageReader {
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -33,7 +33,7 @@
 
 	mu     sync.Mutex
 	closed bool
-	// conns holds the connections, those to servers without an inbound.
+	// conns holds the accepted connections, and with nil those of tunnels to their servers.
 	conns map[net.Conn]*inbound
 	// accepted is the number of accepted connections, waiting holds those that wait for a
 	// message, and messages is the memory of messages and calls.
--- a/mesh/value.go
+++ b/mesh/value.go
@@ -30,8 +30,8 @@
 	to   *bytes.Buffer // nil to copy nothing
 	// left holds the number of values that each open array or map still has.
 	left []uint64
-	// memory is about the memory that the value takes once it is decoded, of which reserve was
-	// asked for reserved bytes; nil to ask for none.
+	// memory estimates the memory of what was read, once it is decoded. reserve is asked for it in
+	// steps before more is read, for reserved bytes so far; nil to ask for none.
 	memory   int64
 	reserved int64
 	reserve  func(bytes int64) bool
@@ -54,12 +54,14 @@
 	return r.read()
 }
 
+// newValueReader returns a reader of one value that copies its bytes to a buffer unless that is nil.
 func newValueReader(from byteSource, to *bytes.Buffer) valueReader {
 	r := valueReader{from: from, to: to, left: make([]uint64, 1, maxNesting+1)}
 	r.left[0] = 1
 	return r
 }
 
+// read reads the value.
 func (r *valueReader) read() error {
 	for len(r.left) > 0 {
 		top := len(r.left) - 1
@@ -178,7 +180,7 @@
 	return nil
 }
 
-// grow reserves more memory for the value.
+// grow counts more memory for the value, and reserves it if that is due.
 func (r *valueReader) grow(bytes int64) error {
 	r.memory += bytes
 	if r.reserve == nil || r.memory <= r.reserved {
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -86,7 +86,8 @@
 	return func() { m.left.Release(bytes) }, nil
 }
 
-// frameReader reads the frames of one connection.
+// frameReader reads the frames of one connection. Those longer than maxFirstFrameBytes wait for
+// memory.
 type frameReader struct {
 	from   *bufio.Reader
 	conn   net.Conn
