upstream, mesh: an end that hides a reset does not make an answer whole

Callers got a part of an answer as a whole one: a server answers a long upload at once, without a length, and resets the connection while the upload is written.

Cause: the system reports a reset, or its own timeout, once, to whichever call meets it first. If that is the writing of the request, the reading beside it gets a clean end, which is the end of a body without a length. So it is in a client and in the entry that relays the connection for another one, where it became the frame that stands for a clean end.

Change: at the end of a body that ends with its connection, the client waits for the writing of the request, and an error of it is that of the answer. A relay reads a clean end only if no write to the server has failed, nor fails that is in progress.

Bodies with a length or in chunks end by themselves. The other interface takes none without, and streams there have an end of their own (backend/framing_test.go).

--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -406,7 +406,10 @@
 }
 
 // testTable returns the routes of the tests.
-func testTable() *routing.Table {
+func testTable() *routing.Table { return testTableWithin(routing.NewLimits(2000, 1000, 0, 0)) }
+
+// testTableWithin returns the routes of the tests with other limits for callers.
+func testTableWithin(limits routing.Limits) *routing.Table {
 	route := func(prefix string, kind routing.Kind) routing.Route {
 		return routing.NewRoute(prefix, "h.example", prefix, kind).
 			WithTimes(2*time.Second, 300*time.Millisecond, 250*time.Millisecond).
@@ -422,7 +425,7 @@
 		route("/stream/quick/", routing.KindStream).WithTimes(10*time.Second, 300*time.Millisecond, fuzzTokenInterval).WithResumable(true),
 		route("/public/", routing.KindNonIdempotent).WithPublic(true),
 	}, []routing.Service{routing.NewService("desk"), routing.NewService("llm").WithEngine(routing.NewEngineProfile(8, 1000))}, map[string]routing.Account{"k1": routing.NewAccount("team", -1)},
-		routing.NewLimits(2000, 1000, 0, 0))
+		limits)
 }
 
 func newTestbedWithTable(c *qt.C, table *routing.Table, backends ...*backend) *testbed {
--- a/mesh/tunnel.go
+++ b/mesh/tunnel.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -101,12 +102,60 @@
 	if framed {
 		toCaller = writeFrames
 	}
+	sound := &soundConn{Conn: server}
 	var both sync.WaitGroup
-	both.Go(func() { pass(server, conn, copyBytes) })
-	both.Go(func() { pass(conn, server, toCaller) })
+	both.Go(func() { pass(sound, conn, copyBytes) })
+	both.Go(func() { pass(conn, sound, toCaller) })
 	both.Wait()
 }
 
+// soundConn is a connection that is read to a clean end only if no write to it has failed: the
+// system reports a reset once, and if a write gets the report, the end looks clean to the reader.
+type soundConn struct {
+	net.Conn
+	mu       sync.Mutex // held while something is written
+	writeErr error
+}
+
+// Write writes bytes, and records an error for Read.
+func (c *soundConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read reads bytes. At a clean end it waits for a write that is in progress, and returns the
+// error of a write in place of io.EOF.
+func (c *soundConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return n, cmp.Or(c.writeErr, io.EOF)
+}
+
+// CloseWrite ends the direction to the other end, if the connection has directions.
+func (c *soundConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger has the connection be reset when it is closed, if seconds is 0.
+func (c *soundConn) SetLinger(seconds int) error {
+	if linger, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return linger.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
 // keepTunnel has a connection on which a tunnel was opened stay without calls, and end soon
 // after the entry at its other end has vanished.
 func keepTunnel(conn net.Conn) error {
--- a/mesh/tunnelend_test.go
+++ b/mesh/tunnelend_test.go
@@ -263,17 +263,9 @@
 				conn.Close()
 			}
 		})
-		conn, err := net.Dial("tcp", b.address)
-		b.c.Assert(err, qt.IsNil)
-		b.c.Cleanup(func() { conn.Close() })
-		body, err := encode(b.server)
-		b.c.Assert(err, qt.IsNil)
-		b.c.Assert(writeEnvelope(conn, envelope{ID: 1, Kind: kindTunnel, Body: body}), qt.IsNil)
-		var response envelope
-		b.c.Assert(msgpack.NewDecoder(&byteReader{r: conn}).Decode(&response), qt.IsNil)
-		b.c.Assert(response, qt.DeepEquals, envelope{ID: 1})
+		conn := b.openAsEarlierEntry()
 		received := make([]byte, len(firstHalf))
-		_, err = io.ReadFull(conn, received)
+		_, err := io.ReadFull(conn, received)
 		b.c.Assert(err, qt.IsNil)
 		b.c.Assert(string(received), qt.Equals, firstHalf)
 		if stopped {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -29,6 +29,7 @@
 	// silent while the direct way to the server is lost.
 	ErrPathLost = eris.New("upstream: way to the server lost")
 
+	errRequestCut     = eris.New("upstream: connection ended before the whole request was written")
 	errStrayResponses = eris.New("upstream: only responses to other requests received")
 	errNoHead         = eris.Errorf("upstream: %d bytes received without the head of a response", maxBytesBeforeResponse)
 )
@@ -157,10 +158,23 @@
 // Read reads the body; it returns io.EOF only at the end of a complete body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.raw.Body.Read(p)
-	if err == io.EOF {
-		r.complete = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if r.endsWithConnection() {
+		// The system reports a reset once. If the writing of the request got the report, the end
+		// looks clean here.
+		if err := r.conn.sending.wait(); err != nil {
+			return n, eris.Wrap(errRequestCut, err.Error())
+		}
+	}
+	r.complete = true
+	return n, io.EOF
+}
+
+// endsWithConnection reports whether the body has no other end than that of its connection.
+func (r *Response) endsWithConnection() bool {
+	return r.raw.ContentLength < 0 && len(r.raw.TransferEncoding) == 0 && r.raw.Body != http.NoBody
 }
 
 // Close returns the connection to the idle pool if the body was read to its end,
@@ -176,7 +190,7 @@
 // release keeps the connection for reuse if it is sound and the response is complete, and
 // closes it otherwise.
 func (r *Response) release(sound bool) {
-	reusable := sound && r.complete && !r.raw.Close && r.conn.requestWritten() && len(r.conn.refused) < maxRefusedKept
+	reusable := sound && r.complete && !r.raw.Close && r.conn.sending.succeeded() && len(r.conn.refused) < maxRefusedKept
 	if reusable && r.conn.reserved {
 		r.conn.reserved = false
 		reusable = r.client.dialer.limitSilence(r.conn.tcp, false) == nil // else another one is opened
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -41,7 +41,7 @@
 	relay       string // empty for a direct connection
 	idleAt      time.Time
 	idleTimeout time.Duration
-	writeErr    chan error
+	sending     *sending // of the last request
 	// attempts holds the ids of the last attempts, in a ring of maxAttemptsKept.
 	attempts []string
 	next     int
@@ -70,12 +70,12 @@
 // body is written concurrently, since a server may respond before it has read
 // the whole request.
 func (c *connection) exchange(r Request, header http.Header, headers HeaderCodec) (*http.Response, ResponseMetadata, error) {
-	c.writeErr = make(chan error, 1)
 	c.carry(r.attemptID)
+	c.sending = &sending{ended: make(chan struct{})}
 	if len(r.body) <= bufferBytes {
-		c.writeErr <- r.write(c.writer, header)
+		c.sending.end(r.write(c.writer, header))
 	} else {
-		go func() { c.writeErr <- r.write(c.writer, header) }()
+		go func(s *sending) { s.end(r.write(c.writer, header)) }(c.sending)
 	}
 	c.limiter.limit(maxBytesBeforeResponse)
 	for range maxStrayResponses {
@@ -157,11 +157,28 @@
 	}
 }
 
-// requestWritten reports whether the whole request has been written already.
-func (c *connection) requestWritten() bool {
+// sending is the writing of one request, which may go on while its response is read.
+type sending struct {
+	err   error
+	ended chan struct{} // closed once err is set
+}
+
+func (s *sending) end(err error) {
+	s.err = err
+	close(s.ended)
+}
+
+// wait waits until the writing has ended and returns its error.
+func (s *sending) wait() error {
+	<-s.ended
+	return s.err
+}
+
+// succeeded reports whether the whole request has been written already.
+func (s *sending) succeeded() bool {
 	select {
-	case err := <-c.writeErr:
-		return err == nil
+	case <-s.ended:
+		return s.err == nil
 	default:
 		return false
 	}
