http1, upstream, backend, caller: answers whose status is none are broken

Callers got what followed an answer with status 000 or 101 as their answer if it looked like one, and waited until their deadline if it did not. On the other interface, and from an entry to which a call was forwarded, such a status closed their connection or, as 999, was passed on.

Cause: net/http takes three digits, or a sign and two, of any value for a status and any version. The client of servers took each status below 200 for interim; http.Transport returns those below 100 as answers and switches protocols.

Change: the head of each response is checked as it arrives, line by line, before net/http decides by it where the body ends: HTTP/1, and a status from 100 to 599 (RFC 9110, section 15) other than 101, which no request asks for. Both interfaces and forwarded calls use the same check.

With TestAnswerWithValidStatusIsForwarded, interim answers and statuses from 200 to 599 are served on the same ways, before and now. Answers of the store and to commands of engines with another status than 200 were errors before.

--- a/backend/client.go
+++ b/backend/client.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"greengagedock.example/http1"
 	"greengagedock.example/timer"
 )
 
@@ -39,8 +40,8 @@
 type Client struct {
 	clock    timer.Service
 	once     sync.Once
-	pooled   *http.Transport
-	unpooled *http.Transport
+	pooled   http1.Transport
+	unpooled http1.Transport
 	faults   expvar.Map
 	dial     func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -120,7 +121,7 @@
 // transport returns a transport without connection reuse for attempts that
 // must be sent at most once, because net/http may resend a request on a
 // reused connection.
-func (c *Client) transport(attempt Attempt) *http.Transport {
+func (c *Client) transport(attempt Attempt) http1.Transport {
 	if attempt.atMostOnce {
 		return c.unpooled
 	}
@@ -138,8 +139,8 @@
 	})
 }
 
-func newTransport(dial func(ctx context.Context, address string) (net.Conn, error)) *http.Transport {
-	return &http.Transport{
+func newTransport(dial func(ctx context.Context, address string) (net.Conn, error)) http1.Transport {
+	return http1.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			conn, err := dial(ctx, address)
 			if err != nil {
@@ -151,7 +152,7 @@
 		MaxIdleConnsPerHost:    idleConnsPerServer,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: headerBytes,
-	}
+	})
 }
 
 // setHeaders sets the attempt's headers on a request written at now.
--- a/backend/client_connection.go
+++ b/backend/client_connection.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"greengagedock.example/http1"
 )
 
 // ErrStartByPassed is the error of an attempt whose slot's start-by time
@@ -54,9 +56,11 @@
 // request is written.
 func (g *writeGuard) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*connection); ok {
-			conn.guard.Store(g)
-			return
+		if checked, ok := info.Conn.(*http1.ResponseConn); ok {
+			if conn, ok := checked.NetConn().(*connection); ok {
+				conn.guard.Store(g)
+				return
+			}
 		}
 		g.written.Store(true)
 	}}
--- a/caller/fake_test.go
+++ b/caller/fake_test.go
@@ -157,10 +157,15 @@
 
 // newTestEntry returns a server that listens on loopback until the test ends.
 func newTestEntry(c testing.TB, limits Limits, servers ...backend.Server) *testEntry {
+	return newTestEntryWithClient(c, new(backend.Client), limits, servers...)
+}
+
+// newTestEntryWithClient is newTestEntry with another client of backend servers.
+func newTestEntryWithClient(c testing.TB, client *backend.Client, limits Limits, servers ...backend.Server) *testEntry {
 	snapshot := &fakeSnapshot{self: backend.NewOwner("entry-1", 0xab), documents: testDocuments(c)}
 	slots := &fakeSlots{servers: servers, startBy: time.Minute}
 	e := &testEntry{
-		Server:   NewServer(snapshot, slots, new(backend.Client), limits, hclog.NewNullLogger(), new(timer.Service)),
+		Server:   NewServer(snapshot, slots, client, limits, hclog.NewNullLogger(), new(timer.Service)),
 		snapshot: snapshot, slots: slots,
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -180,12 +185,17 @@
 func newFakeServer(c testing.TB, id, service string, handler http.HandlerFunc) backend.Server {
 	server := httptest.NewServer(handler)
 	c.Cleanup(server.Close)
+	return newServerAt(id, service, server.Listener.Addr().String())
+}
+
+// newServerAt returns a backend server of the service at an address.
+func newServerAt(id, service, address string) backend.Server {
 	kind := registry.KindEngine
 	if service == "repairs" {
 		kind = registry.KindService
 	}
 	location := registry.NewLocation("scl", "scl-a")
-	instance := registry.NewServer(id, kind, location, registry.StateLive, server.Listener.Addr().String(), service)
+	instance := registry.NewServer(id, kind, location, registry.StateLive, address, service)
 	return backend.NewServer(instance, backend.Capacity{})
 }
 
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"greengagedock.example/http1"
 	"greengagedock.example/registry"
 )
 
@@ -24,11 +25,11 @@
 // newForwardTransport returns a transport that waits for the owner of a call until
 // the call's deadline, or until the owner is silent, since no other entry may run it.
 func newForwardTransport() http.RoundTripper {
-	return &http.Transport{
+	return http1.NewTransport(&http.Transport{
 		DialContext:        new(net.Dialer).DialContext,
 		DisableCompression: true,
 		IdleConnTimeout:    forwardIdleTimeout,
-	}
+	})
 }
 
 // forward sends a non-idempotent call to its owner, once. If the owner does not
--- /dev/null
+++ b/http1/response.go
@@ -0,0 +1,60 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+)
+
+// ErrResponseHead is wrapped by the errors of responses whose head is none of HTTP/1.
+var ErrResponseHead = errors.New("http1: malformed head of a response")
+
+// Statuses of RFC 9110, section 15. Others are invalid.
+const (
+	minStatus      = 100
+	minFinalStatus = 200
+	maxStatus      = 599
+	statusDigits   = 3
+)
+
+// ResponseHead checks the head of a response line by line, before net/http decides by it where
+// the body ends: net/http takes any number of three digits for a status. The zero value expects
+// the status line.
+type ResponseHead struct {
+	status  int
+	minor   int
+	started bool
+}
+
+// Interim reports whether another response follows, to which the request's body still matters.
+func (h *ResponseHead) Interim() bool { return h.status < minFinalStatus }
+
+// Add checks the next line, with or without its end, and reports whether it ends the head. The
+// error wraps ErrResponseHead.
+func (h *ResponseHead) Add(line []byte) (ended bool, err error) {
+	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+	if !h.started {
+		h.started = true
+		return false, h.checkStatus(line)
+	}
+	return len(line) == 0, nil
+}
+
+// checkStatus checks a status line. A request never asks for another protocol, so none is
+// switched to.
+func (h *ResponseHead) checkStatus(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	major, minor, ok := http.ParseHTTPVersion(string(version))
+	if !ok || major != 1 {
+		return fmt.Errorf("%w: version %.20q", ErrResponseHead, version)
+	}
+	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, err := strconv.Atoi(string(code))
+	if err != nil || len(code) != statusDigits || status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: status %.20q", ErrResponseHead, code)
+	}
+	h.status, h.minor = status, minor
+	return nil
+}
--- a/ingress/broken_answer_test.go
+++ b/ingress/broken_answer_test.go
@@ -1,9 +1,7 @@
 package ingress
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -12,10 +10,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/rotisserie/eris"
 
 	"greengagedock.example/brokentest"
-	"greengagedock.example/mesh"
+	"greengagedock.example/relaytest"
 	"greengagedock.example/routing"
 	"greengagedock.example/upstream"
 )
@@ -36,48 +33,6 @@
 	return fmt.Sprintf("relayed=%v,reused=%v", w.relayed, w.reused)
 }
 
-// relayNetwork reaches all servers through another entry.
-type relayNetwork struct {
-	upstream.Dialer
-	relay string
-}
-
-// relayedConn is a connection of a relayNetwork.
-type relayedConn struct {
-	relayedTunnel
-	relay string
-}
-
-type relayedTunnel interface {
-	net.Conn
-	syscall.Conn
-	HasUnread() bool
-}
-
-func (c relayedConn) Relay() string { return c.relay }
-
-func (n relayNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := mesh.OpenTunnel(ctx, n.Dialer, n.relay, address)
-	if err != nil {
-		return nil, err
-	}
-	return relayedConn{conn.(relayedTunnel), n.relay}, nil
-}
-
-// newRelayNetwork starts another entry, which reaches servers through a network.
-func newRelayNetwork(c *qt.C, servers upstream.Network) relayNetwork {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	entry := mesh.NewServer(func(string, []byte) (any, error) { return nil, eris.New("no calls") })
-	entry.ServeTunnels(servers.Dial)
-	go func() { _ = entry.Serve(listener) }() // ends with the listener
-	c.Cleanup(func() {
-		listener.Close()
-		entry.Close()
-	})
-	return relayNetwork{relay: listener.Addr().String()}
-}
-
 // withLength returns a sound answer whose connection is kept.
 func withLength(body string) brokentest.Answer {
 	return brokentest.NewAnswer(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: ID\r\nSeal: sound\r\nContent-Length: %d\r\n\r\n%s", len(body), body), brokentest.Keep)
@@ -106,7 +61,7 @@
 	b := brokenBed{newTestbedWithTable(c, table, atFirst, atFirst, atSecond), way}
 	b.scheduler.ids = []string{"s1", "s1", "s3"}
 	if way.relayed {
-		network = newRelayNetwork(c, network)
+		network = relaytest.Serve(c, network)
 	}
 	b.server.client.SetNetwork(network)
 	if !way.reused {
@@ -222,3 +177,67 @@
 		}
 	}
 }
+
+// maxBrokenTime is the time after which a caller knows of a broken answer: far less than its
+// deadline.
+const maxBrokenTime = 700 * time.Millisecond
+
+// lookalike is what looks like an answer behind bytes that are none.
+const lookalike = "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: broken\r\nContent-Length: 6\r\n\r\nbroken"
+
+// checkAllBroken checks that answers reach no caller, and that their callers wait for nothing,
+// on each way and on routes of each kind.
+func checkAllBroken(t *testing.T, answers map[string]string) {
+	for name, text := range answers {
+		for _, way := range waysToServer {
+			for path, repeated := range map[string]string{"/once/": "", "/again/": "whole", "/stream/": threeEvents} {
+				t.Run(fmt.Sprint(name, ",", way, path), func(t *testing.T) {
+					c := qt.New(t)
+					b := newBrokenBed(c, way, upstream.Dialer{}, brokentest.NewAnswer(text, brokentest.Keep), repeated)
+					start := time.Now()
+					b.checkBroken(path, "x", repeated)
+					c.Assert(time.Since(start) < maxBrokenTime, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+				})
+			}
+		}
+	}
+}
+
+// Guards against MIXED: a status that is none, and one that switches to another protocol, are no
+// interim answer behind which the caller's is to be found.
+func TestAnswerWithInvalidStatusIsBroken(t *testing.T) {
+	answers := map[string]string{"version 2": strings.Replace(lookalike, "1.1", "2.0", 1), "version 0.9": strings.Replace(lookalike, "1.1", "0.9", 1)}
+	for _, status := range []string{"000", "099", "+20", "101", "600", "999"} {
+		answers[status] = strings.Replace(lookalike, "200", status, 1)
+		answers[status+" before a lookalike"] = "HTTP/1.1 " + status + " X\r\n\r\n" + lookalike
+	}
+	checkAllBroken(t, answers)
+}
+
+// Guards against sound answers that are taken for broken: interim answers may come before one,
+// and a server may choose any status but those that promise that the request has not run.
+func TestAnswerWithValidStatusIsForwarded(t *testing.T) {
+	const interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 199 X\r\n\r\n"
+	for _, way := range waysToServer {
+		for _, status := range []int{200, 201, 204, 299, 302, 404, 500, 599} {
+			for _, before := range []string{"", interim} {
+				t.Run(fmt.Sprint(way, ",", status, ",", len(before)), func(t *testing.T) {
+					c := qt.New(t)
+					body, text := "whole", before
+					if status == http.StatusNoContent {
+						body = ""
+						text += "HTTP/1.1 204 X\r\nId: ID\r\nSeal: sound\r\n\r\n"
+					} else {
+						text += fmt.Sprintf("HTTP/1.1 %d X\r\nId: ID\r\nSeal: sound\r\nContent-Length: 5\r\n\r\nwhole", status)
+					}
+					b := newBrokenBed(c, way, upstream.Dialer{}, brokentest.NewAnswer(text, brokentest.Keep), "")
+					response, got, err := b.ask("/once/", "x")
+					c.Assert(err, qt.IsNil)
+					c.Assert(response.StatusCode, qt.Equals, status)
+					c.Assert(response.Header.Get("Seal"), qt.Equals, "sound")
+					c.Assert(got, qt.Equals, body)
+				})
+			}
+		}
+	}
+}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"greengagedock.example/http1"
 )
 
 const (
@@ -34,6 +36,7 @@
 type connection struct {
 	tcp         net.Conn
 	limiter     *readLimiter
+	unread      *unreadBytes
 	reader      *bufio.Reader
 	writer      *bufio.Writer
 	server      string
@@ -54,16 +57,17 @@
 
 func newConnection(c net.Conn, address, server string) *connection {
 	limiter := &readLimiter{r: c}
+	unread := &unreadBytes{r: limiter}
 	return &connection{
-		tcp: c, limiter: limiter, server: server, address: address, relay: relayOf(c), idleTimeout: defaultIdleTimeout,
-		reader: bufio.NewReaderSize(limiter, bufferBytes), writer: bufio.NewWriterSize(c, bufferBytes),
+		tcp: c, limiter: limiter, unread: unread, server: server, address: address, relay: relayOf(c), idleTimeout: defaultIdleTimeout,
+		reader: bufio.NewReaderSize(unread, bufferBytes), writer: bufio.NewWriterSize(c, bufferBytes),
 	}
 }
 
 // reusable reports whether an idle connection can take another request. Bytes after a
 // complete response would be read as the start of the next one.
 func (c *connection) reusable(now time.Time) bool {
-	return now.Sub(c.idleAt) < c.idleTimeout && c.reader.Buffered() == 0 && !readable(c.tcp)
+	return now.Sub(c.idleAt) < c.idleTimeout && c.reader.Buffered() == 0 && len(c.unread.bytes) == 0 && !readable(c.tcp)
 }
 
 // exchange writes the request and reads the header of its response. A large
@@ -144,19 +148,69 @@
 	return c.refused[attemptID] || slices.Contains(c.attempts, attemptID)
 }
 
+// unreadBytes are read before those of a reader.
+type unreadBytes struct {
+	bytes []byte
+	r     io.Reader
+}
+
+// Read reads the bytes and then the reader.
+func (u *unreadBytes) Read(p []byte) (int, error) {
+	if len(u.bytes) == 0 {
+		u.bytes = nil
+		return u.r.Read(p)
+	}
+	n := copy(p, u.bytes)
+	u.bytes = u.bytes[n:]
+	return n, nil
+}
+
 // readResponse reads the header of the next response, skipping interim (1xx) ones.
 func (c *connection) readResponse(method string) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		head, interim, err := c.readHead()
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 200 {
-			return response, nil
+		if interim {
+			continue
+		}
+		c.putBack(head)
+		return http.ReadResponse(c.reader, &http.Request{Method: method})
+	}
+}
+
+// readHead reads the head of the next response as it is, and checks it before the end of the
+// body is decided by it.
+func (c *connection) readHead() (head []byte, interim bool, err error) {
+	var check http1.ResponseHead
+	for line := 0; ; {
+		part, err := c.reader.ReadSlice('\n')
+		head = append(head, part...)
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, false, err
+		}
+		ended, err := check.Add(head[line:])
+		if err != nil || ended {
+			return head, check.Interim(), err
 		}
+		line = len(head)
 	}
 }
 
+// putBack has the reader read some bytes before those that follow.
+func (c *connection) putBack(bytes []byte) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never more than is buffered
+	c.unread.bytes = slices.Concat(bytes, buffered, c.unread.bytes)
+	c.reader.Reset(c.unread)
+}
+
 // sending is the writing of one request, which may go on while its response is read.
 type sending struct {
 	err   error
