ingress, caller: tests of answers that are cut in their head

Cause: another operator's callers got an empty or short answer, framed as whole, when a server stopped within the head of its answer and closed the connection.

Change: tests alone. TestAnswerCutInItsHeadIsBroken cuts heads with a length, with an encoding, with neither and interim ones within each part, directly and through another entry, on new and reused connections, on both interfaces.

--- a/brokentest/heads.go
+++ b/brokentest/heads.go
@@ -1,5 +1,7 @@
 package brokentest
 
+import "fmt"
+
 // InvalidFields returns answers by what is wrong with a field in their head, which also has the
 // given lines.
 func InvalidFields(lines string) map[string]string {
@@ -24,3 +26,26 @@
 		"interim":                  "HTTP/1.1 103 X\r\nX Y: 1\r\n\r\n" + head + withLength,
 	}
 }
+
+// CutHeads returns answers by where they end within their head, which has the given lines: within
+// each part of a line, and of the end of the head.
+func CutHeads(lines string) map[string]string {
+	const first, second = "HTTP/1.1 200 OK\r\n", "Content-Length: 16\r\n"
+	out := make(map[string]string)
+	for _, part := range []string{"", "HTTP", "HTTP/1.1", "HTTP/1.1 20", "HTTP/1.1 200", "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r", first} {
+		out[fmt.Sprintf("%q", part)] = part
+	}
+	for _, part := range []string{"", "Content", "Content-Length", "Content-Length:", "Content-Length: 1", "Content-Length: 16", "Content-Length: 16\r"} {
+		out[fmt.Sprintf("lines, %q", part)] = first + lines + part
+	}
+	for name, head := range map[string]string{
+		"length":   first + lines + second,
+		"encoding": first + lines + "Transfer-Encoding: chunked\r\n",
+		"interim":  "HTTP/1.1 103 X\r\n" + lines,
+	} {
+		out[name] = head
+		out[name+" and CR"] = head + "\r"
+	}
+	out["whole interim"] = "HTTP/1.1 103 X\r\n" + lines + "\r\n"
+	return out
+}
--- a/caller/broken_answer_test.go
+++ b/caller/broken_answer_test.go
@@ -162,3 +162,9 @@
 		"length, encoding": head + "Content-Length: 6\r\ntransfer-encoding: identity\r\n\r\nbroken",
 	}, brokentest.Close)
 }
+
+// Guards against an empty or short answer that looks whole: a server stops within the head of its
+// answer and closes the connection.
+func TestAnswerCutInItsHeadIsBroken(t *testing.T) {
+	checkAllBroken(t, brokentest.CutHeads("X-Request-Id: ID\r\nContent-Type: text/broken\r\n"), brokentest.Close)
+}
--- a/ingress/broken_answer_test.go
+++ b/ingress/broken_answer_test.go
@@ -281,3 +281,9 @@
 		}
 	}
 }
+
+// Guards against MIXED and ORDER: a server stops within the head of its answer and closes the
+// connection. The caller must not get an empty or short answer that looks whole.
+func TestAnswerCutInItsHeadIsBroken(t *testing.T) {
+	checkAllBroken(t, brokentest.CutHeads("Id: ID\r\nSeal: broken\r\n"), brokentest.Close)
+}
