ingress, upstream, gateway: the memory of unended heads and events is bounded

Clients lost their requests when an entry ran out of memory beside faulty servers.

Cause: each head may take 128 KiB and each event 256 KiB, and nothing bounds those of all answers together. A server that sends as much of one as is allowed and then nothing, or little, has it kept until the deadline of its request.

Change: an event beyond 8 KiB takes from the memory for answers that are read whole, an eighth of the process's. If that is used up, an event that has not ended for a second is given up for another one; an attempt for whose event there is none ends, and its server is not blamed. A head that takes more than 32 KiB once parsed takes from a sixteenth of the process's memory until its answer is closed; for one without, the answer is broken.

--- a/crowdtest/gateway_test.go
+++ b/crowdtest/gateway_test.go
@@ -53,6 +53,7 @@
 type gateway struct {
 	process *process
 	port    int
+	store   *platformtest.Store
 	server  *service
 }
 
@@ -101,14 +102,13 @@
 // startGateway starts an entry on the users' platform and waits until it is ready.
 func startGateway(t *testing.T) *gateway {
 	c := qt.New(t)
-	g := &gateway{server: &service{release: make(chan struct{})}}
-	store := platformtest.NewStore()
-	platformServer := httptest.NewServer(store)
+	g := &gateway{store: platformtest.NewStore(), server: &service{release: make(chan struct{})}}
+	platformServer := httptest.NewServer(g.store)
 	c.Cleanup(platformServer.Close)
 	server := httptest.NewServer(g.server)
 	c.Cleanup(server.Close)
 	c.Cleanup(server.CloseClientConnections)
-	g.publish(store, server.Listener.Addr().String())
+	g.publish(server.Listener.Addr().String())
 	port, err := porttest.Reserve(gatewayPorts)
 	c.Assert(err, qt.IsNil)
 	g.port = port
@@ -138,18 +138,22 @@
 }
 
 // publish publishes a configuration whose limits on time let a crowd stay until it leaves.
-func (g *gateway) publish(store *platformtest.Store, server string) {
-	route := func(prefix, kind string, limit time.Duration) map[string]any {
+func (g *gateway) publish(server string) {
+	route := func(prefix, kind, service string, limit time.Duration) map[string]any {
 		return map[string]any{
-			"Name": prefix, "Host": host, "Prefix": prefix, "Kind": kind, "TimeoutMs": limit.Milliseconds(), "GoalMs": 300, "Service": "desk", "Attempts": 2,
+			"Name": prefix, "Host": host, "Prefix": prefix, "Kind": kind, "TimeoutMs": limit.Milliseconds(), "GoalMs": 300, "Service": service, "Attempts": 2, "GapAimMs": 250,
 		}
 	}
-	store.PublishServer("s-1", server, false, false, 0, 1)
-	store.Put("op/config", map[string]any{
+	g.store.PublishServer("s-1", server, false, false, 0, 1)
+	g.store.Put("op/config", map[string]any{
 		"Version": 1,
-		"Routes":  []any{route("/call/", "idempotent", heldLimit), route("/held/", "non_idempotent", heldLimit), route("/big/", "idempotent", heldLimit)},
+		"Routes": []any{
+			route("/call/", "idempotent", "desk", heldLimit), route("/held/", "non_idempotent", "desk", heldLimit), route("/big/", "idempotent", "desk", heldLimit),
+			route("/faulty/", "non_idempotent", "faulty", heldLimit), route("/faulty/stream/", "stream", "faulty", heldLimit),
+		},
 		"Services": []any{
 			map[string]any{"Name": "desk", "MaxConns": 100},
+			map[string]any{"Name": "faulty", "MaxConns": 2 * gatewayClients},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": maxHeaderBytes, "MaxBodyBytes": gatewayBodyBytes, "HeaderTimeoutMs": 60_000, "IdleTimeoutMs": 60_000},
 		"Tenants": []any{map[string]any{"Name": "t", "ApiKeys": []string{gatewayKey}}},
@@ -187,10 +191,13 @@
 func (g *gateway) call() error { return g.callWith(nil, "") }
 
 // callWith sends a request with further header lines and a body, and expects its whole answer.
-func (g *gateway) callWith(more http.Header, body string) error {
+func (g *gateway) callWith(more http.Header, body string) error { return g.send("/call/x", more, body) }
+
+// send is callWith for another path.
+func (g *gateway) send(path string, more http.Header, body string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.address(portCallers)+"/call/x", strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.address(portCallers)+path, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -211,7 +218,11 @@
 	if err != nil {
 		return err
 	}
-	if want := platformtest.ResponseBody(r.Header.Get("Attempt-Id")); response.StatusCode != http.StatusOK || string(text) != want {
+	want := platformtest.ResponseBody(r.Header.Get("Attempt-Id"))
+	if path == readyPath {
+		want = ""
+	}
+	if response.StatusCode != http.StatusOK || string(text) != want {
 		return fmt.Errorf("status %d, %q", response.StatusCode, text)
 	}
 	return nil
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -31,6 +31,8 @@
 	// bodyMemoryDivisor is the memory of the process divided by the part that
 	// request bodies may take.
 	bodyMemoryDivisor = 4
+	// responseHeadMemoryDivisor is the memory divided by the part for long heads of responses.
+	responseHeadMemoryDivisor = 16
 	// answerMemoryDivisor is the memory divided by the part for responses of servers that are
 	// read whole before they are forwarded.
 	answerMemoryDivisor = 8
@@ -129,6 +131,7 @@
 	p.paths.SetProbe(platform.HealthPath)
 	p.client = upstream.NewClient(platform.Headers, &p.timers, dialer)
 	p.client.SetNetwork(p.paths)
+	p.client.LimitHeads(settings.MemoryBytes() / responseHeadMemoryDivisor)
 	p.peerClient = mesh.NewClient(settings.timeouts.Dialer()).WithKinds(callKinds)
 	var reserver ingress.KVReserver
 	if platform.KVReserver != nil {
--- a/http1/clients.go
+++ b/http1/clients.go
@@ -243,8 +243,9 @@
 	}
 }
 
-// headMemory returns the memory that a head of a size and a number of lines takes.
-func headMemory(bytes, lines int) int64 { return headByteFactor*int64(bytes) + lineBytes*int64(lines) }
+// HeadMemory returns the memory in bytes that a head of a size and a number of lines takes, with
+// a copy of it.
+func HeadMemory(bytes, lines int) int64 { return headByteFactor*int64(bytes) + lineBytes*int64(lines) }
 
 // parsedMemory returns the memory that a parsed head takes.
 func parsedMemory(r *http.Request) int64 {
@@ -255,5 +256,5 @@
 		}
 		lines += len(values)
 	}
-	return headMemory(bytes, lines)
+	return HeadMemory(bytes, lines)
 }
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -107,7 +107,7 @@
 		c.clients.counts.tooLarge++
 		return nil, ErrHeadTooLarge
 	}
-	evicted, ok := c.clients.reserve(c, headMemory(c.headBytes, c.lines))
+	evicted, ok := c.clients.reserve(c, HeadMemory(c.headBytes, c.lines))
 	if !ok {
 		c.clients.counts.noMemory++
 		return evicted, ErrNoMemory
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -132,7 +132,7 @@
 		return dispatch.OutcomeServerError, eris.Wrapf(errOtherType, "status %d, %q", a.response.Status(), mediaType(a.response.Header()))
 	}
 	if q.route.Kind() == routing.KindStream && a.response.Status() == http.StatusOK {
-		a.events = newEventReader(a.response)
+		a.events = newEventReader(a.ctx, a.response, &q.server.answerMemory, func() { a.cancel(errEventMemory) })
 		a.firstEvent, a.firstErr = a.events.next()
 		return a.checkFirstEvent()
 	}
@@ -176,6 +176,9 @@
 	}
 	a.closed = true
 	a.silence.stop()
+	if a.events != nil {
+		a.events.release()
+	}
 	if a.response != nil {
 		a.response.Close()
 	}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"strconv"
@@ -20,26 +21,69 @@
 	id  string
 }
 
-// eventReader reads server-sent events.
+// errEventMemory is the error of reading an event for which there is no memory.
+var errEventMemory = eris.New("ingress: no memory for the rest of an event")
+
+// eventReader reads server-sent events. The memory of a long one is reserved while it is read and
+// forwarded.
 type eventReader struct {
 	r   *bufio.Reader
 	buf []byte
+
+	ctx      context.Context
+	memory   answer
+	reserved int
+	// giveUp has the reading fail.
+	giveUp func()
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReader(r)}
+// newEventReader returns a reader of a response, which must fail once giveUp is called.
+func newEventReader(ctx context.Context, r io.Reader, memory *answerMemory, giveUp func()) *eventReader {
+	return &eventReader{r: bufio.NewReader(r), ctx: ctx, memory: answer{memory: memory}, giveUp: giveUp}
+}
+
+// grow makes room for more bytes of the event. If there is no memory for them, or soon none for
+// others, an event that does not end is given up.
+func (e *eventReader) grow(bytes int) bool {
+	size := len(e.buf) + bytes
+	if size <= cap(e.buf) {
+		return true
+	}
+	size = max(size, min(2*cap(e.buf), maxEventBytes+firstAnswerBytes))
+	if size > freeAnswerBytes {
+		if !e.memory.reserve(e.ctx, int64(size-e.reserved)) {
+			e.giveUp()
+			return false
+		}
+		if e.reserved == 0 {
+			e.memory.progress(e.giveUp)
+		}
+		e.reserved = size
+	}
+	e.buf = append(make([]byte, 0, size), e.buf...)
+	return true
+}
+
+// release gives the memory of the event back.
+func (e *eventReader) release() {
+	e.buf, e.reserved = nil, 0
+	e.memory.release()
 }
 
 // statusLine is the beginning of the head of a response. A server that sends one within a body
 // has begun another response.
 var statusLine = []byte("HTTP/1.")
 
-// next returns the next complete event, or io.EOF at the end of the body.
+// next returns the next complete event, or io.EOF at the end of the body. The event before it must
+// no longer be in use.
 func (e *eventReader) next() (event, error) {
 	var out event
-	e.buf = nil
+	e.release()
 	for {
 		line, err := e.r.ReadSlice('\n')
+		if !e.grow(len(line)) {
+			return event{}, errEventMemory
+		}
 		e.buf = append(e.buf, line...)
 		if len(e.buf) > maxEventBytes {
 			return event{}, eris.Errorf("ingress: event over %d bytes", maxEventBytes)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -30,6 +30,7 @@
 	ErrPathLost = eris.New("upstream: way to the server lost")
 
 	errRequestCut     = eris.New("upstream: connection ended before the whole request was written")
+	errHeadMemory     = eris.New("upstream: no memory for the head of a response")
 	errStrayResponses = eris.New("upstream: only responses to other requests received")
 	errNoHead         = eris.Errorf("upstream: %d bytes received without the head of a response", maxBytesBeforeResponse)
 )
@@ -43,6 +44,7 @@
 	timers  *timer.Service
 	dialer  Dialer
 	network Network
+	heads   headMemory
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -61,6 +63,11 @@
 // to be called before the first request.
 func (c *Client) SetNetwork(network Network) { c.network = network }
 
+// LimitHeads bounds the memory in bytes that the long heads of all responses take until these are
+// closed; a response for whose head there is none is broken. It is to be called before the first
+// request, without which there is no bound.
+func (c *Client) LimitHeads(bytes int64) { c.heads.limit = bytes }
+
 // ConnectionsOpened returns the number of connections opened so far.
 func (c *Client) ConnectionsOpened() int64 { return c.opened.Load() }
 
@@ -104,8 +111,10 @@
 	stop := context.AfterFunc(ctx, func() { conn.tcp.Close() })
 	header := endToEndHeader(r.header)
 	c.headers.EncodeRequest(header, m)
+	conn.headMemory = headReservation{memory: &c.heads}
 	raw, metadata, err := conn.exchange(r, header, c.headers)
 	if err != nil {
+		conn.headMemory.release()
 		stop()
 		conn.tcp.Close()
 		if cause := context.Cause(ctx); cause != nil {
@@ -190,6 +199,7 @@
 // release keeps the connection for reuse if it is sound and the response is complete, and
 // closes it otherwise.
 func (r *Response) release(sound bool) {
+	r.conn.headMemory.release()
 	reusable := sound && r.complete && !r.raw.Close && r.conn.sending.succeeded() && len(r.conn.refused) < maxRefusedKept
 	if reusable && r.conn.reserved {
 		r.conn.reserved = false
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -45,6 +45,7 @@
 	idleAt      time.Time
 	idleTimeout time.Duration
 	sending     *sending // of the last request
+	headMemory  headReservation
 	// attempts holds the ids of the last attempts, in a ring of maxAttemptsKept.
 	attempts []string
 	next     int
@@ -184,8 +185,12 @@
 // body is decided by it.
 func (c *connection) readHead() (head []byte, interim bool, err error) {
 	var check http1.ResponseHead
+	lines := 0
 	for line := 0; ; {
 		part, err := c.reader.ReadSlice('\n')
+		if !c.headMemory.grow(http1.HeadMemory(len(head)+len(part), lines)) {
+			return nil, false, errHeadMemory
+		}
 		head = append(head, part...)
 		if err == bufio.ErrBufferFull {
 			continue
@@ -201,6 +206,7 @@
 			return head, check.Interim(), err
 		}
 		line = len(head)
+		lines++
 	}
 }
 
