ingress: a stopping entry places no call of a plain service too late for its answer

In a planned stop callers got 502 for calls that may not be repeated and that had waited for a place until just before the end of the grace.

Cause: nothing is known of the time that a plain service takes for an answer, and so its calls were placed up to the end of the grace, at which what is open is cut.

Change: they are placed until an answer within the objective of their route would come too late, and refused then, for another entry. What was taken while callers had not been told to leave is placed at once as before, however long the objective.

--- a/ingress/fake_test.go
+++ b/ingress/fake_test.go
@@ -195,8 +195,9 @@
 	excluded    []string // by the last request
 	// ids are the server ids of the grants, in turn; s1, s2 and so on without them.
 	ids []string
-	// queues has requests wait without ever being placed.
-	queues bool
+	// queues has requests wait without ever being placed, and queueTime for so long.
+	queues    bool
+	queueTime time.Duration
 	// timeToFirstToken is that of all grants.
 	timeToFirstToken time.Duration
 }
@@ -206,6 +207,13 @@
 		<-ctx.Done()
 		return dispatch.Grant{}, ctx.Err()
 	}
+	if s.queueTime > 0 {
+		select {
+		case <-time.After(s.queueTime):
+		case <-ctx.Done():
+			return dispatch.Grant{}, ctx.Err()
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.excluded = request.Exclude()
--- a/ingress/grace.go
+++ b/ingress/grace.go
@@ -175,21 +175,26 @@
 	}
 }
 
-// latestPlacement returns until when the request must be placed to be finished.
+// latestPlacement returns until when the request must be placed to be finished. Nothing is known
+// of the answers of plain services but that they should come within the objective; however long
+// that is, what was taken before callers should have left is placed until then.
 func (q *request) latestPlacement(grace Grace) time.Time {
 	if !q.deadline.After(grace.cutAt) {
 		return grace.cutAt
 	}
-	return grace.cutAt.Add(-q.answerTime())
+	if q.service.Engine() != nil {
+		return grace.cutAt.Add(-q.answerTime())
+	}
+	latest := grace.cutAt.Add(-q.route.Objective())
+	if latest.Before(grace.lateAt) {
+		return grace.lateAt
+	}
+	return latest
 }
 
-// answerTime returns how long the server's response is expected to take from its first byte.
+// answerTime returns how long the response of an engine is expected to take from its first byte.
 func (q *request) answerTime() time.Duration {
-	engine := q.service.Engine()
-	if engine == nil {
-		return 0
-	}
-	return engine.AnswerTime(q.metadata.promptTokens, q.answerTokens())
+	return q.service.Engine().AnswerTime(q.metadata.promptTokens, q.answerTokens())
 }
 
 // canFinish reports whether the request can be finished by the placement before the server stops.
--- a/ingress/grace_test.go
+++ b/ingress/grace_test.go
@@ -127,6 +127,39 @@
 	c.Assert(b.scheduler.ended(), qt.DeepEquals, []dispatch.Outcome{dispatch.OutcomeCancelled})
 }
 
+// Guards against LOST: a call of a plain service is placed so late that its answer is cut off. It
+// is refused when no time for an answer is left, and placed before that.
+func TestStopRefusesCallPlacedTooLate(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		queued time.Duration
+		status int
+	}{
+		{"at once", 0, http.StatusOK},
+		{"with time left", 300 * time.Millisecond, http.StatusOK},
+		{"late", 850 * time.Millisecond, http.StatusServiceUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := newBackend(c, silence+fullResponse(http.StatusOK, "x"))
+			server.silenceTime = 200 * time.Millisecond
+			b := newTestbed(t, server)
+			conn, _ := b.listenToStop()
+			b.serve(connectionRoute.WithTimes(time.Second, 400*time.Millisecond, 0), routing.NewService("desk"))
+			b.scheduler.queueTime = test.queued
+			fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h.example\r\nId: a1\r\nLeft: 9s\r\nContent-Length: 0\r\n\r\n")
+			time.Sleep(30 * time.Millisecond) // it waits
+			b.stopIn(300*time.Millisecond, 900*time.Millisecond)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(response.StatusCode, qt.Equals, test.status)
+			if test.status == http.StatusServiceUnavailable {
+				c.Assert(server.seen(), qt.HasLen, 0)
+			}
+		})
+	}
+}
+
 // Guards against LOST: a request that a server has not answered gets a final answer when the
 // grace period ends, which does not say that it has not run, and a stream is truncated.
 func TestStopAnswersWhatItCutsOff(t *testing.T) {
@@ -152,8 +185,12 @@
 
 // serveEngine makes the server's service one of model engines.
 func (b *testbed) serveEngine(engine routing.EngineProfile) {
+	b.serve(connectionRoute, routing.NewService("desk").WithEngine(engine))
+}
+
+// serve makes a route to a service the only one.
+func (b *testbed) serve(route routing.Route, service routing.Service) {
 	view := b.view.Load()
-	services := []routing.Service{routing.NewService("desk").WithEngine(engine)}
-	table := routing.NewTable(2, []routing.Route{connectionRoute.WithTargets(routing.NewTarget("desk", 1))}, services, nil, routing.NewLimits(0, 0, 0, 0))
+	table := routing.NewTable(2, []routing.Route{route.WithTargets(routing.NewTarget(service.Name(), 1))}, []routing.Service{service}, nil, routing.NewLimits(0, 0, 0, 0))
 	b.view.Store(routing.NewView(view.Revision(), table, view.Servers(), nil))
 }
