--- a/backend/client.go
+++ b/backend/client.go
@@ -133,13 +133,14 @@
 		if c.dial == nil {
 			c.dial = Dial
 		}
-		c.pooled = newTransport(c.dial)
-		c.unpooled = newTransport(c.dial)
-		c.unpooled.DisableKeepAlives = true
+		c.pooled = newTransport(c.dial, true)
+		c.unpooled = newTransport(c.dial, false)
 	})
 }
 
-func newTransport(dial func(ctx context.Context, address string) (net.Conn, error)) http1.Transport {
+// newTransport returns a transport that opens connections with dial, and keeps them for later
+// requests if reuse is set.
+func newTransport(dial func(ctx context.Context, address string) (net.Conn, error), reuse bool) http1.Transport {
 	return http1.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			conn, err := dial(ctx, address)
@@ -148,6 +149,7 @@
 			}
 			return &connection{Conn: conn}, nil
 		},
+		DisableKeepAlives:      !reuse,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idleConnsPerServer,
 		IdleConnTimeout:        idleTimeout,
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -14,7 +14,7 @@
 // Transport is an http.Transport that refuses responses with a malformed head. NewTransport
 // returns one.
 type Transport struct {
-	*http.Transport
+	unchecked *http.Transport
 }
 
 // NewTransport returns a transport that opens connections as the given one does, which must not
@@ -31,9 +31,12 @@
 		}
 		return &ResponseConn{Conn: conn}, nil
 	}
-	return Transport{transport}
+	return Transport{unchecked: transport}
 }
 
+// CloseIdleConnections closes the connections that are kept for later requests.
+func (t Transport) CloseIdleConnections() { t.unchecked.CloseIdleConnections() }
+
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -41,7 +44,7 @@
 			conn.expectHead()
 		}
 	}}
-	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	return t.unchecked.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 }
 
 // ResponseConn is a connection of a Transport.
