upstream: idle connections keep no head

Cause: the bytes of a head that was put back stayed referenced until the next read, by each idle connection.

Change: they are dropped once they have been read.

Result: no behaviour changes; the tests of upstream pass.

--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -158,11 +158,12 @@
 // Read reads the bytes and then the reader.
 func (u *unreadBytes) Read(p []byte) (int, error) {
 	if len(u.bytes) == 0 {
-		u.bytes = nil
 		return u.r.Read(p)
 	}
 	n := copy(p, u.bytes)
-	u.bytes = u.bytes[n:]
+	if u.bytes = u.bytes[n:]; len(u.bytes) == 0 {
+		u.bytes = nil // idle connections keep no head
+	}
 	return n, nil
 }
 
