cmd/soak: the mutation of heads without end removes both bounds

TestSoakDetectsMutations failed for heads without end: with the bound on the bytes before a response removed, an entry still ends such answers by the memory that heads may take together, so that there is no violation for the soak to report.

Change: the mutation removes that bound as well; what the soak must report is the same.

--- a/cmd/soak/mutation_test.go
+++ b/cmd/soak/mutation_test.go
@@ -100,7 +100,7 @@
 	},
 	{
 		"heads without end are read", "upstream/connection.go",
-		"c.limiter.limit(maxBytesBeforeResponse)", "c.limiter.unlimit()",
+		"c.limiter.limit(maxBytesBeforeResponse)", "c.limiter.unlimit()\n\tc.headMemory.memory = nil", // which ends them too
 		[]string{"server_endless"}, "^answer without end not ended: ", false,
 	},
 	{
