http1, upstream, ingress, backend, tests: comments of the checks of broken answers

Cause: some comments said badly what is reserved, put back or guarded against, and nothing told why the faulty servers of a test have four places for each request.

--- a/backend/response.go
+++ b/backend/response.go
@@ -80,8 +80,8 @@
 	return body, err
 }
 
-// readUpTo reads the body to its end, or as many bytes. It takes no more memory than has arrived,
-// and what the attempt may reserve.
+// readUpTo reads the body to its end, or up to a number of bytes. Its memory grows with what has
+// arrived, beyond freeBodyBytes as far as the attempt may reserve more.
 func (r *Response) readUpTo(bytes int64) ([]byte, error) {
 	body := make([]byte, 0, min(bytes, freeBodyBytes))
 	for int64(len(body)) < bytes {
--- a/brokentest/reset.go
+++ b/brokentest/reset.go
@@ -23,8 +23,8 @@
 	delay time.Duration
 }
 
-// NewNetwork returns a network whose connections report their end to the writer as err. The
-// writer gets it so long after the reader got its clean end.
+// NewNetwork returns a network whose connections report their end to the writer as err, delayed
+// for a time after the reader got its clean end.
 func NewNetwork(err error, delay time.Duration) *Network { return &Network{err: err, delay: delay} }
 
 // Dial opens a connection to an IP:PORT address.
--- a/caller/broken_answer_test.go
+++ b/caller/broken_answer_test.go
@@ -101,7 +101,7 @@
 	}
 }
 
-// Guards against answers whose status is none, or switches to another protocol: their callers
+// Guards against answers with an invalid status, or one that switches to another protocol: callers
 // got them, or had their connections closed.
 func TestAnswerWithInvalidStatusIsBroken(t *testing.T) {
 	checkAllBroken(t, brokentest.InvalidStatuses(brokenLines), brokentest.Keep)
@@ -141,8 +141,8 @@
 	}
 }
 
-// Guards against fields whose name is none: the length or the encoding that they may have stated
-// was lost.
+// Guards against fields with an invalid name: the length or the encoding that they state is lost,
+// and the caller gets another body than the server's.
 func TestAnswerWithInvalidFieldNameIsBroken(t *testing.T) {
 	checkAllBroken(t, brokentest.InvalidFields(brokenLines), brokentest.Close)
 }
--- a/crowdtest/faulty_test.go
+++ b/crowdtest/faulty_test.go
@@ -63,7 +63,7 @@
 // gatherTime is the time from the first request of a crowd until all are answered.
 const gatherTime = time.Second
 
-// faultyServerCount is the number of servers, which have a place for each client together.
+// faultyServerCount is the number of servers, which together take a request of each client.
 const faultyServerCount = 8
 
 // readyPath is the path of a request that the server answers as it should.
@@ -124,6 +124,7 @@
 		t.Run(answer.name, func(t *testing.T) {
 			g := startGateway(t)
 			servers := &faultyServers{answer: answer, answers: make(chan struct{})}
+			// A scheduler that sees only a part of the servers' load gives out a quarter of their places.
 			for n := range faultyServerCount {
 				g.store.Put(fmt.Sprint("servers/f-", n), map[string]any{
 					"Service": "faulty", "Addr": servers.listen(g.process.c), "Zone": "a", "Version": "v1", "Slots": 4 * gatewayClients / faultyServerCount, "State": "ready", "Seq": 1, "born": 1,
--- a/http1/response.go
+++ b/http1/response.go
@@ -9,7 +9,7 @@
 	"strings"
 )
 
-// ErrResponseHead is wrapped by the errors of responses whose head is none of HTTP/1.
+// ErrResponseHead is wrapped by the errors of responses whose head is malformed.
 var ErrResponseHead = errors.New("http1: malformed head of a response")
 
 // Statuses of RFC 9110, section 15. Others are invalid.
--- a/ingress/broken_answer_test.go
+++ b/ingress/broken_answer_test.go
@@ -203,8 +203,8 @@
 	}
 }
 
-// Guards against MIXED: a status that is none, and one that switches to another protocol, are no
-// interim answer behind which the caller's is to be found.
+// Guards against MIXED: an invalid status, or one that switches to another protocol, is taken for
+// that of an interim answer, and the bytes behind it for the answer to the caller.
 func TestAnswerWithInvalidStatusIsBroken(t *testing.T) {
 	checkAllBroken(t, brokentest.InvalidStatuses(brokenLines), brokentest.Keep)
 }
@@ -237,8 +237,8 @@
 	}
 }
 
-// Guards against MIXED: a field whose name is none is not passed on, and the length or the
-// encoding that it may have stated is not lost.
+// Guards against MIXED: a field with an invalid name is passed on, or the length or the encoding
+// that it states is lost and the caller gets another body than the server's.
 func TestAnswerWithInvalidFieldNameIsBroken(t *testing.T) {
 	checkAllBroken(t, brokentest.InvalidFields(brokenLines), brokentest.Close)
 }
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -42,8 +42,9 @@
 	return &eventReader{r: bufio.NewReader(r), ctx: ctx, memory: answer{memory: memory}, giveUp: giveUp}
 }
 
-// grow makes room for more bytes of the event. If there is no memory for them, or soon none for
-// others, an event that does not end is given up.
+// grow makes room for more bytes of the event. It gives the event up and reports false if there is
+// no memory for them. From the first reservation on, another response that finds no memory may
+// have the event given up once it has been read for answerMemoryWait.
 func (e *eventReader) grow(bytes int) bool {
 	size := len(e.buf) + bytes
 	if size <= cap(e.buf) {
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -149,7 +149,7 @@
 	return c.refused[attemptID] || slices.Contains(c.attempts, attemptID)
 }
 
-// unreadBytes are read before those of a reader.
+// unreadBytes reads bytes that were put back before it goes on with its reader.
 type unreadBytes struct {
 	bytes []byte
 	r     io.Reader
@@ -182,8 +182,8 @@
 	}
 }
 
-// readHead reads the head of the next response as it is, and checks it before the end of the
-// body is decided by it.
+// readHead returns the bytes of the head of the next response, and whether that is an interim
+// one. It checks each line before http.ReadResponse decides by the head where the body ends.
 func (c *connection) readHead() (head []byte, interim bool, err error) {
 	var check http1.ResponseHead
 	lines := 0
--- a/upstream/headmemory.go
+++ b/upstream/headmemory.go
@@ -11,14 +11,15 @@
 	used  atomic.Int64
 }
 
-// headReservation is what is reserved for the head of one response. Its zero value needs none.
+// headReservation is the memory reserved for the head of one response, until that is closed. Its
+// zero value reserves nothing.
 type headReservation struct {
 	memory   *headMemory
 	reserved int64
 }
 
-// grow reserves memory for a head that takes so many bytes now, and reports false if there is
-// none left.
+// grow has the reservation cover a head that takes so many bytes, doubling it at least, and
+// reports false if there is not enough memory left.
 func (r *headReservation) grow(bytes int64) bool {
 	if r.memory == nil || r.memory.limit <= 0 || bytes <= max(freeHeadBytes, r.reserved) {
 		return true
