Review: long entries of another writer end all processes

Cause: gateway/storecache.go keeps the whole value of each item that can be decoded, of use or not, and an entry that starts has each of its peers encode all of them at once, without a bound.

Done: case 11, a script with eight entries, a stand-in of the platform that keeps to MemoryMb, and 64 entries of another writer of one megabyte each in the list of runners; then all machines are restarted in turn.

--- a/review/rig-3/cases.go
+++ b/review/rig-3/cases.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -204,51 +206,138 @@
 		len(c.all()), ok, lost, late, drain, longest)
 }
 
-// evacuationDrill restores the store from a copy that lacks an evacuation, which the operator
-// writes again some seconds later.
-func evacuationDrill() {
+// longEntries has another writer put entries of a service that is in no configuration into the
+// list of runners, each as long as a value may be.
+func longEntries() {
 	const (
-		evacMs     = 5 * time.Second
-		writtenIn  = 20 * time.Second
-		perSecond  = 30
-		evacuation = "op/evacuate/north-b"
+		n          = 64
+		valueBytes = 1 << 20
+		length     = 60 * time.Second
 	)
 	s := newStore(100)
-	store, _ := serve("127.34.0.1", s)
-	runners := desk(s, "127.34.0.2", "desk", "keeper-desk", 3)
+	store, _ := serve("127.36.0.1", s)
+	desk(s, "127.36.0.2", "desk", "keeper-desk", 3)
 	s.put("op/config", config(7, []string{"keeper-desk"}, map[string][]string{"huts": {hutKey}},
 		route("r-repair", huts, "/repair/", "non_idempotent", "keeper-desk", 1, 800*time.Millisecond)))
-	entries := newEntries("front", []string{"127.34.1.1", "127.34.1.2", "127.34.1.3"}, store)
+	var ips []string
+	for i := range 8 {
+		ips = append(ips, fmt.Sprintf("127.36.1.%d", i+1))
+	}
+	entries := newEntries("front", ips, store)
+	stop := make(chan struct{})
+	var supervised sync.WaitGroup
 	for _, e := range entries {
 		e.start()
+		supervised.Go(func() { e.supervise(stop) })
 	}
 	awaitReady(entries)
 	time.Sleep(4 * time.Second)
 	c := newClients("a", directories(entries))
-	var evacuated time.Time
 	c.running.Go(func() {
-		copied := s.copy()
-		time.Sleep(time.Second)
-		record("operator", "evacuates north-b", "rev", s.put(evacuation, map[string]any{}))
-		evacuated = time.Now()
-		time.Sleep(4 * time.Second)
-		if trouble() {
-			record("store", "away, and back from a copy", "rev", copied.rev)
-			s.leave(500 * time.Millisecond)
-			s.restore(copied)
+		for i := range n {
+			if trouble() {
+				s.put(fmt.Sprintf("servers/press-%d", i+1), longEntry(valueBytes))
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		record("writer", "another one", "entries", n)
+		for _, e := range entries {
+			time.Sleep(3 * time.Second)
+			e.signal(syscall.SIGTERM) // planned work: each machine is stopped and started in turn
 		}
-		time.Sleep(writtenIn)
-		record("operator", "writes the evacuation again", "rev", s.put(evacuation, map[string]any{}))
 	})
-	c.press(perSecond, 27*time.Second, repair())
-	late := 0
+	c.press(20, length, repair())
+	close(stop)
+	supervised.Wait()
+	killed, often, lost := 0, 0, 0
+	for _, e := range entries {
+		killed += len(e.overMemory)
+		if len(e.overMemory) >= 3 {
+			often++
+		}
+	}
+	for _, r := range c.all() {
+		if r.status == 0 {
+			lost++
+		}
+	}
+	if !trouble() && lost > len(c.all())/10 {
+		unable(fmt.Errorf("%d of %d requests got no answer", lost, len(c.all())))
+	}
+	verdict(often >= 2, "%d processes killed over their memory, on %d machines three times or more; %d of %d requests got no answer", killed, often, lost, len(c.all()))
+}
+
+// longEntry returns an entry of a number of bytes that names a service which is not in the
+// configuration.
+func longEntry(bytes int) []byte {
+	entry := fmt.Sprintf(`{"Service":"hut-press","Addr":"127.36.0.3:9","Zone":"north-a","Version":"v1","Slots":6,"State":"ready","ColdLeftMs":0,"Seq":1,"born":%d,"Notes":"`,
+		time.Now().UnixMilli())
+	const end = `"}`
+	text := make([]byte, 0, bytes)
+	text = append(text, entry...)
+	const letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/"
+	for len(text) < bytes-len(end) {
+		text = append(text, letters[rand.IntN(len(letters))])
+	}
+	return append(text, end...)
+}
+
+// drillBehind restores the store from a copy while its list of runners has long entries of another
+// writer, and then takes a key away.
+func drillBehind() {
+	const (
+		n          = 12
+		valueBytes = 1 << 20
+		applyMs    = 2 * time.Second
+		taken      = "hut-key-taken"
+	)
+	s := newStore(100)
+	store, _ := serve("127.37.0.1", s)
+	runners := desk(s, "127.37.0.2", "desk", "keeper-desk", 3)
+	path := route("r-repair", huts, "/repair/", "non_idempotent", "keeper-desk", 1, 800*time.Millisecond)
+	before := config(7, []string{"keeper-desk"}, map[string][]string{"huts": {hutKey}, "left": {taken}}, path)
+	s.put("op/config", before)
+	var ips []string
+	for i := range 8 {
+		ips = append(ips, fmt.Sprintf("127.37.1.%d", i+1))
+	}
+	entries := newEntries("front", ips, store)
+	for _, e := range entries {
+		e.start()
+	}
+	awaitReady(entries)
+	time.Sleep(4 * time.Second)
+	if trouble() {
+		for i := range n {
+			s.put(fmt.Sprintf("servers/press-%d", i+1), longEntry(valueBytes))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		copied := s.copy()
+		time.Sleep(2 * time.Second)
+		record("store", "away, and back from a copy", "rev", copied.rev)
+		s.leave(500 * time.Millisecond)
+		s.restore(copied)
+		for _, r := range runners {
+			s.put(key(r), serverEntry(r, "ready"))
+		}
+		s.put("op/config", before)
+	}
+	time.Sleep(10 * time.Second)
+	record("operator", "takes a key away", "rev", s.put("op/config", config(9, []string{"keeper-desk"}, map[string][]string{"huts": {hutKey}}, path)))
+	confirmed := time.Now()
+	c := newClients("a", directories(entries))
+	left := repair()
+	left.apiKey = taken
+	c.press(20, 15*time.Second, left)
+	late, last := 0, time.Duration(0)
 	for _, r := range runners {
 		for _, run := range r.ran() {
-			if r.zone == "north-b" && run.at.After(evacuated.Add(evacMs)) {
+			if after := run.at.Sub(confirmed); after > applyMs+100*time.Millisecond {
 				late++
-				record("late", run.id, "runner", r.id, "after", run.at.Sub(evacuated))
+				last = max(last, after)
 			}
 		}
 	}
-	verdict(late > 0, "%d requests; %d reached the zone later than %v after its evacuation, which was not taken back", len(c.all()), late, evacMs)
+	verdict(late > 0, "%d requests with a key that was taken away; %d ran later than %v after that was confirmed, the last one after %v", len(c.all()), late, applyMs, last)
 }
--- a/review/rig-3/entry.go
+++ b/review/rig-3/entry.go
@@ -23,6 +23,8 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
+	// overMemory holds when the platform killed the process for its memory.
+	overMemory []time.Time
 }
 
 // ports are the ports that all machines of an installation use.
@@ -165,6 +167,52 @@
 	_ = e.process.Process.Signal(s)
 }
 
+// residentMemory returns the memory of the process in bytes.
+func (e *entry) residentMemory() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", e.process.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	_, _ = fmt.Sscan(string(text), &size, &resident)
+	return resident * int64(os.Getpagesize())
+}
+
+// supervise does what the platform does: it kills a process that exceeds its memory, and restarts
+// one that ends after a short delay, until stop is closed.
+func (e *entry) supervise(stop <-chan struct{}) {
+	const (
+		limit   = 284 << 20
+		delay   = time.Second
+		between = 20 * time.Millisecond
+	)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(between):
+		}
+		if !e.running() {
+			time.Sleep(delay)
+			e.start()
+			continue
+		}
+		if used := e.residentMemory(); used > limit {
+			record("entry", e.name, "killed over its memory", used>>20)
+			e.mu.Lock()
+			e.overMemory = append(e.overMemory, time.Now())
+			e.mu.Unlock()
+			e.signal(syscall.SIGKILL)
+			e.mu.Lock()
+			ended := e.ended
+			e.mu.Unlock()
+			<-ended
+		}
+	}
+}
+
 // running reports whether the process has not ended.
 func (e *entry) running() bool {
 	e.mu.Lock()
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -16,6 +16,9 @@
 // pageItems is the number of items on a page.
 const pageItems = 500
 
+// pageBytes is the size of the values on a page, unless there is only one.
+const pageBytes = 1 << 20
+
 // item is an item of the store, or an event of a watch.
 type item struct {
 	Key       string
@@ -150,8 +153,12 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	more := len(items) > pageItems
-	answer(w, map[string]any{"Items": items[:min(len(items), pageItems)], "MorePages": more, "CurrentRev": s.rev})
+	n, bytes := 0, 0
+	for n < len(items) && n < pageItems && (n == 0 || bytes+len(items[n].Value) <= pageBytes) {
+		bytes += len(items[n].Value)
+		n++
+	}
+	answer(w, map[string]any{"Items": items[:n], "MorePages": n < len(items), "CurrentRev": s.rev})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, prefix string, after int64, wait time.Duration) {
