--- a/review/rig-3/cases.go
+++ b/review/rig-3/cases.go
@@ -288,7 +288,7 @@
 	const (
 		n          = 12
 		valueBytes = 1 << 20
-		applyMs    = 2 * time.Second
+		applyTime  = 2 * time.Second
 		taken      = "hut-key-taken"
 	)
 	s := newStore(100)
@@ -333,11 +333,11 @@
 	late, last := 0, time.Duration(0)
 	for _, r := range runners {
 		for _, run := range r.ran() {
-			if after := run.at.Sub(confirmed); after > applyMs+100*time.Millisecond {
+			if after := run.at.Sub(confirmed); after > applyTime+100*time.Millisecond {
 				late++
 				last = max(last, after)
 			}
 		}
 	}
-	verdict(late > 0, "%d requests with a key that was taken away; %d ran later than %v after that was confirmed, the last one after %v", len(c.all()), late, applyMs, last)
+	verdict(late > 0, "%d requests with a key that was taken away; %d ran later than %v after that was confirmed, the last one after %v", len(c.all()), late, applyTime, last)
 }
--- a/review/rig-3/client.go
+++ b/review/rig-3/client.go
@@ -70,12 +70,12 @@
 		}
 		var body struct {
 			Addrs []string
-			TtlS  float64
+			TTL   float64 `json:"TtlS"`
 		}
 		err = json.NewDecoder(response.Body).Decode(&body)
 		response.Body.Close()
 		if err == nil && response.StatusCode == http.StatusOK && len(body.Addrs) > 0 {
-			c.addrs, c.until = body.Addrs, time.Now().Add(time.Duration(min(body.TtlS, 5)*float64(time.Second)))
+			c.addrs, c.until = body.Addrs, time.Now().Add(time.Duration(min(body.TTL, 5)*float64(time.Second)))
 			return c.addrs, nil
 		}
 	}
