gateway: bound the memory of the store's items

Cause: items of the store were kept with their whole values, also those that nobody uses, in any number: servers with long unknown fields, evacuations, keys of other applications, malformed items up to 4 KB. A list or a response of a watch was in memory as text, as JSON and decoded. Entries that start had all others encode all of it.

Change: responses of the store are decoded item by item, and each item is cut to what is used before the next one is read. What is kept is bounded by the memory of the process, items of use with the present configuration and others apart. An entry that left out items lists the store again when the configuration has a new service.

Source.List and Source.Watch pass items to a collector. TestItemThatPanicsIsLeftOut and TestRemovedItemKeepsNoCompressedValue decode their items as ones that are kept: ignored ones no longer are.

--- a/crowdtest/gateway_test.go
+++ b/crowdtest/gateway_test.go
@@ -54,7 +54,9 @@
 	process *process
 	port    int
 	store   *platformtest.Store
-	server  *service
+	// storeAddress is the address of the store.
+	storeAddress string
+	server       *service
 }
 
 // Offsets of the ports.
@@ -109,29 +111,35 @@
 	c.Cleanup(server.Close)
 	c.Cleanup(server.CloseClientConnections)
 	g.publish(server.Listener.Addr().String())
+	g.storeAddress = platformServer.Listener.Addr().String()
+	g.start(c, "entry-1")
+	await(c, "first ordinary request", g.call)
+	return g
+}
+
+// start starts the entry, which knows others by their seeds, and waits until it is ready.
+func (g *gateway) start(c *qt.C, name string, seeds ...string) {
 	port, err := porttest.Reserve(gatewayPorts)
 	c.Assert(err, qt.IsNil)
 	g.port = port
 	path := filepath.Join(c.TempDir(), "settings.json")
-	c.Assert(os.WriteFile(path, g.settings(c, platformServer.Listener.Addr().String()), 0o600), qt.IsNil)
+	c.Assert(os.WriteFile(path, g.settings(c, name, seeds), 0o600), qt.IsNil)
 	g.process = startProcess(c, []string{platform.SettingsVariable + "=" + path}, "gateway")
 	await(c, "entry ready", func() error { return get("http://"+g.address(portReadiness)+"/v1/ready", http.StatusOK) })
-	await(c, "first ordinary request", g.call)
-	return g
 }
 
-// settings returns the settings of the only entry.
-func (g *gateway) settings(c *qt.C, store string) []byte {
+// settings returns the settings of an entry.
+func (g *gateway) settings(c *qt.C, name string, seeds []string) []byte {
 	text, err := json.Marshal(map[string]any{
-		"Node": "entry-1", "Ip": "127.0.0.1", "Zone": "a", "Region": "r",
+		"Node": name, "Ip": "127.0.0.1", "Zone": "a", "Region": "r",
 		"Listen": map[string]any{
 			"Front": g.address(portCallers), "Ready": g.address(portReadiness), "Control": g.address(portPeers), "Directory": g.address(portDirectory),
 		},
 		"InternalPortRange": []int{g.port + portFirstOwn, g.port + portMetrics},
-		"Seeds":             []string{g.address(portPeers)},
+		"Seeds":             append(seeds, g.address(portPeers)),
 		"Limits":            map[string]any{"MemoryMb": gatewayMemoryMB, "MaxFds": gatewayDescriptors, "CpuShare": 1, "Cores": 1},
 		"Bounds":            map[string]any{"GraceS": 8, "RetryRatio": 0.2, "RetrySlack": 100, "RetryWindowS": 10, "stall_ms": 1500, "ttl_max_s": 5},
-		"Platform":          map[string]any{"Addr": store},
+		"Platform":          map[string]any{"Addr": g.storeAddress},
 	})
 	c.Assert(err, qt.IsNil)
 	return text
--- a/gateway/contain_test.go
+++ b/gateway/contain_test.go
@@ -32,7 +32,7 @@
 		if item.Key() == "bad" {
 			panic("malformed")
 		}
-		return PublishedIgnored{}, nil
+		return PublishedEvacuation{}, nil
 	}
 	entry := newControl(NewSettings("e1", "a", "r"), 1, decode, hclog.NewNullLogger(), &timer.Service{})
 	revision := routing.NewRevision(1, 2)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -38,7 +38,9 @@
 	tasks    chan func(now time.Time)
 	done     chan struct{}
 
-	cache     *storeCache
+	cache *storeCache
+	// limit is that of the items of the store, without items.
+	limit     contentLimit
 	members   members
 	scheduler *dispatch.Scheduler
 	// waiters holds the channels of calls whose requests are queued, by request ID.
@@ -81,6 +83,8 @@
 	// storeAnsweredAt is when the store last responded to this entry, zero if never.
 	storeAnsweredAt time.Time
 	watching        atomic.Bool
+	// listsAt is when this entry lists the store because of cache.wantsList, zero if that is not set.
+	listsAt time.Time
 	// storeFailing is set while reads of the store fail.
 	storeFailing atomic.Bool
 
@@ -137,6 +141,8 @@
 		seeds:    settings.Seeds(),
 		random:   rand.New(rand.NewPCG(incarnation, 0)),
 	}
+	c.limit = newContentLimit(settings.MemoryBytes())
+	c.cache.content = c.limit
 	c.tell = func(handover) {}
 	c.state.Store(memberStarting)
 	c.view.Store(c.newView())
--- a/gateway/item.go
+++ b/gateway/item.go
@@ -13,15 +13,23 @@
 // changes after a revision.
 var ErrCompacted = eris.New("gateway: store history compacted")
 
+// Collector takes items one by one while a response is read.
+type Collector interface {
+	// Add takes an item.
+	Add(item Item)
+	// Reset drops all items that were added.
+	Reset()
+}
+
 // Source is a client of the store.
 type Source interface {
-	// List returns all items of one era and the revision from which to Watch so as
-	// to miss no change.
-	List(ctx context.Context) ([]Item, routing.Revision, error)
-	// Watch waits up to the given time for changes after a revision and returns
-	// them with the revision to continue from, or ErrCompacted. If that is of another
-	// era, the changes do not continue the content at the given one.
-	Watch(ctx context.Context, after routing.Revision, wait time.Duration) ([]Item, routing.Revision, error)
+	// List passes all items of one era to the collector and returns the revision from
+	// which to Watch so as to miss no change.
+	List(ctx context.Context, into Collector) (routing.Revision, error)
+	// Watch waits up to the given time for changes after a revision, passes them to the
+	// collector and returns the revision to continue from, or ErrCompacted. If that is of
+	// another era, the changes do not continue the content at the given one.
+	Watch(ctx context.Context, after routing.Revision, wait time.Duration, into Collector) (routing.Revision, error)
 }
 
 // Decoder decodes an item that is not removed.
@@ -33,6 +41,8 @@
 	revision routing.Revision
 	value    []byte
 	removed  bool
+	// decoded is the decoded item, nil if that is still to be done.
+	decoded *decodedItem
 }
 
 // NewItem returns an item with the value written at a revision.
@@ -73,13 +83,26 @@
 func (p PublishedTable) Table() *routing.Table { return p.table }
 
 // PublishedServer is a published backend server.
-type PublishedServer struct{ server routing.Server }
+type PublishedServer struct {
+	server routing.Server
+	short  []byte
+}
 
 // NewPublishedServer returns a published backend server.
 func NewPublishedServer(server routing.Server) PublishedServer {
 	return PublishedServer{server: server}
 }
 
+// WithShortValue returns the published server with a value that decodes to the same, to be
+// kept in place of a longer one.
+func (p PublishedServer) WithShortValue(value []byte) PublishedServer {
+	p.short = value
+	return p
+}
+
+// ShortValue returns a value that decodes to the same, nil if the value is short.
+func (p PublishedServer) ShortValue() []byte { return p.short }
+
 // Server returns the backend server.
 func (p PublishedServer) Server() routing.Server { return p.server }
 
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -204,6 +204,8 @@
 	// there was none.
 	SinceRecovery time.Duration
 	Items         []itemMessage
+	// LeftOut is set if the sender had no room for some items.
+	LeftOut bool
 }
 
 // placementMessage requests a placement on a backend server. Times are relative to
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -193,7 +193,7 @@
 	if !c.cache.revision.After(revision) {
 		return itemsReply{}
 	}
-	reply := itemsReply{Revision: c.cache.revision.Packed(), SinceRecovery: -1}
+	reply := itemsReply{Revision: c.cache.revision.Packed(), SinceRecovery: -1, LeftOut: c.cache.incomplete}
 	if !c.cache.recoveredAt.IsZero() {
 		reply.SinceRecovery = now.Sub(c.cache.recoveredAt)
 	}
@@ -362,16 +362,17 @@
 		c.log.Warn("fetching items failed", "entry", address, "error", err)
 		return
 	}
-	items := make([]Item, 0, len(reply.Items))
+	items := c.newCollector(reply.Full)
 	for _, item := range reply.Items {
 		decoded, err := item.decode()
 		if err != nil {
 			c.log.Warn("fetching items failed", "entry", address, "key", item.Key, "error", err)
 			return
 		}
-		items = append(items, decoded)
+		items.Add(decoded)
 	}
-	c.do(func(now time.Time) { c.applyItems(now, address, since, reply, items) })
+	reply.LeftOut = reply.LeftOut || items.leftOut > 0
+	c.do(func(now time.Time) { c.applyItems(now, address, since, reply, items.items) })
 }
 
 // applyItems applies the decoded items of a reply to a request for the changes since a
@@ -392,6 +393,9 @@
 	if recoveredAt := now.Add(-max(0, reply.SinceRecovery)); (reply.SinceRecovery >= 0 || revision.Era() != c.cache.revision.Era()) && recoveredAt.After(c.cache.recoveredAt) {
 		c.cache.recoveredAt = recoveredAt
 	}
+	if reply.LeftOut {
+		c.cache.incomplete = true
+	}
 	if reply.Full {
 		c.cache.replace(now, items, revision)
 	} else {
--- a/gateway/process_test.go
+++ b/gateway/process_test.go
@@ -18,14 +18,14 @@
 // silentSource is a store that never answers.
 type silentSource struct{}
 
-func (silentSource) List(ctx context.Context) ([]Item, routing.Revision, error) {
+func (silentSource) List(ctx context.Context, _ Collector) (routing.Revision, error) {
 	<-ctx.Done()
-	return nil, routing.Revision{}, ctx.Err()
+	return routing.Revision{}, ctx.Err()
 }
 
-func (silentSource) Watch(ctx context.Context, _ routing.Revision, _ time.Duration) ([]Item, routing.Revision, error) {
+func (silentSource) Watch(ctx context.Context, _ routing.Revision, _ time.Duration, _ Collector) (routing.Revision, error) {
 	<-ctx.Done()
-	return nil, routing.Revision{}, ctx.Err()
+	return routing.Revision{}, ctx.Err()
 }
 
 // If one listener can't be opened, those opened before it are closed.
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -70,15 +70,17 @@
 	past := c.past()
 	earlier, decoded := c.items, c.decoded
 	c.items, c.decoded = make(map[string]Item, len(items)), make(map[string]Published, len(items))
+	c.content.setTable(c.table, nil)
 	c.kept = make(map[string]keptItem)
 	c.compressed = make(map[string]compressedItem)
 	c.removals, c.removalsSince = nil, revision
 	c.revision, c.baseline = revision, revision
 	c.listedFrom, c.listedAt = routing.Revision{}, routing.Revision{}
 	for _, item := range items {
-		if known, ok := earlier[item.key]; ok && decoded[item.key] != nil && bytes.Equal(known.value, item.value) {
+		item = item.decodedBy(c.decode)
+		if known, ok := earlier[item.key]; ok && decoded[item.key] != nil && bytes.Equal(known.value, item.value) && c.insert(item) {
 			// The same write: what counts from its publication is not counted anew.
-			c.items[item.key], c.decoded[item.key] = item, decoded[item.key]
+			c.decoded[item.key] = decoded[item.key]
 			continue
 		}
 		c.apply(now, item)
@@ -270,10 +272,12 @@
 func (c *storeCache) decodeKept(item Item) (keptItem, error) {
 	written := item
 	written.removed = false
-	published, err := c.decode(written)
-	if err != nil {
+	written = written.decodedBy(c.decode)
+	if err := written.decoded.err; err != nil {
 		return keptItem{}, err
 	}
+	item.value = written.value
+	published := written.published()
 	switch published.(type) {
 	case PublishedTable:
 		return keptItem{item: item, published: published, reason: keptTable}, nil
--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -2,6 +2,7 @@
 
 import (
 	"compress/flate"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -18,10 +19,17 @@
 // storeCache holds the newest known content of the store. Its revision never
 // decreases.
 type storeCache struct {
-	decode   Decoder
-	log      hclog.Logger
-	items    map[string]Item
-	decoded  map[string]Published
+	decode  Decoder
+	log     hclog.Logger
+	items   map[string]Item
+	decoded map[string]Published
+	// content bounds the memory of items. incomplete is set if some were left out since the last
+	// list of the store, and wantsList if they may be of use now.
+	content    contentLimit
+	incomplete bool
+	wantsList  bool
+	// leftOut counts the items that were left out.
+	leftOut  int64
 	revision routing.Revision
 	table    *routing.Table
 	// tableItem is the item of the active configuration.
@@ -60,10 +68,6 @@
 // configuration is long enough; for the items of servers it is not worth the time.
 const minCompressBytes = 8 << 10
 
-// maxUnusedBytes is the longest value that is kept of an item that is not used: all items must
-// fit into one message to a peer.
-const maxUnusedBytes = 4 << 10
-
 // maxRemovals is the maximum number of removals that are kept for peers.
 const maxRemovals = 512
 
@@ -79,7 +83,7 @@
 // does nothing, if the revision is not after that of the cache.
 func (c *storeCache) replace(now time.Time, items []Item, revision routing.Revision) bool {
 	switch {
-	case !revision.After(c.revision):
+	case !revision.After(c.revision) && (revision != c.revision || !c.incomplete):
 		return false
 	case c.revision.IsZero():
 		c.removalsSince, c.baseline = revision, revision
@@ -134,35 +138,90 @@
 		}
 		return
 	}
-	c.items[item.key] = item
+	item = item.decodedBy(c.decode)
+	if item.ignored() {
+		return
+	}
+	if !c.insert(item) {
+		c.leaveOut(item)
+		if ok {
+			c.remove(now, NewRemovedItem(item.key, item.revision))
+		}
+		return
+	}
 	defer c.review(item.key)
-	decoded, err := c.decode(item)
-	if err != nil {
+	if err := item.decoded.err; err != nil {
 		c.log.Warn("malformed item is not used", "key", item.key, "revision", item.revision, "bytes", len(item.value), "error", err)
-		if len(item.value) > maxUnusedBytes {
-			item.value = nil // malformed for peers as well
-			c.items[item.key] = item
-		}
 		// The last valid configuration stays active.
 		delete(c.decoded, item.key)
 		return
 	}
-	c.decoded[item.key] = decoded
-	if published, ok := decoded.(PublishedTable); ok {
+	c.decoded[item.key] = item.published()
+	if published, ok := item.published().(PublishedTable); ok {
 		c.applyTable(published.table, item)
 	}
 }
 
+// insert adds an item, in place of an earlier one of its key, and reports false and does not if
+// there is no room for it.
+func (c *storeCache) insert(item Item) bool {
+	known, replaces := c.items[item.key]
+	if replaces {
+		c.content.remove(known)
+	}
+	if !c.content.add(item) {
+		if replaces {
+			c.content.addAlways(known)
+		}
+		return false
+	}
+	c.items[item.key] = item
+	return true
+}
+
+// leaveOut records that there is no room for an item.
+func (c *storeCache) leaveOut(item Item) {
+	if !c.incomplete {
+		c.log.Warn("items of the store are left out: they take too much memory", "key", item.key, "revision", item.revision,
+			"items", len(c.items), "used_bytes", c.content.usedBytes, "unused_bytes", c.content.unusedBytes)
+	}
+	c.incomplete = true
+	c.leftOut++
+}
+
+// noteLeftOut records what was left out of a read before it was applied, and how many items
+// while it was. A list replaces what is known of that.
+func (c *storeCache) noteLeftOut(read *itemCollector, applied int64) {
+	if read.list {
+		c.incomplete, c.wantsList = applied > 0, false
+	}
+	c.incomplete = c.incomplete || read.leftOut > 0
+	c.wantsList = c.wantsList || read.again
+	c.leftOut += int64(read.leftOut)
+}
+
 // applyTable activates a configuration if its version is newer.
 func (c *storeCache) applyTable(table *routing.Table, item Item) {
 	if c.table != nil && table.Version() <= c.table.Version() {
 		c.log.Warn("configuration ignored: version is not newer", "version", table.Version(), "in_force", c.table.Version(), "revision", item.revision)
 		return
 	}
+	if c.incomplete && !servesOnly(table, c.table) {
+		c.wantsList = true
+	}
 	c.table, c.tableItem = table, item
+	c.content.setTable(table, c.items)
 	c.log.Info("configuration activated", "version", table.Version(), "revision", item.revision, "header_timeout", table.Limits().HeaderTimeout(), "idle_timeout", table.Limits().IdleTimeout())
 }
 
+// servesOnly reports whether a configuration has no services beside those of another one.
+func servesOnly(table, other *routing.Table) bool {
+	return other != nil && !slices.ContainsFunc(table.Services(), func(name string) bool {
+		_, ok := other.Service(name)
+		return !ok
+	})
+}
+
 // remove removes a known item. A server that is removed within removalGrace after
 // the store recovered is kept until then.
 func (c *storeCache) remove(now time.Time, removal Item) {
@@ -196,6 +255,9 @@
 }
 
 func (c *storeCache) drop(key string) {
+	if known, ok := c.items[key]; ok {
+		c.content.remove(known)
+	}
 	delete(c.items, key)
 	delete(c.decoded, key)
 	delete(c.compressed, key)
--- a/gateway/storecache_test.go
+++ b/gateway/storecache_test.go
@@ -246,7 +246,7 @@
 // The compressed value of an item is kept no longer than the item.
 func TestRemovedItemKeepsNoCompressedValue(t *testing.T) {
 	c := qt.New(t)
-	cache := newStoreCache(func(Item) (Published, error) { return PublishedIgnored{}, nil }, hclog.NewNullLogger())
+	cache := newStoreCache(func(Item) (Published, error) { return NewPublishedTable(&routing.Table{}), nil }, hclog.NewNullLogger())
 	item := NewItem("other/long", at(2), make([]byte, minCompressBytes))
 	cache.applyChanges(time.Unix(1, 0), []Item{item}, at(2))
 	c.Assert(cache.compress(item), qt.IsNotNil)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -31,6 +31,9 @@
 	// minRetryDelay and maxRetryDelay bound the delay after a failed read.
 	minRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = 1200 * time.Millisecond
+	// spreadPerEntry is the mean time between reads of the store that all entries begin for the
+	// same reason.
+	spreadPerEntry = 5 * time.Millisecond
 	// minOutage is the shortest time without a response from the store in which
 	// published servers may have expired.
 	minOutage = time.Second
@@ -89,10 +92,13 @@
 func (c *control) shouldWatch(revision *routing.Revision) bool {
 	watches := true
 	c.do(func(now time.Time) {
-		watches = c.cache.revision.IsZero() || c.members.watchesStore(now)
+		watches = c.cache.revision.IsZero() || c.members.watchesStore(now) || c.listsStore(now)
 		if !c.watching.Load() || !revision.IsZero() && c.cache.revision.Era() > revision.Era() {
 			*revision = c.cache.revision
 		}
+		if c.listsStore(now) {
+			*revision = routing.Revision{}
+		}
 	})
 	if watches != c.watching.Swap(watches) {
 		c.log.Info("store watch changed", "watching", watches, "revision", *revision)
@@ -100,6 +106,24 @@
 	return watches
 }
 
+// listsStore reports whether this entry lists the store now, for items that were left out and
+// that the configuration has made use of since. Entries do so at different times.
+func (c *control) listsStore(now time.Time) bool {
+	if !c.cache.wantsList {
+		c.listsAt = time.Time{}
+		return false
+	}
+	if c.listsAt.IsZero() {
+		c.listsAt = now.Add(c.spread())
+	}
+	return !now.Before(c.listsAt)
+}
+
+// spread returns a random delay for a read of the store that many entries may begin at once.
+func (c *control) spread() time.Duration {
+	return rand.N(time.Duration(len(c.members.byID)+1) * spreadPerEntry)
+}
+
 // resume returns the revision to continue from after a response of another era: that of
 // the cache if a peer sent the content of that era, else zero, to read all items.
 func (c *control) resume(next routing.Revision) routing.Revision {
@@ -113,22 +137,28 @@
 // returns the revision to continue from. After an outage it does not wait, and the
 // store counts as recovered once it responds.
 func (c *control) readStore(ctx context.Context, source Source, revision routing.Revision, outage bool) (routing.Revision, error) {
-	var items []Item
+	items := c.newCollector(revision.IsZero())
 	var next routing.Revision
 	var err error
 	if revision.IsZero() {
-		items, next, err = source.List(ctx)
+		next, err = source.List(ctx, items)
 	} else {
 		wait := watchWait/2 + rand.N(watchWait)
 		if outage {
 			wait = time.Millisecond // detect recovery at once
 		}
-		items, next, err = source.Watch(ctx, revision, wait)
+		next, err = source.Watch(ctx, revision, wait, items)
 	}
 	if err != nil {
 		return routing.Revision{}, err
 	}
-	if !c.do(func(now time.Time) { err = c.applyRead(now, revision, items, next, outage) }) {
+	if !c.do(func(now time.Time) {
+		leftOut := c.cache.leftOut
+		err = c.applyRead(now, revision, items.items, next, outage)
+		if err == nil && (!items.list || c.cache.revision == next) {
+			c.cache.noteLeftOut(items, c.cache.leftOut-leftOut)
+		}
+	}) {
 		return routing.Revision{}, eris.Wrap(errPanic, "items of the store not applied, or stopping")
 	}
 	return next, err
