gateway: send items in parts, and read the store if that does not help

Cause: an entry that does not watch the store asked others for all changes since its revision and refused the message beyond 8 MB, with the connection, which carries placements too. Then it asked the same again.

Changes are cut in the order of their revisions and count as they arrive; a list goes on after a key. Whatever the reason, an entry that gets no nearer to what others have for a second reads the store, once, with a delay that grows with the fleet. Senders refuse bodies that are too long; values are compressed outside the control loop; memory of long responses is reserved; what one reply unpacks to is bounded. Entries of earlier versions get what they understand (docs/design/versions.md).

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -85,6 +85,8 @@
 	watching        atomic.Bool
 	// listsAt is when this entry lists the store because of cache.wantsList, zero if that is not set.
 	listsAt time.Time
+	// lag is how far the content is behind that of other entries.
+	lag lag
 	// storeFailing is set while reads of the store fail.
 	storeFailing atomic.Bool
 
@@ -269,6 +271,7 @@
 // cacheChanged publishes a changed cache to the view and the scheduler, and marks
 // the entry ready once it has a configuration and servers.
 func (c *control) cacheChanged(now time.Time) {
+	c.lag.update(now, c.cache.revision, c.spread)
 	view := c.newView()
 	c.view.Store(view)
 	c.scheduler.SetView(now, view)
--- a/gateway/keptheartbeat.go
+++ b/gateway/keptheartbeat.go
@@ -33,11 +33,16 @@
 		return out
 	}
 	out.Baseline = c.cache.baseline.Packed()
-	for _, kept := range c.cache.kept {
+	bytes := 0
+	for _, kept := range c.cache.kept { // in random order, so that all are sent in the end
 		if !kept.relayed() {
 			continue
 		}
+		if bytes > maxPartBytes {
+			break
+		}
 		message := keptMessage{Item: encodeItem(kept.item, c.cache.compress(kept.item))}
+		bytes += len(message.Item.Key) + len(message.Item.Value) + len(message.Item.Compressed) + itemMessageBytes
 		if !kept.until.IsZero() {
 			message.Remaining = kept.until.Sub(now)
 		}
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -163,6 +163,10 @@
 // itemsMessage requests the changes after a revision.
 type itemsMessage struct {
 	Revision int64
+	// Parts is set if the sender takes the items in parts.
+	Parts bool
+	// After is the key of the last item of the earlier parts of a whole list.
+	After string
 }
 
 // itemMessage is one item of the store; a long value is in Compressed in place of
@@ -206,6 +210,18 @@
 	Items         []itemMessage
 	// LeftOut is set if the sender had no room for some items.
 	LeftOut bool
+	// More is set if this is only a part: of all items, those that come first in the order of their
+	// keys; of changes, those up to Revision.
+	More bool
+}
+
+// EncodedBytes returns about the length of the encoded reply.
+func (r itemsReply) EncodedBytes() int {
+	bytes := 0
+	for _, item := range r.Items {
+		bytes += len(item.Key) + len(item.Value) + len(item.Compressed) + itemMessageBytes
+	}
+	return bytes
 }
 
 // placementMessage requests a placement on a backend server. Times are relative to
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -109,6 +109,7 @@
 			c.scheduler.ReleaseEntry(now, other.ID, other.Incarnation)
 		}
 	}
+	c.hearRevision(now, routing.UnpackRevision(heartbeat.Revision))
 	if routing.UnpackRevision(heartbeat.Revision).After(c.cache.revision) {
 		select {
 		case c.newerPeers <- heartbeat.From.PeerAddress:
@@ -180,31 +181,6 @@
 	return out
 }
 
-func (c *control) handleItems(call itemsMessage) (itemsReply, error) {
-	var reply itemsReply
-	if !c.do(func(now time.Time) { reply = c.itemsSince(now, routing.UnpackRevision(call.Revision)) }) {
-		return reply, eris.Wrap(errCall, "stopping")
-	}
-	return reply, nil
-}
-
-// itemsSince returns the response to a request for the changes after a revision.
-func (c *control) itemsSince(now time.Time, revision routing.Revision) itemsReply {
-	if !c.cache.revision.After(revision) {
-		return itemsReply{}
-	}
-	reply := itemsReply{Revision: c.cache.revision.Packed(), SinceRecovery: -1, LeftOut: c.cache.incomplete}
-	if !c.cache.recoveredAt.IsZero() {
-		reply.SinceRecovery = now.Sub(c.cache.recoveredAt)
-	}
-	var items []Item
-	items, reply.Full = c.cache.changesSince(revision)
-	for _, item := range items {
-		reply.Items = append(reply.Items, encodeItem(item, c.cache.compress(item)))
-	}
-	return reply
-}
-
 func (c *control) handlePlacement(call placementMessage) (placementReply, error) {
 	owner, request := call.decode(c.timers.Now())
 	c.do(func(now time.Time) {
@@ -337,44 +313,6 @@
 	})
 }
 
-// catchUp fetches items from peers with a newer revision until ctx ends.
-func (c *control) catchUp(ctx context.Context, client *mesh.Client) {
-	for {
-		select {
-		case address := <-c.newerPeers:
-			c.fetch(ctx, client, address)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (c *control) fetch(ctx context.Context, client *mesh.Client, address string) {
-	if c.watching.Load() {
-		// The store's own watch is likely to deliver these changes first.
-		sleep(ctx, catchUpDelay)
-	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	var reply itemsReply
-	since := c.View().Revision()
-	if err := client.Call(ctx, address, callItems, itemsMessage{Revision: since.Packed()}, &reply); err != nil {
-		c.log.Warn("fetching items failed", "entry", address, "error", err)
-		return
-	}
-	items := c.newCollector(reply.Full)
-	for _, item := range reply.Items {
-		decoded, err := item.decode()
-		if err != nil {
-			c.log.Warn("fetching items failed", "entry", address, "key", item.Key, "error", err)
-			return
-		}
-		items.Add(decoded)
-	}
-	reply.LeftOut = reply.LeftOut || items.leftOut > 0
-	c.do(func(now time.Time) { c.applyItems(now, address, since, reply, items.items) })
-}
-
 // applyItems applies the decoded items of a reply to a request for the changes since a
 // revision.
 func (c *control) applyItems(now time.Time, address string, since routing.Revision, reply itemsReply, items []Item) {
--- a/gateway/restore_fuzz_test.go
+++ b/gateway/restore_fuzz_test.go
@@ -224,7 +224,7 @@
 	}
 	since := to.View().Revision()
 	w.send(func() {
-		reply := from.itemsSince(w.now, since)
+		reply, _ := from.itemsSince(w.now, itemsMessage{Revision: since.Packed()})
 		w.send(func() {
 			var items []Item
 			for _, message := range reply.Items {
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -99,7 +99,8 @@
 		return
 	}
 	since := to.View().Revision()
-	reply := from.itemsSince(now, since)
+	reply, err := from.itemsSince(now, itemsMessage{Revision: since.Packed()})
+	c.Assert(err, qt.IsNil)
 	var items []Item
 	for _, message := range reply.Items {
 		item, err := message.decode()
--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -3,6 +3,7 @@
 import (
 	"compress/flate"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -34,8 +35,9 @@
 	table    *routing.Table
 	// tableItem is the item of the active configuration.
 	tableItem Item
-	// compressed holds the compressed values of long items, by key.
-	compressed map[string]compressedItem
+	// compressed holds the compressed values of long items, by key; compressing guards it.
+	compressing sync.Mutex
+	compressed  map[string]compressedItem
 	// kept holds what is kept of the past beside the content, by key.
 	kept map[string]keptItem
 	// departures holds the servers that have left, by key, departureKeys these keys in
@@ -260,6 +262,8 @@
 	}
 	delete(c.items, key)
 	delete(c.decoded, key)
+	c.compressing.Lock()
+	defer c.compressing.Unlock()
 	delete(c.compressed, key)
 }
 
@@ -298,11 +302,14 @@
 	return routing.NewView(c.revision, c.table, servers, evacuated)
 }
 
-// compress returns an item's compressed value, nil if the value is short.
+// compress returns an item's compressed value, nil if the value is short. It may be called
+// outside the control loop.
 func (c *storeCache) compress(item Item) []byte {
 	if len(item.value) < minCompressBytes {
 		return nil
 	}
+	c.compressing.Lock()
+	defer c.compressing.Unlock()
 	known := c.compressed[item.key]
 	if known.revision != item.revision {
 		known = compressedItem{revision: item.revision, value: mesh.Compress(string(item.value), flate.BestSpeed)}
@@ -311,6 +318,13 @@
 	return known.value
 }
 
+// compressMessage returns a message of an item with the compressed value if that is long. It may
+// be called outside the control loop.
+func (c *storeCache) compressMessage(m itemMessage) itemMessage {
+	item := Item{key: m.Key, revision: routing.UnpackRevision(m.Revision), value: m.Value, removed: m.Removed}
+	return encodeItem(item, c.compress(item))
+}
+
 // changesSince returns the changes after a revision, or all items and full true if
 // the removals since then are no longer known. What is kept is not included: each
 // entry decides for itself how long to keep a removed server.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -92,7 +92,7 @@
 func (c *control) shouldWatch(revision *routing.Revision) bool {
 	watches := true
 	c.do(func(now time.Time) {
-		watches = c.cache.revision.IsZero() || c.members.watchesStore(now) || c.listsStore(now)
+		watches = c.cache.revision.IsZero() || c.members.watchesStore(now) || c.listsStore(now) || c.lag.late(now)
 		if !c.watching.Load() || !revision.IsZero() && c.cache.revision.Era() > revision.Era() {
 			*revision = c.cache.revision
 		}
@@ -176,6 +176,7 @@
 		return errEraChanged
 	}
 	c.storeAnsweredAt = now
+	c.lag.noteRead()
 	if outage || !c.cache.revision.IsZero() && next.Era() != c.cache.revision.Era() {
 		c.cache.recoveredAt = now
 	}
--- a/mesh/client.go
+++ b/mesh/client.go
@@ -97,6 +97,9 @@
 	if err != nil {
 		return eris.Wrapf(ErrRefused, "encode %s: %v", kind, err)
 	}
+	if len(body) > maxBodyBytes {
+		return eris.Wrapf(ErrRefused, "%s to %s: %v: %d bytes", kind, address, errTooLong, len(body))
+	}
 	p := c.peer(address)
 	if !c.kinds.original(kind) {
 		if err := p.waitUnderstood(ctx, kind); err != nil {
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -157,6 +157,18 @@
 	return true
 }
 
+// reserveResponse reserves the memory of a long response until endCall. It reports false if there
+// is not enough.
+func (s *Server) reserveResponse(bytes int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limits.messageMemory > 0 && s.messages+bytes > s.limits.messageMemory {
+		return false
+	}
+	s.messages += bytes
+	return true
+}
+
 // endCall ends a call that beginCall has begun.
 func (s *Server) endCall(in *inbound, bytes int64) {
 	s.mu.Lock()
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -23,6 +23,12 @@
 // published, which one message may carry.
 const maxMessageBytes = 8 << 20
 
+// maxBodyBytes bounds the body of a message that is sent, so that the message is not refused.
+const maxBodyBytes = maxMessageBytes - 64<<10
+
+// errTooLong is the error for a body over maxBodyBytes.
+var errTooLong = eris.New("mesh: message too long")
+
 // envelope is one message. A request has a kind; its response has the same ID,
 // no kind, and either an error or a body.
 type envelope struct {
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -171,15 +171,19 @@
 			return
 		}
 		go func() {
-			defer s.endCall(in, memory)
-			answer(call, s.respond(call))
+			response, responseMemory := s.respond(call)
+			defer s.endCall(in, memory+responseMemory)
+			answer(call, response)
 		}()
 	}
 }
 
-// respond returns the response to a call, an error if its handler panics: one call must not
-// end the process.
-func (s *Server) respond(call envelope) (response envelope) {
+// longReply is a reply that may take much memory; EncodedBytes is about its encoded length.
+type longReply interface{ EncodedBytes() int }
+
+// respond returns the response to a call and the memory that it has reserved for it. It returns an
+// error if the handler panics: one call must not end the process.
+func (s *Server) respond(call envelope) (response envelope, memory int64) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			s.log.Error("call handler panicked", "kind", call.Kind, "bytes", len(call.Body), "panic", cause, "stack", string(debug.Stack()))
@@ -188,11 +192,20 @@
 	}()
 	reply, err := s.handler(call.Kind, call.Body)
 	if err != nil {
-		return envelope{ID: call.ID, Error: err.Error()}
+		return envelope{ID: call.ID, Error: err.Error()}, 0
+	}
+	if long, ok := reply.(longReply); ok {
+		if memory = messageByteFactor * int64(long.EncodedBytes()); !s.reserveResponse(memory) {
+			return envelope{ID: call.ID, Error: errBusy.Error()}, 0
+		}
 	}
 	body, err := encode(reply)
-	if err != nil {
-		return envelope{ID: call.ID, Error: err.Error()}
+	switch {
+	case err != nil:
+		return envelope{ID: call.ID, Error: err.Error()}, memory
+	case len(body) > maxBodyBytes:
+		// The caller would end the connection, on which other responses may be due.
+		return envelope{ID: call.ID, Error: eris.Wrapf(errTooLong, "%s: %d bytes", call.Kind, len(body)).Error()}, memory
 	}
-	return envelope{ID: call.ID, Body: body}
+	return envelope{ID: call.ID, Body: body}, memory
 }
