gateway: a watch that is cut is no outage of the store

Cause: the time since the store last answered was taken for the time since which it does not. A watch that waits has no answer for up to 2.4 s, so that one cut after a second counted as an outage, for which servers that the store removes are kept in use. Other entries took it over.

Change: a read that ends otherwise than in silence shows that the store was there until then, and the next one does not wait. An outage is a time in which the store answered nobody: entries compare it with the answers that responses to heartbeats tell of, before they claim it, when they hear of it, and afterwards. Items from other entries carry its length. The shortest outage follows from the report interval of servers, where that is known.

--- a/gateway/catchup.go
+++ b/gateway/catchup.go
@@ -55,7 +55,7 @@
 	}
 	reply := itemsReply{Revision: c.cache.revision.Packed(), SinceRecovery: -1, LeftOut: c.cache.incomplete}
 	if !c.cache.recoveredAt.IsZero() {
-		reply.SinceRecovery = now.Sub(c.cache.recoveredAt)
+		reply.SinceRecovery, reply.Outage = now.Sub(c.cache.recoveredAt), c.outage.length()
 	}
 	items, full := c.cache.changesSince(revision)
 	if full = full || call.After != ""; full {
--- a/gateway/catchup_test.go
+++ b/gateway/catchup_test.go
@@ -172,7 +172,7 @@
 			})
 			entry := newRunningEntry(t, "e1")
 			store := &listedStore{items: []Item{item("config", 1, "1")}, revision: at(1)}
-			_, err = entry.readStore(t.Context(), store, routing.Revision{}, false)
+			_, err = entry.readStore(t.Context(), store, routing.Revision{}, time.Time{})
 			c.Assert(err, qt.IsNil)
 			store.items, store.revision = append(store.items, item("s1", 200, "10.0.0.1:1")), at(200)
 
--- a/gateway/content_test.go
+++ b/gateway/content_test.go
@@ -93,11 +93,11 @@
 	entry := newContentEntry(t, "e1")
 	store := &listedStore{revision: at(3), items: []Item{item("config", 1, "1 desk")}}
 	store.items = append(append(store.items, strangers("press", 2)...), item("s1", 3, "desk"))
-	_, err := entry.readStore(t.Context(), store, routing.Revision{}, false)
+	_, err := entry.readStore(t.Context(), store, routing.Revision{}, time.Time{})
 	c.Assert(err, qt.IsNil)
 	c.Assert(entry.View().Usable("s1"), qt.IsTrue)
 	store.items, store.revision = append(strangers("cloud", 5), item("s2", 6, "desk"), item("domain/a", 6, "")), at(6)
-	_, err = entry.readStore(t.Context(), store, at(3), false)
+	_, err = entry.readStore(t.Context(), store, at(3), time.Time{})
 	c.Assert(err, qt.IsNil)
 	c.Assert(entry.View().Usable("s2"), qt.IsTrue)
 	bytes := int64(0)
@@ -117,13 +117,13 @@
 	watcher, standby := newContentEntry(t, "e1"), newContentEntry(t, "e2")
 	store := &listedStore{revision: at(3), items: append([]Item{item("config", 1, "1 desk"), item("s1", 2, "desk")}, strangers("press", 3)...)}
 	store.items = append(store.items, item("z1", 3, "cloud"))
-	_, err := watcher.readStore(t.Context(), store, routing.Revision{}, false)
+	_, err := watcher.readStore(t.Context(), store, routing.Revision{}, time.Time{})
 	c.Assert(err, qt.IsNil)
 	fetchOnce(c, watcher, standby)
 	c.Assert(watcher.View().Usable("z1"), qt.IsFalse)
 
 	store.items[0], store.revision = item("config", 4, "1 desk cloud"), at(4)
-	_, err = watcher.readStore(t.Context(), store, at(3), false)
+	_, err = watcher.readStore(t.Context(), store, at(3), time.Time{})
 	c.Assert(err, qt.IsNil)
 	fetchOnce(c, watcher, standby)
 	for _, entry := range []*control{watcher, standby} {
@@ -132,7 +132,7 @@
 			c.Assert(time.Now().Before(deadline), qt.IsTrue)
 			entry.shouldWatch(&revision)
 		}
-		_, err = entry.readStore(t.Context(), store, revision, false)
+		_, err = entry.readStore(t.Context(), store, revision, time.Time{})
 		c.Assert(err, qt.IsNil)
 		c.Assert(entry.View().Usable("z1"), qt.IsTrue)
 		entry.do(func(now time.Time) { c.Check(entry.listsStore(now), qt.IsFalse) })
@@ -160,10 +160,10 @@
 	c := qt.New(t)
 	entry := newContentEntry(t, "e1")
 	store := &listedStore{revision: at(3), items: append([]Item{item("config", 1, "1 desk"), item("s1", 2, "desk")}, strangers("press", 3)...)}
-	_, err := entry.readStore(t.Context(), store, routing.Revision{}, false)
+	_, err := entry.readStore(t.Context(), store, routing.Revision{}, time.Time{})
 	c.Assert(err, qt.IsNil)
 	store.items, store.revision = []Item{item("s1", 4, "press")}, at(4)
-	_, err = entry.readStore(t.Context(), store, at(3), false)
+	_, err = entry.readStore(t.Context(), store, at(3), time.Time{})
 	c.Assert(err, qt.IsNil)
 	c.Assert(entry.View().Usable("s1"), qt.IsFalse)
 	entry.do(func(time.Time) {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -85,6 +85,12 @@
 	watching        atomic.Bool
 	// listsAt is when this entry lists the store because of cache.wantsList, zero if that is not set.
 	listsAt time.Time
+	// answers holds when the store answered this entry and others, and outage the last time in
+	// which it answered nobody, zero if there was none since the last change of its era; outages
+	// counts them.
+	answers storeAnswers
+	outage  outage
+	outages int64
 	// lag is how far the content is behind that of other entries.
 	lag lag
 	// storeFailing is set while reads of the store fail.
--- a/gateway/item.go
+++ b/gateway/item.go
@@ -13,6 +13,10 @@
 // changes after a revision.
 var ErrCompacted = eris.New("gateway: store history compacted")
 
+// ErrSilent is wrapped by the errors of a Source whose store sent nothing until a timeout: it may
+// have been away all the while. After any other error it was there until then.
+var ErrSilent = eris.New("gateway: store is silent")
+
 // Collector takes items one by one while a response is read.
 type Collector interface {
 	// Add takes an item.
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -208,6 +208,8 @@
 	// there was none.
 	SinceRecovery time.Duration
 	Items         []itemMessage
+	// Outage is the length of that outage, 0 if it is not known.
+	Outage time.Duration
 	// LeftOut is set if the sender had no room for some items.
 	LeftOut bool
 	// More is set if this is only a part: of all items, those that come first in the order of their
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -293,7 +293,10 @@
 // sendHeartbeat sends one heartbeat.
 func (c *control) sendHeartbeat(ctx context.Context, client *mesh.Client, target heartbeatTarget) {
 	var heartbeat, reply heartbeatMessage
-	if !c.do(func(now time.Time) { heartbeat = c.withKeptDigest(c.newHeartbeat(now, target)) }) {
+	var sent time.Time
+	if !c.do(func(now time.Time) {
+		heartbeat, sent = c.withKeptDigest(c.newHeartbeat(now, target)), now
+	}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
@@ -309,6 +312,7 @@
 	}
 	c.do(func(now time.Time) {
 		c.applyHeartbeat(now, reply)
+		c.hearAnswer(now, sent, reply.StoreAge)
 		c.applyKept(now, reply)
 	})
 }
@@ -328,9 +332,7 @@
 		}
 		return
 	}
-	if recoveredAt := now.Add(-max(0, reply.SinceRecovery)); (reply.SinceRecovery >= 0 || revision.Era() != c.cache.revision.Era()) && recoveredAt.After(c.cache.recoveredAt) {
-		c.cache.recoveredAt = recoveredAt
-	}
+	c.applyRecovery(now, reply, revision.Era() != c.cache.revision.Era())
 	if reply.LeftOut {
 		c.cache.incomplete = true
 	}
@@ -343,6 +345,24 @@
 	c.cacheChanged(now)
 }
 
+// applyRecovery records when the store recovered from an outage, as another entry states it, or
+// with a change of its era.
+func (c *control) applyRecovery(now time.Time, reply itemsReply, eraChanged bool) {
+	recoveredAt := now.Add(-max(0, reply.SinceRecovery))
+	switch {
+	case eraChanged:
+		if recoveredAt.After(c.cache.recoveredAt) {
+			c.cache.recoveredAt, c.outage = recoveredAt, outage{}
+		}
+	case reply.SinceRecovery >= 0:
+		length := reply.Outage
+		if length <= 0 {
+			length = maxAnswerGap // not stated by earlier versions
+		}
+		c.noteOutage(now, outage{recoveredAt.Add(-length), recoveredAt})
+	}
+}
+
 // catchUpDelay is how long an entry that watches the store waits before it fetches
 // items from a newer peer: the store's usual response time and a round trip.
 const catchUpDelay = 150 * time.Millisecond
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -242,6 +242,7 @@
 		values["revision"] = p.control.cache.revision.Number()
 		values["store_era"] = p.control.cache.revision.Era()
 		values["store_restores"] = p.control.cache.restores
+		values["store_outages"] = p.control.outages
 		values["behind_seconds"], values["store_reads_behind"] = p.control.lag.behindFor(now).Seconds(), p.control.lag.reads
 		values["store_items"], values["store_items_left_out"] = len(p.control.cache.items), p.control.cache.leftOut
 		values["store_used_bytes"], values["store_unused_bytes"] = p.control.cache.content.usedBytes, p.control.cache.content.unusedBytes
--- a/gateway/restore_fuzz_test.go
+++ b/gateway/restore_fuzz_test.go
@@ -184,7 +184,7 @@
 	items, next, err := w.store.read(after)
 	w.send(func() {
 		if err == nil {
-			err = e.applyRead(w.now, after, items, next, false)
+			err = e.applyRead(w.now, after, items, next, time.Time{})
 		}
 		switch {
 		case err == nil:
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -73,20 +73,20 @@
 	c := qt.New(t)
 	now := time.Unix(100, 0)
 	entry := newStoreEntry("e1")
-	c.Assert(entry.applyRead(now, routing.Revision{}, []Item{eraItem(1, 4, "s1", "ready 1")}, inEra(1, 9), false), qt.IsNil)
+	c.Assert(entry.applyRead(now, routing.Revision{}, []Item{eraItem(1, 4, "s1", "ready 1")}, inEra(1, 9), time.Time{}), qt.IsNil)
 	changes := []Item{eraItem(2, 11, "s2", "ready 1")}
-	c.Assert(entry.applyRead(now, inEra(1, 9), changes, inEra(2, 11), false), qt.ErrorIs, errEraChanged)
+	c.Assert(entry.applyRead(now, inEra(1, 9), changes, inEra(2, 11), time.Time{}), qt.ErrorIs, errEraChanged)
 	c.Assert(entry.View().Revision(), qt.Equals, inEra(1, 9))
 	c.Assert(entry.View().Usable("s2"), qt.IsFalse)
 
 	// Also if a peer sent the content of that era meanwhile.
-	c.Assert(entry.applyRead(now, routing.Revision{}, []Item{eraItem(2, 4, "s1", "ready 1")}, inEra(2, 5), false), qt.IsNil)
-	c.Assert(entry.applyRead(now, inEra(1, 9), changes, inEra(2, 11), false), qt.ErrorIs, errEraChanged)
+	c.Assert(entry.applyRead(now, routing.Revision{}, []Item{eraItem(2, 4, "s1", "ready 1")}, inEra(2, 5), time.Time{}), qt.IsNil)
+	c.Assert(entry.applyRead(now, inEra(1, 9), changes, inEra(2, 11), time.Time{}), qt.ErrorIs, errEraChanged)
 	c.Assert(entry.View().Revision(), qt.Equals, inEra(2, 5))
 
 	// A late response of the earlier era changes nothing.
-	c.Assert(entry.applyRead(now, inEra(1, 9), []Item{eraItem(1, 12, "s2", "ready 1")}, inEra(1, 12), false), qt.ErrorIs, errEarlierEra)
-	c.Assert(entry.applyRead(now, routing.Revision{}, []Item{eraItem(1, 12, "s2", "ready 1")}, inEra(1, 12), false), qt.ErrorIs, errEarlierEra)
+	c.Assert(entry.applyRead(now, inEra(1, 9), []Item{eraItem(1, 12, "s2", "ready 1")}, inEra(1, 12), time.Time{}), qt.ErrorIs, errEarlierEra)
+	c.Assert(entry.applyRead(now, routing.Revision{}, []Item{eraItem(1, 12, "s2", "ready 1")}, inEra(1, 12), time.Time{}), qt.ErrorIs, errEarlierEra)
 	c.Assert(entry.View().Usable("s2"), qt.IsFalse)
 }
 
@@ -117,9 +117,9 @@
 	ahead, behind := newStoreEntry("e1"), newStoreEntry("e2")
 	list := []Item{eraItem(1, 4, "s1", "ready 1"), eraItem(1, 20, "s2", "ready 1")}
 	for _, entry := range []*control{ahead, behind} {
-		c.Assert(entry.applyRead(now, routing.Revision{}, list, inEra(1, 20), false), qt.IsNil)
+		c.Assert(entry.applyRead(now, routing.Revision{}, list, inEra(1, 20), time.Time{}), qt.IsNil)
 	}
-	c.Assert(ahead.applyRead(now, routing.Revision{}, []Item{eraItem(2, 4, "s1", "ready 1"), eraItem(2, 9, "s3", "ready 1")}, inEra(2, 9), false), qt.IsNil)
+	c.Assert(ahead.applyRead(now, routing.Revision{}, []Item{eraItem(2, 4, "s1", "ready 1"), eraItem(2, 9, "s3", "ready 1")}, inEra(2, 9), time.Time{}), qt.IsNil)
 	pull(c, now, behind, ahead)
 	c.Assert(ahead.View().Revision(), qt.Equals, inEra(2, 9))
 	pull(c, now, ahead, behind)
@@ -341,10 +341,10 @@
 	knows, fresh := newStoreEntry("e1"), newStoreEntry("e2")
 	c.Assert(knows.applyRead(now, routing.Revision{}, []Item{
 		eraItem(1, 1, "s1", "ready 1"), eraItem(1, 2, "s2", "draining 1"), eraItem(1, 3, "evacuate/b", "{}"), eraItem(1, 4, "config", "7"),
-	}, inEra(1, 4), false), qt.IsNil)
+	}, inEra(1, 4), time.Time{}), qt.IsNil)
 	copied := []Item{eraItem(2, 1, "s1", "ready 1"), eraItem(2, 2, "s2", "ready 1"), eraItem(2, 1, "config", "6")}
 	for _, entry := range []*control{knows, fresh} {
-		c.Assert(entry.applyRead(now, routing.Revision{}, copied, inEra(2, 3), false), qt.IsNil)
+		c.Assert(entry.applyRead(now, routing.Revision{}, copied, inEra(2, 3), time.Time{}), qt.IsNil)
 	}
 	c.Assert(fresh.View().Usable("s2"), qt.IsTrue)
 	exchangeKept(now, fresh, knows)
@@ -365,7 +365,7 @@
 
 	// An entry of another era is not told: it first needs the content.
 	behind := newStoreEntry("e3")
-	c.Assert(behind.applyRead(now, routing.Revision{}, []Item{eraItem(1, 2, "s2", "ready 1")}, inEra(1, 2), false), qt.IsNil)
+	c.Assert(behind.applyRead(now, routing.Revision{}, []Item{eraItem(1, 2, "s2", "ready 1")}, inEra(1, 2), time.Time{}), qt.IsNil)
 	exchangeKept(now, behind, knows)
 	c.Assert(behind.cache.kept, qt.HasLen, 0)
 }
@@ -376,13 +376,13 @@
 	now := time.Unix(100, 0)
 	early, late := newStoreEntry("e1"), newStoreEntry("e2")
 	for _, entry := range []*control{early, late} {
-		c.Assert(entry.applyRead(now, routing.Revision{}, []Item{eraItem(1, 1, "s1", "ready 1")}, inEra(1, 1), false), qt.IsNil)
-		c.Assert(entry.applyRead(now, inEra(1, 1), []Item{NewRemovedItem("s1", inEra(1, 9))}, inEra(1, 9), false), qt.IsNil)
+		c.Assert(entry.applyRead(now, routing.Revision{}, []Item{eraItem(1, 1, "s1", "ready 1")}, inEra(1, 1), time.Time{}), qt.IsNil)
+		c.Assert(entry.applyRead(now, inEra(1, 1), []Item{NewRemovedItem("s1", inEra(1, 9))}, inEra(1, 9), time.Time{}), qt.IsNil)
 	}
-	c.Assert(early.applyRead(now, routing.Revision{}, []Item{eraItem(2, 1, "s1", "ready 1")}, inEra(2, 1), false), qt.IsNil)
-	c.Assert(early.applyRead(now, inEra(2, 1), []Item{eraItem(2, 3, "s1", "ready 1")}, inEra(2, 3), false), qt.IsNil)
+	c.Assert(early.applyRead(now, routing.Revision{}, []Item{eraItem(2, 1, "s1", "ready 1")}, inEra(2, 1), time.Time{}), qt.IsNil)
+	c.Assert(early.applyRead(now, inEra(2, 1), []Item{eraItem(2, 3, "s1", "ready 1")}, inEra(2, 3), time.Time{}), qt.IsNil)
 	c.Assert(early.View().Usable("s1"), qt.IsTrue)
-	c.Assert(late.applyRead(now, routing.Revision{}, []Item{eraItem(2, 3, "s1", "ready 1")}, inEra(2, 3), false), qt.IsNil)
+	c.Assert(late.applyRead(now, routing.Revision{}, []Item{eraItem(2, 3, "s1", "ready 1")}, inEra(2, 3), time.Time{}), qt.IsNil)
 	c.Assert(late.View().Usable("s1"), qt.IsFalse)
 	exchangeKept(now, late, early)
 	c.Assert(late.View().Usable("s1"), qt.IsTrue)
--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -54,7 +54,7 @@
 	// A list does not show what was written and removed again since the revision
 	// before it: removals between listedFrom and listedAt are not complete either.
 	listedFrom, listedAt routing.Revision
-	// recoveredAt is when the store last recovered from an outage.
+	// recoveredAt is when the store last recovered from an outage, zero if it never did.
 	recoveredAt time.Time
 	// restores counts the changes of the store's era since the start.
 	restores int64
@@ -245,6 +245,19 @@
 	c.log.Info("item removed", "key", removal.key, "revision", removal.revision)
 }
 
+// setRecovered corrects when the store recovered from its last outage, zero if there was none, and
+// until when servers are kept for it.
+func (c *storeCache) setRecovered(at time.Time) {
+	until := c.recoveredAt.Add(removalGrace)
+	c.recoveredAt = at
+	for key, kept := range c.kept {
+		if kept.reason == keptServer && kept.until.Equal(until) {
+			kept.until = at.Add(removalGrace)
+			c.kept[key] = kept
+		}
+	}
+}
+
 // recordRemoval keeps a removal for peers with an older revision.
 func (c *storeCache) recordRemoval(removal Item) {
 	c.removals = append(c.removals, removal)
--- a/gateway/timeouts.go
+++ b/gateway/timeouts.go
@@ -13,6 +13,7 @@
 	configActive time.Duration
 	stable       time.Duration
 	prefillStall time.Duration
+	reports      time.Duration
 }
 
 // NewBounds returns the times within which memory that no request uses must be free,
@@ -28,6 +29,12 @@
 	return b
 }
 
+// WithReports returns the bounds with the interval at which backend servers report to the store.
+func (b Bounds) WithReports(interval time.Duration) Bounds {
+	b.reports = interval
+	return b
+}
+
 const (
 	// usualSilence is the longest time without an answer to keep-alive probes, and
 	// silenceFraction its largest part of the time in which memory must be free: the
@@ -117,3 +124,9 @@
 func (t Timeouts) listed() time.Duration {
 	return within(usualListed, listedFraction, t.bounds.stable)
 }
+
+// minOutage returns the shortest time in which published servers may expire because the store is
+// away.
+func (t Timeouts) minOutage() time.Duration {
+	return max(minOutage, time.Duration(outageIntervals*float64(t.bounds.reports)))
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -34,58 +34,72 @@
 	// spreadPerEntry is the mean time between reads of the store that all entries begin for the
 	// same reason.
 	spreadPerEntry = 5 * time.Millisecond
-	// minOutage is the shortest time without a response from the store in which
-	// published servers may have expired.
-	minOutage = time.Second
 )
 
 // watch keeps the cache up to date from the store until ctx ends.
 func (c *control) watch(ctx context.Context, source Source) {
 	var revision routing.Revision
 	delay := minRetryDelay
-	respondedAt := c.timers.Now()
-	failing := false
+	// answeredAt is when the store last answered this entry, or others while it does not watch.
+	answeredAt := c.timers.Now()
+	// awaySince is since when the store may be away, zero if the last read succeeded.
+	var awaySince time.Time
 	for ctx.Err() == nil {
 		if !c.shouldWatch(&revision) {
 			sleep(ctx, standbyInterval)
-			respondedAt = c.timers.Now()
+			answeredAt, awaySince = c.lastStoreAnswer(), time.Time{}
 			continue
 		}
-		next, err := c.readStore(ctx, source, revision, failing && c.timers.Now().Sub(respondedAt) > minOutage)
+		began := c.timers.Now()
+		next, err := c.readStore(ctx, source, revision, awaySince)
 		now := c.timers.Now()
 		switch {
 		case errors.Is(err, ErrCompacted):
 			c.log.Info("store history compacted; reading all items", "revision", revision)
-			revision = routing.Revision{}
+			revision, answeredAt = routing.Revision{}, now
 			continue
 		case errors.Is(err, errEraChanged):
 			c.log.Info("store changed its era", "revision", revision, "era", next.Era())
-			revision = c.resume(next)
+			revision, answeredAt = c.resume(next), now
 			continue
 		case err != nil:
 			if ctx.Err() != nil {
 				return
 			}
-			if !failing {
-				c.log.Warn("store read failed; retrying", "revision", revision, "error", err)
+			if awaySince.IsZero() {
+				awaySince = answeredAt
+				if !errors.Is(err, ErrSilent) && now.Sub(began) >= minRetryDelay {
+					awaySince = now // it let the watch wait until then
+				}
+				c.log.Warn("store read failed; retrying", "revision", revision, "last_known_answer", now.Sub(awaySince), "error", err)
 			}
-			failing = true
 			c.storeFailing.Store(true)
 			sleep(ctx, delay/2+rand.N(delay))
 			delay = min(2*delay, maxRetryDelay)
 			continue
 		}
-		if failing {
-			c.log.Info("store responds again", "revision", next, "away", now.Sub(respondedAt))
+		if !awaySince.IsZero() {
+			c.log.Info("store responds again", "revision", next, "away", now.Sub(awaySince))
 		}
-		failing = false
 		c.storeFailing.Store(false)
-		respondedAt = now
+		answeredAt, awaySince = now, time.Time{}
 		delay = minRetryDelay
 		revision = next
 	}
 }
 
+// lastStoreAnswer returns when the store last answered this entry or another one, now if that is
+// not known.
+func (c *control) lastStoreAnswer() time.Time {
+	at := c.timers.Now()
+	c.do(func(time.Time) {
+		if last := c.answers.last(); !last.IsZero() {
+			at = last
+		}
+	})
+	return at
+}
+
 // shouldWatch reports whether this entry should watch the store. When it starts to
 // watch, or a peer sent content of a later era, revision is set to that of the cache,
 // since changes received from peers need not be read again.
@@ -134,9 +148,8 @@
 }
 
 // readStore lists all items if revision is zero, else waits for changes after it, and
-// returns the revision to continue from. After an outage it does not wait, and the
-// store counts as recovered once it responds.
-func (c *control) readStore(ctx context.Context, source Source, revision routing.Revision, outage bool) (routing.Revision, error) {
+// returns the revision to continue from. If the store may be away, it does not wait.
+func (c *control) readStore(ctx context.Context, source Source, revision routing.Revision, awaySince time.Time) (routing.Revision, error) {
 	items := c.newCollector(revision.IsZero())
 	var next routing.Revision
 	var err error
@@ -144,8 +157,8 @@
 		next, err = source.List(ctx, items)
 	} else {
 		wait := watchWait/2 + rand.N(watchWait)
-		if outage {
-			wait = time.Millisecond // detect recovery at once
+		if !awaySince.IsZero() {
+			wait = time.Millisecond // detect at once that it is back, or was never away
 		}
 		next, err = source.Watch(ctx, revision, wait, items)
 	}
@@ -154,7 +167,7 @@
 	}
 	if !c.do(func(now time.Time) {
 		leftOut := c.cache.leftOut
-		err = c.applyRead(now, revision, items.items, next, outage)
+		err = c.applyRead(now, revision, items.items, next, awaySince)
 		if err == nil && (!items.list || c.cache.revision == next) {
 			c.cache.noteLeftOut(items, c.cache.leftOut-leftOut)
 		}
@@ -166,8 +179,9 @@
 
 // applyRead applies what a read of the store returned: all items at the revision next
 // if revision is zero, else the changes after it. These do not continue the content
-// if the era changed meanwhile: the copy may be older than the revision.
-func (c *control) applyRead(now time.Time, revision routing.Revision, items []Item, next routing.Revision, outage bool) error {
+// if the era changed meanwhile: the copy may be older than the revision. The time in which
+// the store may have been away begins with awaySince, unless that is zero.
+func (c *control) applyRead(now time.Time, revision routing.Revision, items []Item, next routing.Revision, awaySince time.Time) error {
 	if next.Era() < c.cache.revision.Era() {
 		return eris.Wrapf(errEarlierEra, "%d, known is %d", next.Era(), c.cache.revision.Era())
 	}
@@ -177,9 +191,13 @@
 	}
 	c.storeAnsweredAt = now
 	c.lag.noteRead()
-	if outage || !c.cache.revision.IsZero() && next.Era() != c.cache.revision.Era() {
-		c.cache.recoveredAt = now
+	switch {
+	case !c.cache.revision.IsZero() && next.Era() != c.cache.revision.Era():
+		c.cache.recoveredAt, c.outage = now, outage{}
+	case !awaySince.IsZero():
+		c.noteOutage(now, outage{awaySince, now})
 	}
+	c.answers.add(now)
 	if whole {
 		c.cache.replace(now, items, next)
 	} else {
