gateway: a part of changes ends within the known revision

Cause: an item of a list may be newer than the list's revision. A part that ended with such an item stated its revision, and the entry that took it would have skipped the changes in between.

Change: a part states no later revision than the sender's content has. The calls for the parts of a list are in a function of their own.

Result: TestPartEndsWithinKnownRevision; go test ./gateway passes.

--- a/gateway/catchup.go
+++ b/gateway/catchup.go
@@ -33,6 +33,9 @@
 // errReplyTooLong is the error for a reply that an entry which understands no parts can't take.
 var errReplyTooLong = eris.New("gateway: items do not fit into one message")
 
+// errListEnded is the error for a list whose further parts are not sent any more.
+var errListEnded = eris.New("gateway: entry sends no more parts of its list")
+
 // handleItems returns the items that another entry lacks. Values are compressed outside the
 // control loop.
 func (c *control) handleItems(call itemsMessage) (itemsReply, error) {
@@ -72,7 +75,8 @@
 	case !reply.More:
 	case full && !call.Parts:
 		return itemsReply{}, eris.Wrapf(errReplyTooLong, "%d items", len(items))
-	case !full:
+	case !full && c.cache.revision.After(part[len(part)-1].revision):
+		// Items that are newer than the content do not tell what came before them.
 		reply.Revision = part[len(part)-1].revision.Packed()
 	}
 	for _, item := range part {
@@ -120,66 +124,67 @@
 	}
 }
 
-// fetchedList is a whole list of which the parts that came so far are collected.
-type fetchedList struct {
-	since routing.Revision
-	first itemsReply
-	items *itemCollector
-	// after is the key of the last item.
-	after string
-}
+// itemsCall asks another entry for items.
+type itemsCall func(context.Context, itemsMessage, *itemsReply) error
 
 // fetch fetches what this entry lacks from another one, part by part.
-func (c *control) fetch(ctx context.Context, call func(context.Context, itemsMessage, *itemsReply) error, address string) {
+func (c *control) fetch(ctx context.Context, call itemsCall, address string) {
 	if c.watching.Load() {
 		// The store's own watch is likely to deliver these changes first.
 		sleep(ctx, catchUpDelay)
 	}
-	var list *fetchedList
-	for more := true; more; {
+	for {
 		since := c.View().Revision()
-		request := itemsMessage{Revision: since.Packed(), Parts: true}
-		if list != nil {
-			since = list.since
-			request.Revision, request.After = since.Packed(), list.after
-		}
-		var reply itemsReply
-		partCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		err := call(partCtx, request, &reply)
-		cancel()
-		if err == nil && list != nil && (!reply.Full || routing.UnpackRevision(reply.Revision).Era() != routing.UnpackRevision(list.first.Revision).Era()) {
-			err = errEraChanged
-		}
-		if err == nil && reply.Full && list == nil {
-			list = &fetchedList{since: since, first: reply, items: c.newCollector(true)}
-			list.first.Items = nil
-		}
-		items := c.newCollector(false)
-		if list != nil {
-			items = list.items
-		}
-		if err == nil {
-			err = items.addMessages(reply.Items)
-		}
+		reply, items, err := c.fetchItems(ctx, call, since)
 		if err != nil {
 			c.log.Warn("fetching items failed", "entry", address, "revision", since, "error", err)
 			return
 		}
-		if more = reply.More && len(reply.Items) > 0; list != nil {
-			list.first.LeftOut = list.first.LeftOut || reply.LeftOut
-			if more {
-				list.after = reply.Items[len(reply.Items)-1].Key
-				continue
-			}
-			reply = list.first
-		}
-		reply.LeftOut = reply.LeftOut || items.leftOut > 0
-		if !c.do(func(now time.Time) { c.applyItems(now, address, since, reply, items.items) }) || !c.View().Revision().After(since) {
+		c.do(func(now time.Time) { c.applyItems(now, address, since, reply, items) })
+		if !reply.More || !c.View().Revision().After(since) {
 			return
 		}
 	}
 }
 
+// fetchItems fetches a part of the changes after a revision, or all parts of a whole list. It
+// returns the first reply, with what holds for all parts.
+func (c *control) fetchItems(ctx context.Context, call itemsCall, since routing.Revision) (itemsReply, []Item, error) {
+	request := itemsMessage{Revision: since.Packed(), Parts: true}
+	var first itemsReply
+	if err := callPart(ctx, call, request, &first); err != nil {
+		return first, nil, err
+	}
+	items := c.newCollector(first.Full)
+	part := first
+	for {
+		if err := items.addMessages(part.Items); err != nil {
+			return first, nil, err
+		}
+		first.LeftOut = first.LeftOut || part.LeftOut || items.leftOut > 0
+		if !first.Full || !part.More || len(part.Items) == 0 {
+			break
+		}
+		request.After = part.Items[len(part.Items)-1].Key
+		part = itemsReply{}
+		if err := callPart(ctx, call, request, &part); err != nil {
+			return first, nil, err
+		}
+		if !part.Full || routing.UnpackRevision(part.Revision).Era() != routing.UnpackRevision(first.Revision).Era() {
+			return first, nil, errListEnded
+		}
+	}
+	first.More = first.More && !first.Full
+	return first, items.items, nil
+}
+
+// callPart asks for one part within fetchTimeout.
+func callPart(ctx context.Context, call itemsCall, request itemsMessage, reply *itemsReply) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return call(ctx, request, reply)
+}
+
 // addMessages decodes and adds the items of a reply one by one. If one can't be decoded, or if they
 // are longer together than any reply should be, it returns an error.
 func (c *itemCollector) addMessages(messages []itemMessage) error {
--- a/gateway/catchup_test.go
+++ b/gateway/catchup_test.go
@@ -139,6 +139,23 @@
 	c.Assert(reply.Revision, qt.Equals, at(int64(len(reply.Items))+1).Packed())
 }
 
+// Guards against changes that an entry never gets: an item of a list may be newer than the list, and
+// a part that ends with it must not count as all changes up to there.
+func TestPartEndsWithinKnownRevision(t *testing.T) {
+	c := qt.New(t)
+	ahead := newRunningEntry(t, "e1")
+	long := strings.Repeat("x", maxPartBytes)
+	ahead.do(func(now time.Time) {
+		ahead.cache.replace(now, []Item{item("config", 1, "1")}, at(1))
+		ahead.cache.replace(now, []Item{item("config", 1, "1"), item("s1", 9, long), item("s2", 8, long)}, at(5))
+		ahead.cache.removalsSince, ahead.cache.listedAt = at(1), at(1)
+	})
+	reply, err := ahead.handleItems(itemsMessage{Revision: at(2).Packed(), Parts: true})
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply.More, qt.IsTrue)
+	c.Assert(reply.Revision, qt.Equals, at(5).Packed())
+}
+
 // Guards against an entry that knows of a later revision for ever, whatever keeps other entries
 // from sending it what it lacks: it reads the store.
 func TestEntryThatStaysBehindReadsStore(t *testing.T) {
