gateway: an outage that is known is not recorded again

Cause: each reply of another entry to a request for items tells of its last outage, with the time of its transit on top. Each counted and was logged as a new one, a little later than the one before. The errors of malformed items were held with the items.

Change: an outage that began before the last recovery is the same one. Errors of items are logged and dropped.

--- a/gateway/outage.go
+++ b/gateway/outage.go
@@ -73,8 +73,8 @@
 	return outage{}, false
 }
 
-// noteOutage records that the store may have been away, unless it answered others meanwhile or an
-// earlier outage has ended later.
+// noteOutage records that the store may have been away, unless it answered others meanwhile or
+// that is known.
 func (c *control) noteOutage(now time.Time, within outage) {
 	least := c.settings.timeouts.minOutage()
 	if within.length() < least || now.Sub(within.to) >= removalGrace {
@@ -85,8 +85,8 @@
 		c.log.Info("store was not away: it answered other entries", "without_answer", within.length())
 		return
 	}
-	if !found.to.After(c.cache.recoveredAt) {
-		return
+	if found.from.Before(c.cache.recoveredAt) {
+		return // the same outage, or an earlier one
 	}
 	c.cache.recoveredAt, c.outage = found.to, found
 	c.outages++
@@ -108,7 +108,7 @@
 	if ok && found == c.outage {
 		return
 	}
-	c.log.Info("store was not away: it answered other entries", "claimed", c.outage.length())
+	c.log.Info("store was away for less: it answered other entries", "for", found.length(), "before", c.outage.length())
 	c.outage = found
 	c.cache.setRecovered(found.to)
 	if c.cache.expireKept(now) {
--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -144,6 +144,10 @@
 	if item.ignored() {
 		return
 	}
+	err := item.decoded.err
+	if err != nil {
+		item.decoded = &decodedItem{} // the error takes more memory than the item
+	}
 	if !c.insert(item) {
 		c.leaveOut(item)
 		if ok {
@@ -152,7 +156,7 @@
 		return
 	}
 	defer c.review(item.key)
-	if err := item.decoded.err; err != nil {
+	if err != nil {
 		c.log.Warn("malformed item is not used", "key", item.key, "revision", item.revision, "bytes", len(item.value), "error", err)
 		// The last valid configuration stays active.
 		delete(c.decoded, item.key)
