gateway: apply parts of changes together

Cause: each part of changes was published by itself, which sorts all servers anew, and a value that was compressed for one entry kept the control loop from removing items meanwhile.

Change: up to 16 parts of changes are applied together; what has come counts if the next part does not. Values are compressed without the lock that removals need.

--- a/gateway/catchup.go
+++ b/gateway/catchup.go
@@ -19,6 +19,8 @@
 const (
 	// maxPartBytes is about the length of the items in one reply, unless it is a single one.
 	maxPartBytes = 256 << 10
+	// maxChangeParts is how many parts of changes are applied together.
+	maxChangeParts = 16
 	// maxWholeBytes is the same for an entry that understands no parts.
 	maxWholeBytes = 4 << 20
 	// itemMessageBytes is about the length of a message of an item beside its key and value.
@@ -33,8 +35,8 @@
 // errReplyTooLong is the error for a reply that an entry which understands no parts can't take.
 var errReplyTooLong = eris.New("gateway: items do not fit into one message")
 
-// errListEnded is the error for a list whose further parts are not sent any more.
-var errListEnded = eris.New("gateway: entry sends no more parts of its list")
+// errPartsEnded is the error for parts that do not continue the ones before.
+var errPartsEnded = eris.New("gateway: part does not continue the ones before")
 
 // handleItems returns the items that another entry lacks. Values are compressed outside the
 // control loop.
@@ -147,35 +149,52 @@
 	}
 }
 
-// fetchItems fetches a part of the changes after a revision, or all parts of a whole list. It
-// returns the first reply, with what holds for all parts.
+// fetchItems fetches all parts of a whole list, or the first parts of the changes after a
+// revision. It returns the last reply, with what holds for all parts: what was received of changes
+// counts, whatever becomes of the next part.
 func (c *control) fetchItems(ctx context.Context, call itemsCall, since routing.Revision) (itemsReply, []Item, error) {
 	request := itemsMessage{Revision: since.Packed(), Parts: true}
-	var first itemsReply
-	if err := callPart(ctx, call, request, &first); err != nil {
-		return first, nil, err
+	var reply itemsReply
+	if err := callPart(ctx, call, request, &reply); err != nil {
+		return reply, nil, err
 	}
-	items := c.newCollector(first.Full)
-	part := first
-	for {
-		if err := items.addMessages(part.Items); err != nil {
-			return first, nil, err
-		}
-		first.LeftOut = first.LeftOut || part.LeftOut || items.leftOut > 0
-		if !first.Full || !part.More || len(part.Items) == 0 {
-			break
+	items := c.newCollector(reply.Full)
+	if err := items.addMessages(reply.Items); err != nil {
+		return reply, nil, err
+	}
+	for parts := 1; reply.More && len(reply.Items) > 0 && (reply.Full || parts < maxChangeParts); parts++ {
+		request.Revision = reply.Revision
+		if reply.Full {
+			request.Revision, request.After = since.Packed(), reply.Items[len(reply.Items)-1].Key
 		}
-		request.After = part.Items[len(part.Items)-1].Key
-		part = itemsReply{}
-		if err := callPart(ctx, call, request, &part); err != nil {
-			return first, nil, err
+		var next itemsReply
+		err := callPart(ctx, call, request, &next)
+		switch {
+		case err == nil && (next.Full != reply.Full || !sameEra(next.Revision, reply.Revision)):
+			err = errPartsEnded
+		case err == nil:
+			err = items.addMessages(next.Items)
 		}
-		if !part.Full || routing.UnpackRevision(part.Revision).Era() != routing.UnpackRevision(first.Revision).Era() {
-			return first, nil, errListEnded
+		switch {
+		case err != nil && reply.Full:
+			return reply, nil, err
+		case err != nil:
+			c.log.Warn("fetching further items failed", "revision", routing.UnpackRevision(reply.Revision), "error", err)
+			reply.More = false
+		case reply.Full:
+			reply.Items, reply.More, reply.LeftOut = next.Items, next.More, reply.LeftOut || next.LeftOut
+		default:
+			next.LeftOut = next.LeftOut || reply.LeftOut
+			reply = next
 		}
 	}
-	first.More = first.More && !first.Full
-	return first, items.items, nil
+	reply.LeftOut = reply.LeftOut || items.leftOut > 0
+	return reply, items.items, nil
+}
+
+// sameEra reports whether two packed revisions are of one era.
+func sameEra(a, b int64) bool {
+	return routing.UnpackRevision(a).Era() == routing.UnpackRevision(b).Era()
 }
 
 // callPart asks for one part within fetchTimeout.
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -72,9 +72,9 @@
 	c.items, c.decoded = make(map[string]Item, len(items)), make(map[string]Published, len(items))
 	c.content.setTable(c.table, nil)
 	c.kept = make(map[string]keptItem)
-	c.compressing.Lock()
+	c.compressedMu.Lock()
 	clear(c.compressed)
-	c.compressing.Unlock()
+	c.compressedMu.Unlock()
 	c.removals, c.removalsSince = nil, revision
 	c.revision, c.baseline = revision, revision
 	c.listedFrom, c.listedAt = routing.Revision{}, routing.Revision{}
--- a/gateway/storecache.go
+++ b/gateway/storecache.go
@@ -35,9 +35,11 @@
 	table    *routing.Table
 	// tableItem is the item of the active configuration.
 	tableItem Item
-	// compressed holds the compressed values of long items, by key; compressing guards it.
-	compressing sync.Mutex
-	compressed  map[string]compressedItem
+	// compressed holds the compressed values of long items, by key; compressedMu guards it.
+	// compressing is held while a value is compressed, so that each is only once.
+	compressing  sync.Mutex
+	compressedMu sync.Mutex
+	compressed   map[string]compressedItem
 	// kept holds what is kept of the past beside the content, by key.
 	kept map[string]keptItem
 	// departures holds the servers that have left, by key, departureKeys these keys in
@@ -279,8 +281,8 @@
 	}
 	delete(c.items, key)
 	delete(c.decoded, key)
-	c.compressing.Lock()
-	defer c.compressing.Unlock()
+	c.compressedMu.Lock()
+	defer c.compressedMu.Unlock()
 	delete(c.compressed, key)
 }
 
@@ -327,11 +329,16 @@
 	}
 	c.compressing.Lock()
 	defer c.compressing.Unlock()
-	known := c.compressed[item.key]
-	if known.revision != item.revision {
-		known = compressedItem{revision: item.revision, value: mesh.Compress(string(item.value), flate.BestSpeed)}
-		c.compressed[item.key] = known
-	}
+	c.compressedMu.Lock()
+	known, ok := c.compressed[item.key]
+	c.compressedMu.Unlock()
+	if ok && known.revision == item.revision {
+		return known.value
+	}
+	known = compressedItem{revision: item.revision, value: mesh.Compress(string(item.value), flate.BestSpeed)}
+	c.compressedMu.Lock()
+	defer c.compressedMu.Unlock()
+	c.compressed[item.key] = known
 	return known.value
 }
 
