--- a/crowdtest/content_test.go
+++ b/crowdtest/content_test.go
@@ -18,9 +18,9 @@
 	shortItems = 100_000
 )
 
-// strangeServer returns a published server of a service that is in no configuration, with a
+// foreignServer returns a published server of a service that is in no configuration, with a
 // further field of some bytes.
-func strangeServer(bytes int) map[string]any {
+func foreignServer(bytes int) map[string]any {
 	notes := make([]byte, bytes)
 	for i := range notes {
 		notes[i] = byte('A' + rand.IntN(26))
@@ -31,17 +31,17 @@
 	}
 }
 
-// strangeItems returns items of another writer, by what they are.
-func strangeItems() map[string]map[string]any {
+// foreignItems returns items of another writer, by what they are.
+func foreignItems() map[string]map[string]any {
 	long := func(prefix string) map[string]any {
 		items := make(map[string]any)
 		for i := range longItems {
-			items[fmt.Sprint(prefix, "long-", i)] = strangeServer(valueBytes - 512)
+			items[fmt.Sprint(prefix, "long-", i)] = foreignServer(valueBytes - 512)
 		}
 		return items
 	}
 	short := func(field string, value any) map[string]any {
-		item := strangeServer(100)
+		item := foreignServer(100)
 		item[field] = value
 		items := make(map[string]any)
 		for i := range shortItems {
@@ -51,7 +51,7 @@
 	}
 	blank := make(map[string]any)
 	for i := range longItems {
-		item := strangeServer(0)
+		item := foreignServer(0)
 		item["Notes"] = strings.Repeat(" ", valueBytes-512)
 		blank[fmt.Sprint("servers/blank-", i)] = item
 	}
@@ -68,7 +68,7 @@
 // Guards against entries that end for what another writer puts into the store, as they watch it
 // and as they start: one that follows, one that starts beside it, and one that starts alone.
 func TestCrowdGatewayItemsOfAnotherWriter(t *testing.T) {
-	for name, items := range strangeItems() {
+	for name, items := range foreignItems() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel() // no case depends on the descriptors of another one
 			c := qt.New(t)
--- a/gateway/content_test.go
+++ b/gateway/content_test.go
@@ -77,8 +77,8 @@
 	return entry
 }
 
-// strangers returns servers of a service, more than there is room for.
-func strangers(service string, number int64) []Item {
+// unusedServers returns servers of a service, more than there is room for.
+func unusedServers(service string, number int64) []Item {
 	var items []Item
 	for i := range contentMemory / itemOverheadBytes {
 		items = append(items, item(fmt.Sprint("a-", service, i), number, service))
@@ -88,15 +88,15 @@
 
 // Guards against servers that get no requests since items of another writer take the memory: they
 // are kept beside any number of others, in a list and in changes.
-func TestServersInUseAreKeptBesideStrangers(t *testing.T) {
+func TestServersInUseAreKeptBesideUnusedItems(t *testing.T) {
 	c := qt.New(t)
 	entry := newContentEntry(t, "e1")
 	store := &listedStore{revision: at(3), items: []Item{item("config", 1, "1 desk")}}
-	store.items = append(append(store.items, strangers("press", 2)...), item("s1", 3, "desk"))
+	store.items = append(append(store.items, unusedServers("press", 2)...), item("s1", 3, "desk"))
 	_, err := entry.readStore(t.Context(), store, routing.Revision{}, time.Time{})
 	c.Assert(err, qt.IsNil)
 	c.Assert(entry.View().Usable("s1"), qt.IsTrue)
-	store.items, store.revision = append(strangers("cloud", 5), item("s2", 6, "desk"), item("domain/a", 6, "")), at(6)
+	store.items, store.revision = append(unusedServers("cloud", 5), item("s2", 6, "desk"), item("domain/a", 6, "")), at(6)
 	_, err = entry.readStore(t.Context(), store, at(3), time.Time{})
 	c.Assert(err, qt.IsNil)
 	c.Assert(entry.View().Usable("s2"), qt.IsTrue)
@@ -115,7 +115,7 @@
 func TestServersLeftOutAreListedForNewConfiguration(t *testing.T) {
 	c := qt.New(t)
 	watcher, standby := newContentEntry(t, "e1"), newContentEntry(t, "e2")
-	store := &listedStore{revision: at(3), items: append([]Item{item("config", 1, "1 desk"), item("s1", 2, "desk")}, strangers("press", 3)...)}
+	store := &listedStore{revision: at(3), items: append([]Item{item("config", 1, "1 desk"), item("s1", 2, "desk")}, unusedServers("press", 3)...)}
 	store.items = append(store.items, item("z1", 3, "cloud"))
 	_, err := watcher.readStore(t.Context(), store, routing.Revision{}, time.Time{})
 	c.Assert(err, qt.IsNil)
@@ -159,7 +159,7 @@
 func TestChangeWithoutRoomRemovesServer(t *testing.T) {
 	c := qt.New(t)
 	entry := newContentEntry(t, "e1")
-	store := &listedStore{revision: at(3), items: append([]Item{item("config", 1, "1 desk"), item("s1", 2, "desk")}, strangers("press", 3)...)}
+	store := &listedStore{revision: at(3), items: append([]Item{item("config", 1, "1 desk"), item("s1", 2, "desk")}, unusedServers("press", 3)...)}
 	_, err := entry.readStore(t.Context(), store, routing.Revision{}, time.Time{})
 	c.Assert(err, qt.IsNil)
 	store.items, store.revision = []Item{item("s1", 4, "press")}, at(4)
